--- /dev/null
+++ b/bronzeglade/__init__.py
@@ -0,0 +1,1 @@
+"""A model-aware router for versions and cascades."""
--- /dev/null
+++ b/bronzeglade/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of outside systems behind Protocol types."""
--- /dev/null
+++ b/bronzeglade/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic without input or output."""
--- /dev/null
+++ b/bronzeglade/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The router process that runs on an entry VM."""
--- /dev/null
+++ b/bronzeglade/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports for operators."""
--- /dev/null
+++ b/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Launcher, load tool, checker and benches."""
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Commands that run the tools in fleet."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that the router talks to."""
