Serve a request end to end as separate processes

The entry process authenticates a team, resolves a model or route, streams the answer of an engine and commits the billing record to the table service before the last part of the answer leaves. Sessions, admission, cascades, roll-outs and peer protocols are not there yet.

--- /dev/null
+++ b/bronzeglade/adapters/engine.py
@@ -0,0 +1,162 @@
+"""Model engines: OpenAI-compatible HTTP with streaming."""
+
+import dataclasses
+import datetime as dt
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import pydantic_core
+import urllib3
+from result import Err, Ok, Result
+from urllib3.exceptions import HTTPError
+
+from bronzeglade.adapters import transport
+
+_HTTP_OK = 200
+_EVENT_PREFIX = b'data: '
+_END_MARKER = b'[DONE]'
+_LONGEST_LINE = 1024 * 1024  # bytes; a longer event ends the stream
+_READ_SIZE = 65536  # bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chunk:
+    """An event of a stream: its text as received and its content."""
+
+    raw: bytes
+    content: Mapping[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineRefusal:
+    """A reply other than 200: the request did not run."""
+
+    status: int
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineRequest:
+    """A chat completion for an engine.
+
+    `priority` is 0 for the most urgent work.
+    """
+
+    request_id: str
+    body: Mapping[str, Any]
+    priority: int
+
+
+class EngineStream:
+    """An open token stream."""
+
+    def __init__(self, response: urllib3.BaseHTTPResponse) -> None:
+        """Wrap a reply whose body is not read yet."""
+        self.response = response
+        self.complete = False
+
+    def chunks(self) -> Iterator[Chunk]:
+        """Yield events until the end marker or the end of the connection.
+
+        `complete` is true after the end marker only. Errors of the connection
+        end the iteration.
+        """
+        try:
+            yield from self._events()
+        except (HTTPError, OSError, ValueError):
+            self.close()
+
+    def close(self) -> None:
+        """Drop the connection; the engine cancels an unfinished request."""
+        if self.complete:
+            self.response.release_conn()
+        else:
+            self.response.close()
+
+    def _events(self) -> Iterator[Chunk]:
+        for line in _lines(self.response):
+            if not line.startswith(_EVENT_PREFIX):
+                continue
+            payload = line[len(_EVENT_PREFIX) :]
+            if payload == _END_MARKER:
+                self.response.drain_conn()
+                self.complete = True
+                return
+            yield Chunk(payload, pydantic_core.from_json(payload))
+
+
+def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    rest = b''
+    for block in response.stream(_READ_SIZE):
+        lines = (rest + block).split(b'\n')
+        rest = lines.pop()
+        if len(rest) > _LONGEST_LINE:
+            raise ValueError('an event is too long')
+        yield from lines
+
+
+def open_stream(
+    pool: urllib3.PoolManager,
+    address: str,
+    request: EngineRequest,
+    timeout: urllib3.Timeout,
+) -> Result[EngineStream, transport.CallFailure | EngineRefusal]:
+    """Start a chat completion and return its stream.
+
+    Args:
+      pool: connections to use.
+      address: IP address and port of the engine.
+      request: the completion.
+      timeout: limits to connect and on each read.
+
+    Returns:
+      The stream, a refusal by the engine, or a failed call.
+    """
+    document = {
+        **request.body,
+        'stream': True,
+        'stream_options': {'include_usage': True},
+    }
+    try:
+        response = pool.request(
+            'POST',
+            f'http://{address}/v1/chat/completions',
+            body=json.dumps(document).encode(),
+            headers={
+                'Content-Type': 'application/json',
+                'X-Request-Id': request.request_id,
+                'X-Priority': str(request.priority),
+            },
+            timeout=timeout,
+            preload_content=False,
+            redirect=False,
+        )
+    except HTTPError as error:
+        return Err(transport.failure_of(error))
+    if response.status != _HTTP_OK:
+        return Err(_refusal(response))
+    return Ok(EngineStream(response))
+
+
+def _refusal(response: urllib3.BaseHTTPResponse) -> EngineRefusal:
+    try:
+        detail = response.read(_READ_SIZE).decode(errors='replace')
+    except HTTPError as error:
+        detail = str(error)
+    response.close()
+    return EngineRefusal(response.status, detail)
+
+
+def stream_timeout(
+    connect: dt.timedelta, read: dt.timedelta
+) -> urllib3.Timeout:
+    """Return the limits of a stream.
+
+    Args:
+      connect: limit to connect.
+      read: limit on each read.
+    """
+    return urllib3.Timeout(
+        connect=connect.total_seconds(), read=read.total_seconds()
+    )
--- /dev/null
+++ b/bronzeglade/adapters/table.py
@@ -0,0 +1,222 @@
+"""The platform's transactional table service."""
+
+import base64
+import dataclasses
+import datetime as dt
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any, Protocol
+
+import urllib3
+from result import Err, Ok, Result
+
+from bronzeglade.adapters import transport
+
+ABSENT = 0  # version of a row that does not exist
+
+_HTTP_OK = 200
+_HTTP_CONFLICT = 409
+# A refusal by the table's rate limit or during its outage: nothing applied.
+_HTTP_NOT_APPLIED = frozenset((400, 413, 429, 503))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """A row; `version` rises with every write and starts at 1."""
+
+    key: str
+    version: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Check:
+    """Condition of a transaction: the row has this version, or ABSENT."""
+
+    key: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Put:
+    """Write of a row."""
+
+    key: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transaction:
+    """Writes that are applied together when every check holds."""
+
+    checks: tuple[Check, ...] = ()
+    puts: tuple[Put, ...] = ()
+    deletes: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreError:
+    """A read without a result."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """A check did not hold; nothing was applied."""
+
+    key: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The transaction was surely not applied."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The transaction may have been applied: its reply was lost."""
+
+    detail: str
+
+
+CommitError = Conflict | Unavailable | Unknown
+
+
+class Table(Protocol):
+    """A transactional table with versions for conditional writes."""
+
+    def read(
+        self, keys: Sequence[str]
+    ) -> Result[Mapping[str, Row], StoreError]:
+        """Read rows by key; absent rows are missing from the result."""
+
+    def scan(self, prefix: str, limit: int) -> Result[list[Row], StoreError]:
+        """Read up to `limit` rows whose keys start with a prefix, in order."""
+
+    def commit(self, transaction: Transaction) -> Result[None, CommitError]:
+        """Apply a transaction whole or not at all."""
+
+
+class HttpTable:
+    """Client of the table service's HTTP interface (docs/standins.md)."""
+
+    def __init__(
+        self, url: str, pool: urllib3.PoolManager, timeout: dt.timedelta
+    ) -> None:
+        """Create a client.
+
+        Args:
+          url: base URL of the service.
+          pool: connections to use.
+          timeout: limit of each call.
+        """
+        self.url = url
+        self.pool = pool
+        self.timeout = timeout
+
+    def read(
+        self, keys: Sequence[str]
+    ) -> Result[Mapping[str, Row], StoreError]:
+        """Read rows by key.
+
+        Args:
+          keys: keys of the rows.
+
+        Returns:
+          The rows that exist, by key.
+        """
+        answer = self._post('/read', {'keys': list(keys)})
+        if isinstance(answer, Err):
+            return Err(StoreError(answer.err_value.detail))
+        if answer.ok_value.status != _HTTP_OK:
+            return Err(StoreError(f'status {answer.ok_value.status}'))
+        rows = [_row(entry) for entry in _rows(answer.ok_value.body)]
+        return Ok({row.key: row for row in rows})
+
+    def scan(self, prefix: str, limit: int) -> Result[list[Row], StoreError]:
+        """Read rows whose keys start with a prefix.
+
+        Args:
+          prefix: start of the keys.
+          limit: largest number of rows.
+
+        Returns:
+          The rows in order of key.
+        """
+        answer = self._post('/scan', {'prefix': prefix, 'limit': limit})
+        if isinstance(answer, Err):
+            return Err(StoreError(answer.err_value.detail))
+        if answer.ok_value.status != _HTTP_OK:
+            return Err(StoreError(f'status {answer.ok_value.status}'))
+        return Ok([_row(entry) for entry in _rows(answer.ok_value.body)])
+
+    def commit(self, transaction: Transaction) -> Result[None, CommitError]:
+        """Apply a transaction whole or not at all.
+
+        Args:
+          transaction: checks and writes.
+
+        Returns:
+          None when applied; otherwise what is known.
+        """
+        answer = self._post('/commit', _encode(transaction))
+        if isinstance(answer, Err):
+            failure = answer.err_value
+            if failure.sent:
+                return Err(Unknown(failure.detail))
+            return Err(Unavailable(failure.detail))
+        return _commit_result(answer.ok_value)
+
+    def _post(
+        self, path: str, document: Mapping[str, Any]
+    ) -> Result[transport.Reply, transport.CallFailure]:
+        return transport.call(
+            self.pool,
+            'POST',
+            self.url + path,
+            self.timeout,
+            json.dumps(document).encode(),
+            {'Content-Type': 'application/json'},
+        )
+
+
+def _commit_result(reply: transport.Reply) -> Result[None, CommitError]:
+    if reply.status == _HTTP_OK:
+        return Ok(None)
+    if reply.status == _HTTP_CONFLICT:
+        document = json.loads(reply.body)
+        return Err(Conflict(document['key'], document['version']))
+    if reply.status in _HTTP_NOT_APPLIED:
+        return Err(Unavailable(f'status {reply.status}'))
+    return Err(Unknown(f'status {reply.status}'))
+
+
+def _encode(transaction: Transaction) -> dict[str, Any]:
+    return {
+        'checks': [
+            {'key': check.key, 'version': check.version}
+            for check in transaction.checks
+        ],
+        'puts': [
+            {'key': put.key, 'body': base64.b64encode(put.body).decode()}
+            for put in transaction.puts
+        ],
+        'deletes': list(transaction.deletes),
+    }
+
+
+def _rows(body: bytes) -> list[dict[str, Any]]:
+    rows: list[dict[str, Any]] = json.loads(body)['rows']
+    return rows
+
+
+def _row(entry: Mapping[str, Any]) -> Row:
+    return Row(
+        key=entry['key'],
+        version=entry['version'],
+        body=base64.b64decode(entry['body']),
+    )
--- /dev/null
+++ b/bronzeglade/coordination/bill.py
@@ -0,0 +1,88 @@
+"""Billing records."""
+
+import dataclasses
+import datetime as dt
+from collections.abc import Iterable
+
+import msgpack
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """Tokens of a request."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bill:
+    """What a team owes for one request.
+
+    `cost` is in nano-dollars: tokens times the manifest's price in
+    micro-dollars per 1,000 tokens, so that it stays an integer.
+    `whole` is false when the caller left before the answer was complete.
+    """
+
+    request_id: str
+    team: str
+    rank: str
+    model: str
+    version: str
+    usage: Usage
+    cost: int
+    whole: bool
+    finished_at: dt.datetime
+
+
+def cost_of(usage: Usage, prompt_price: int, completion_price: int) -> int:
+    """Return the cost of a request in nano-dollars.
+
+    Args:
+      usage: its tokens.
+      prompt_price: micro-dollars per 1,000 prompt tokens.
+      completion_price: micro-dollars per 1,000 generated tokens.
+    """
+    return (
+        usage.prompt_tokens * prompt_price
+        + usage.completion_tokens * completion_price
+    )
+
+
+def encode(bills: Iterable[Bill]) -> bytes:
+    """Return records as one MessagePack document."""
+    packed: bytes = msgpack.packb([_pack(bill) for bill in bills])
+    return packed
+
+
+def _pack(bill: Bill) -> list[object]:
+    return [
+        bill.request_id,
+        bill.team,
+        bill.rank,
+        bill.model,
+        bill.version,
+        bill.usage.prompt_tokens,
+        bill.usage.completion_tokens,
+        bill.cost,
+        bill.whole,
+        bill.finished_at.timestamp(),
+    ]
+
+
+def decode(document: bytes) -> list[Bill]:
+    """Return the records of a MessagePack document made by `encode`."""
+    return [
+        Bill(
+            request_id=entry[0],
+            team=entry[1],
+            rank=entry[2],
+            model=entry[3],
+            version=entry[4],
+            usage=Usage(entry[5], entry[6]),
+            cost=entry[7],
+            whole=entry[8],
+            finished_at=dt.datetime.fromtimestamp(entry[9], dt.UTC),
+        )
+        for entry in msgpack.unpackb(document)
+    ]
--- /dev/null
+++ b/bronzeglade/entry/access.py
@@ -0,0 +1,66 @@
+"""Who asks, and what that team may use."""
+
+import dataclasses
+
+from result import Err, Ok, Result
+
+from bronzeglade import catalog as catalogs
+from bronzeglade.catalog import Catalog
+from bronzeglade.entry.http import Request
+from bronzeglade.entry.node import Node
+from bronzeglade.manifest import Rank, Team
+from bronzeglade.outcome import Refusal
+
+NOT_READY = Refusal(
+    503, 'no_configuration', 'this node has no configuration yet'
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Caller:
+    """An authenticated request under one generation of the manifest."""
+
+    catalog: Catalog
+    team: Team
+    rank: Rank
+
+
+def identify(node: Node, request: Request) -> Result[Caller, Refusal]:
+    """Find the team of a request and the rank that it asks for.
+
+    Args:
+      node: state of this process.
+      request: with a Bearer key and, at will, an X-Rank header.
+
+    Returns:
+      The caller, or a refusal with status 401, 422 or 503.
+    """
+    catalog = node.catalog
+    if catalog is None:
+        return Err(
+            dataclasses.replace(
+                NOT_READY, retry_after=node.settings.head_poll_interval
+            )
+        )
+    team = catalogs.team_of_key(catalog, request.bearer_key())
+    if team is None:
+        return Err(Refusal(401, 'invalid_api_key', 'the API key is not valid'))
+    rank = _rank(catalog, team, request.header('X-Rank'))
+    if isinstance(rank, Err):
+        return rank
+    return Ok(Caller(catalog, team, rank.ok_value))
+
+
+def _rank(
+    catalog: Catalog, team: Team, wanted: str | None
+) -> Result[Rank, Refusal]:
+    most_urgent = catalog.ranks[team.rank]
+    if wanted is None:
+        return Ok(most_urgent)
+    rank = catalog.ranks.get(wanted)
+    if rank is None:
+        message = f'X-Rank: no rank {wanted!r}'
+        return Err(Refusal(422, 'unknown_rank', message))
+    if rank.priority < most_urgent.priority:
+        return Ok(most_urgent)
+    return Ok(rank)
--- /dev/null
+++ b/bronzeglade/entry/control.py
@@ -0,0 +1,121 @@
+"""The application towards operators, peers and metrics."""
+
+import uuid
+from typing import Any
+
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from result import Err, Ok
+
+from bronzeglade import catalog as catalogs
+from bronzeglade import manifest as manifests
+from bronzeglade.catalog import Configuration
+from bronzeglade.coordination import head as heads
+from bronzeglade.coordination.head import Published, Superseded, Undecided
+from bronzeglade.entry import http
+from bronzeglade.entry.http import Request, Response
+from bronzeglade.entry.node import Node
+from bronzeglade.outcome import Refusal, RunState
+
+
+def handle(node: Node, request: Request) -> Response:
+    """Answer a request on the control port."""
+    route = (request.method, request.path)
+    if route == ('GET', '/metrics'):
+        return Response(
+            200, (generate_latest(),), {'Content-Type': CONTENT_TYPE_LATEST}
+        )
+    if route == ('POST', '/operator/manifest'):
+        return _publish(node, request)
+    if route == ('GET', '/operator/status'):
+        return _status(node, request)
+    message = f'there is no {request.method} {request.path}'
+    return http.refuse(Refusal(404, 'not_found', message), request.request_id)
+
+
+def _publish(node: Node, request: Request) -> Response:
+    body = http.read_body(request, node.settings)
+    if isinstance(body, Err):
+        return http.refuse(body.err_value, request.request_id)
+    text = body.ok_value
+    manifest, errors = manifests.parse(text)
+    if manifest is None:
+        return http.json_response({'errors': errors}, 422)
+    refusal = _operator_refusal(node, request, manifest)
+    if refusal is not None:
+        return http.refuse(refusal, request.request_id)
+    replaces = request.header('X-Replaces-Generation') or ''
+    if not replaces.isdecimal():
+        message = 'X-Replaces-Generation: the generation that is replaced'
+        refusal = Refusal(422, 'no_generation', message)
+        return http.refuse(refusal, request.request_id)
+    published = Published(
+        Configuration(int(replaces) + 1, catalogs.digest_of(text), text),
+        request.header('X-Publication-Id') or uuid.uuid4().hex,
+        request.header('X-Operator') or 'unnamed',
+    )
+    return _commit(node, request, published)
+
+
+def _operator_refusal(
+    node: Node, request: Request, manifest: manifests.Manifest
+) -> Refusal | None:
+    # The first manifest is published by an operator that it names itself.
+    known = node.catalog.manifest if node.catalog else manifest
+    if catalogs.is_operator_key(known, request.bearer_key()):
+        return None
+    return Refusal(401, 'invalid_operator_key', 'the key is not valid')
+
+
+def _commit(node: Node, request: Request, published: Published) -> Response:
+    outcome = heads.publish(node.table, published)
+    if isinstance(outcome, Ok):
+        node.adopt(outcome.ok_value)
+        configuration = published.configuration
+        return http.json_response(
+            {
+                'generation': configuration.generation,
+                'digest': configuration.digest,
+            }
+        )
+    error = outcome.err_value
+    if isinstance(error, Superseded):
+        return http.json_response(
+            {
+                'generation': error.generation,
+                'digest': error.digest,
+                'operator': error.operator,
+            },
+            409,
+        )
+    unknown = isinstance(error, Undecided)
+    state = RunState.UNKNOWN if unknown else RunState.NOT_RUN
+    refusal = Refusal(
+        503,
+        'table_unavailable',
+        error.detail,
+        state,
+        node.settings.head_poll_interval,
+    )
+    return http.refuse(refusal, request.request_id)
+
+
+def _status(node: Node, request: Request) -> Response:
+    if node.catalog is not None and not catalogs.is_operator_key(
+        node.catalog.manifest, request.bearer_key()
+    ):
+        refusal = Refusal(401, 'invalid_operator_key', 'the key is not valid')
+        return http.refuse(refusal, request.request_id)
+    return http.json_response({'nodes': [node_status(node)]})
+
+
+def node_status(node: Node) -> dict[str, Any]:
+    """Return what is in force on this node."""
+    configuration = node.catalog.configuration if node.catalog else None
+    return {
+        'vm': node.settings.vm,
+        'failure_domain': node.settings.failure_domain,
+        'generation': node.generation(),
+        'digest': configuration.digest if configuration else '',
+        'draining': node.draining,
+        'open_requests': node.open_requests,
+    }
--- /dev/null
+++ b/bronzeglade/entry/http.py
@@ -0,0 +1,219 @@
+"""Requests and responses of the WSGI applications."""
+
+import dataclasses
+import datetime as dt
+import json
+import math
+import uuid
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Protocol
+
+import eventlet
+from result import Err, Ok, Result
+
+from bronzeglade.outcome import Refusal
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+Body = Iterable[bytes]
+
+_REASONS = {
+    200: 'OK',
+    202: 'Accepted',
+    204: 'No Content',
+    400: 'Bad Request',
+    401: 'Unauthorized',
+    403: 'Forbidden',
+    404: 'Not Found',
+    405: 'Method Not Allowed',
+    408: 'Request Timeout',
+    409: 'Conflict',
+    411: 'Length Required',
+    413: 'Content Too Large',
+    422: 'Unprocessable Content',
+    429: 'Too Many Requests',
+    500: 'Internal Server Error',
+    502: 'Bad Gateway',
+    503: 'Service Unavailable',
+    504: 'Gateway Timeout',
+}
+_ERROR_TYPES = {
+    401: 'authentication_error',
+    403: 'permission_error',
+    404: 'not_found_error',
+    429: 'rate_limit_error',
+}
+_FIRST_SERVER_ERROR = 500
+_READ_SIZE = 65536  # bytes
+
+
+class HttpLimits(Protocol):
+    """Limits on what is read from a caller."""
+
+    body_limit: int
+    receive_timeout: dt.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request as the handlers see it; `path` has no query."""
+
+    method: str
+    path: str
+    query: str
+    environ: Environ
+    request_id: str
+
+    def header(self, name: str) -> str | None:
+        """Return a header, or None when the caller did not send it."""
+        key = name.upper().replace('-', '_')
+        if key not in {'CONTENT_TYPE', 'CONTENT_LENGTH'}:
+            key = f'HTTP_{key}'
+        found = self.environ.get(key)
+        return None if found is None else str(found)
+
+    def bearer_key(self) -> str:
+        """Return the key of the Authorization header, or an empty string."""
+        scheme, _, key = (self.header('Authorization') or '').partition(' ')
+        return key.strip() if scheme.lower() == 'bearer' else ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """A response; `body` may be a stream."""
+
+    status: int
+    body: Body = ()
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+
+
+Handler = Callable[[Request], Response]
+
+
+def wsgi(handler: Handler) -> Callable[[Environ, StartResponse], Body]:
+    """Turn a handler into a WSGI application.
+
+    Args:
+      handler: maps a request to a response.
+
+    Returns:
+      The application.
+    """
+
+    def application(environ: Environ, start: StartResponse) -> Body:
+        response = handler(read_head(environ))
+        reason = _REASONS.get(response.status, 'Unknown')
+        start(f'{response.status} {reason}', list(response.headers.items()))
+        return response.body
+
+    return application
+
+
+def read_head(environ: Environ) -> Request:
+    """Build the request of a WSGI environment, under a new identity."""
+    return Request(
+        method=environ['REQUEST_METHOD'],
+        path=environ['PATH_INFO'],
+        query=environ.get('QUERY_STRING', ''),
+        environ=environ,
+        request_id=uuid.uuid4().hex,
+    )
+
+
+def read_body(request: Request, limits: HttpLimits) -> Result[bytes, Refusal]:
+    """Read the whole body within bounded time and memory.
+
+    Args:
+      request: whose body it is.
+      limits: largest size and longest time.
+
+    Returns:
+      The body, or a refusal with status 408, 411 or 413.
+    """
+    length = request.header('Content-Length') or ''
+    if not length.isdecimal():
+        return Err(
+            Refusal(411, 'length_required', 'send a Content-Length header')
+        )
+    if int(length) > limits.body_limit:
+        message = f'the body has more than {limits.body_limit} bytes'
+        return Err(Refusal(413, 'body_too_large', message))
+    seconds = limits.receive_timeout.total_seconds()
+    slow = Refusal(408, 'receive_timeout', f'no whole body in {seconds} s')
+    with eventlet.Timeout(seconds, False):
+        return _read_exactly(request.environ['wsgi.input'], int(length))
+    return Err(slow)
+
+
+def _read_exactly(source: Any, length: int) -> Result[bytes, Refusal]:
+    blocks: list[bytes] = []
+    missing = length
+    while missing:
+        try:
+            block = source.read(min(missing, _READ_SIZE))
+        except (OSError, ValueError):
+            block = b''
+        if not block:
+            message = 'the body ends before its Content-Length'
+            return Err(Refusal(400, 'truncated_body', message))
+        blocks.append(block)
+        missing -= len(block)
+    return Ok(b''.join(blocks))
+
+
+def json_response(
+    document: Any,
+    status: int = 200,
+    headers: Mapping[str, str] | None = None,
+) -> Response:
+    """Return a JSON response of known length."""
+    body = json.dumps(document).encode()
+    return Response(
+        status,
+        (body,),
+        {
+            'Content-Type': 'application/json',
+            'Content-Length': str(len(body)),
+            **(headers or {}),
+        },
+    )
+
+
+def error_document(refusal: Refusal, request_id: str) -> dict[str, Any]:
+    """Return the OpenAI error object of a refusal.
+
+    `run_state` is added: `not_run`, `unknown` or `ran`.
+    """
+    default = (
+        'server_error'
+        if refusal.status >= _FIRST_SERVER_ERROR
+        else 'invalid_request_error'
+    )
+    return {
+        'error': {
+            'message': refusal.message,
+            'type': _ERROR_TYPES.get(refusal.status, default),
+            'param': None,
+            'code': refusal.code,
+            'run_state': refusal.run_state.value,
+            'request_id': request_id,
+        }
+    }
+
+
+def refuse(
+    refusal: Refusal,
+    request_id: str,
+    headers: Mapping[str, str] | None = None,
+) -> Response:
+    """Return the response to a refused request."""
+    extra = {'X-Request-Id': request_id, **(headers or {})}
+    if refusal.retry_after is not None:
+        seconds = math.ceil(refusal.retry_after.total_seconds())
+        extra['Retry-After'] = str(max(1, seconds))
+    # The client library of OpenAI retries 5xx unless told otherwise; whether
+    # a retry is safe depends on the run state, so it is told here.
+    retry = refusal.retry_after is not None
+    extra['X-Should-Retry'] = 'true' if retry else 'false'
+    document = error_document(refusal, request_id)
+    return json_response(document, refusal.status, extra)
--- a/bronzeglade/manifest.py
+++ b/bronzeglade/manifest.py
@@ -300,11 +300,11 @@
 
 
 def _key_errors(manifest: Manifest) -> list[str]:
-    hashes = [
-        key_hash
-        for holder in (*manifest.teams, *manifest.operators)
-        for key_hash in holder.key_hashes
-    ]
+    holders: tuple[Team | Operator, ...] = (
+        *manifest.teams,
+        *manifest.operators,
+    )
+    hashes = [key_hash for holder in holders for key_hash in holder.key_hashes]
     return [
         f'teams: key hash {key_hash} is used twice'
         for key_hash in sorted(set(hashes))
--- /dev/null
+++ b/fleet/deployments.py
@@ -0,0 +1,278 @@
+"""The two deployments at today's sizes: manifests and VMs."""
+
+import dataclasses
+import hashlib
+from collections.abc import Sequence
+from typing import Any
+
+RANKS = (
+    {
+        'name': 'urgent',
+        'priority': 0,
+        'first_token_ms': 800,
+        'inter_token_ms': 26,
+        'floor': 0.2,
+    },
+    {
+        'name': 'standard',
+        'priority': 1,
+        'first_token_ms': 1300,
+        'inter_token_ms': 26,
+        'floor': 0.1,
+    },
+    {
+        'name': 'patient',
+        'priority': 2,
+        'first_token_ms': 10_000,
+        'inter_token_ms': 100,
+        'floor': 0.05,
+    },
+)
+OPERATOR_KEY = 'operator-key-for-tests'
+TEAM_COUNT = 10
+LARGE_TEAMS = 2  # the first teams of a deployment are large
+LARGE_WEIGHT = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointPlan:
+    """Endpoints of one group; they are spread over the failure domains."""
+
+    group: str
+    count: int
+    model: str | None = None
+    service: str | None = None
+    versions: tuple[str, ...] = ()
+    slots: int = 8
+    first_token_s: float = 0.05
+    token_s: float = 0.01
+    checks_fencing: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """What the launcher starts and what its manifest says."""
+
+    name: str
+    region: str
+    failure_domains: tuple[str, ...]
+    one_way_ms: float
+    caller_one_way_ms: float
+    entry_count: int
+    team_names: tuple[str, ...]
+    endpoints: tuple[EndpointPlan, ...]
+    models: tuple[dict[str, Any], ...]
+    services: tuple[dict[str, Any], ...]
+    routes: tuple[dict[str, Any], ...]
+    rollouts: tuple[dict[str, Any], ...] = ()
+
+
+def key_of(team: str) -> str:
+    """Return the API key of a team; for stand-in fleets only."""
+    return f'key-of-{team}'
+
+
+def _hash(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def manifest(deployment: Deployment) -> dict[str, Any]:
+    """Return the manifest of a deployment as a JSON document."""
+    return {
+        'format': 1,
+        'deployment': deployment.name,
+        'failure_domains': [
+            {
+                'name': name,
+                'region': deployment.region,
+                'one_way_ms': deployment.one_way_ms,
+                'caller_one_way_ms': deployment.caller_one_way_ms,
+            }
+            for name in deployment.failure_domains
+        ],
+        'ranks': list(RANKS),
+        'models': list(deployment.models),
+        'services': list(deployment.services),
+        'endpoint_groups': [_group(plan) for plan in deployment.endpoints],
+        'teams': _teams(deployment),
+        'routes': list(deployment.routes),
+        'rollouts': list(deployment.rollouts),
+        'operators': [
+            {'name': 'pipeline', 'key_hashes': [_hash(OPERATOR_KEY)]}
+        ],
+    }
+
+
+def _group(plan: EndpointPlan) -> dict[str, Any]:
+    document: dict[str, Any] = {
+        'name': plan.group,
+        'slots': plan.slots,
+        'checks_fencing': plan.checks_fencing,
+        'resumes_streams': plan.model is not None,
+    }
+    if plan.model is None:
+        return {**document, 'service': plan.service}
+    return {**document, 'model': plan.model, 'versions': list(plan.versions)}
+
+
+def _teams(deployment: Deployment) -> list[dict[str, Any]]:
+    models = [model['name'] for model in deployment.models]
+    services = [service['name'] for service in deployment.services]
+    ranks = [str(rank['name']) for rank in RANKS]
+    teams: list[dict[str, Any]] = []
+    for index, name in enumerate(deployment.team_names):
+        large = index < LARGE_TEAMS
+        teams.append(
+            {
+                'name': name,
+                'key_hashes': [_hash(key_of(name))],
+                'weight': LARGE_WEIGHT if large else 1,
+                'rank': ranks[0] if index % 3 == 0 else ranks[1],
+                'grants': [{'model': model} for model in models],
+                'services': services,
+                'allowance': {
+                    'requests_per_minute': 60_000 if large else 12_000
+                },
+            }
+        )
+    # The last team may use the cheapest model only.
+    teams[-1]['grants'] = teams[-1]['grants'][:1]
+    return teams
+
+
+def _model(
+    name: str, versions: Sequence[tuple[str, str]], price: int
+) -> dict[str, Any]:
+    return {
+        'name': name,
+        'prompt_cost': price,
+        'completion_cost': price * 4,
+        'versions': [
+            {'name': version, 'state': state} for version, state in versions
+        ],
+    }
+
+
+BROLGA = Deployment(
+    name='brolga',
+    region='au-qld',
+    failure_domains=('qld-a', 'qld-b', 'qld-c'),
+    one_way_ms=4,
+    caller_one_way_ms=3,
+    entry_count=7,
+    team_names=(
+        'dawn-survey',
+        'atlas',
+        'digest',
+        'photo-id',
+        'call-id',
+        'wader-group',
+        'raptor-watch',
+        'school-walks',
+        'shorebird-count',
+        'newsletter',
+    ),
+    endpoints=(
+        EndpointPlan(
+            'guide-llm-small',
+            2,
+            model='guide-small',
+            versions=('v1',),
+            first_token_s=0.03,
+            token_s=0.005,
+        ),
+        EndpointPlan(
+            'guide-llm-large', 3, model='guide-large', versions=('v1', 'v2')
+        ),
+        EndpointPlan(
+            'sightings-api', 3, service='sightings', checks_fencing=False
+        ),
+    ),
+    models=(
+        _model('guide-small', [('v1', 'serving')], 100),
+        _model('guide-large', [('v1', 'serving'), ('v2', 'allowed')], 1000),
+    ),
+    services=(
+        {
+            'name': 'sightings',
+            'operations': [
+                {'method': 'GET', 'path': '/', 'repeatable': True},
+                {
+                    'method': 'POST',
+                    'path': '/sightings',
+                    'repeatable': False,
+                },
+            ],
+        },
+    ),
+    routes=(
+        {
+            'name': 'identify',
+            'steps': [
+                {'model': 'guide-small', 'accept_rating': 0.8},
+                {'model': 'guide-large'},
+            ],
+        },
+    ),
+)
+
+NILE_DELTA = Deployment(
+    name='nile-delta',
+    region='delta-north',
+    failure_domains=('tanta-a', 'mansoura-b', 'zagazig-c', 'banha-d'),
+    one_way_ms=5,
+    caller_one_way_ms=1,
+    entry_count=8,
+    team_names=(
+        'press-floor',
+        'agronomy',
+        'cooperatives',
+        'packet-backs',
+        'distributors',
+        'seed-lab',
+        'plate-shop',
+        'warehouse',
+        'billing-desk',
+        'archive',
+    ),
+    endpoints=(
+        EndpointPlan(
+            'scribes-small',
+            2,
+            model='scribe-small',
+            versions=('v1',),
+            first_token_s=0.03,
+            token_s=0.005,
+        ),
+        EndpointPlan(
+            'scribes-large', 4, model='scribe-large', versions=('v1', 'v2')
+        ),
+        EndpointPlan('pressroom', 4, service='pressroom', checks_fencing=False),
+    ),
+    models=(
+        _model('scribe-small', [('v1', 'serving')], 100),
+        _model('scribe-large', [('v1', 'serving'), ('v2', 'allowed')], 1200),
+    ),
+    services=(
+        {
+            'name': 'pressroom',
+            'operations': [
+                {'method': 'GET', 'path': '/', 'repeatable': True},
+                {'method': 'POST', 'path': '/orders', 'repeatable': False},
+            ],
+        },
+    ),
+    routes=(
+        {
+            'name': 'draft',
+            'steps': [
+                {'model': 'scribe-small', 'accept_rating': 0.8},
+                {'model': 'scribe-large'},
+            ],
+        },
+    ),
+)
+
+DEPLOYMENTS = {
+    deployment.name: deployment for deployment in (BROLGA, NILE_DELTA)
+}
--- /dev/null
+++ b/fleet/launch_test.py
@@ -0,0 +1,68 @@
+"""Guards the whole path: a fleet of processes serves an OpenAI client."""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import openai
+import pytest
+
+from fleet import deployments
+from fleet.launch import Fleet
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    """Run Brolga's fleet."""
+    directory: Path = tmp_path_factory.mktemp('logs')
+    with Fleet(deployments.BROLGA, directory) as running:
+        yield running
+
+
+def client(fleet: Fleet, key: str | None = None) -> openai.OpenAI:
+    """Return an unmodified client of the first entry process."""
+    return openai.OpenAI(
+        base_url=f'http://{fleet.entries()[0].address}/v1',
+        api_key=key or fleet.api_key(),
+        max_retries=0,
+    )
+
+
+def test_whole_answer_with_usage(fleet: Fleet) -> None:
+    """A short answer or a wrong usage would be billed as if whole."""
+    answer = client(fleet).chat.completions.create(
+        model='guide-large',
+        messages=[{'role': 'user', 'content': 'which wader is this'}],
+        max_tokens=5,
+    )
+    assert answer.choices[0].message.content == 'w0 w1 w2 w3 w4 '
+    assert answer.usage is not None
+    assert answer.usage.completion_tokens == 5
+
+
+def test_streamed_answer_ends_with_its_finish_reason(fleet: Fleet) -> None:
+    """A stream without its end looks like a short answer."""
+    chunks = list(
+        client(fleet).chat.completions.create(
+            model='guide-small',
+            messages=[{'role': 'user', 'content': 'hello'}],
+            max_tokens=3,
+            stream=True,
+        )
+    )
+    assert [chunk.choices[0].finish_reason for chunk in chunks] == [
+        None,
+        None,
+        None,
+        'stop',
+    ]
+
+
+def test_wrong_key_and_forbidden_model_are_refused(fleet: Fleet) -> None:
+    """A team must not reach what its manifest entry does not grant."""
+    with pytest.raises(openai.AuthenticationError):
+        client(fleet, 'wrong').models.list()
+    limited = client(fleet, deployments.key_of('newsletter'))
+    with pytest.raises(openai.PermissionDeniedError):
+        limited.chat.completions.create(
+            model='guide-large', messages=[{'role': 'user', 'content': 'hi'}]
+        )
--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,41 @@
+"""Starts a stand-in fleet and keeps it in the foreground."""
+
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+from absl import app, flags
+
+from fleet.deployments import DEPLOYMENTS
+from fleet.launch import Fleet
+
+DEPLOYMENT = flags.DEFINE_enum(
+    'deployment', 'brolga', sorted(DEPLOYMENTS), 'Which deployment to start.'
+)
+
+
+def main(_words: list[str]) -> None:
+    """Run the fleet until an interrupt."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = Fleet(DEPLOYMENTS[DEPLOYMENT.value], Path(directory))
+        with fleet:
+            entry = fleet.entries()[0]
+            sys.stdout.write(
+                f'ready base_url=http://{entry.address}/v1 '
+                f'api_key={fleet.api_key()} model={fleet.model()}\n'
+            )
+            sys.stdout.flush()
+            _wait()
+
+
+def _wait() -> None:
+    try:
+        signal.pause()
+    except KeyboardInterrupt:
+        sys.stdout.write('stopping\n')
+
+
+if __name__ == '__main__':
+    app.run(main)
