Give each manifest document of the examples its own copy

A test that changed its document changed the deployments that later tests start; they now get a deep copy.

--- a/fleet/deployments.py
+++ b/fleet/deployments.py
@@ -1,5 +1,6 @@
 """The two deployments at today's sizes: manifests and VMs."""
 
+import copy
 import dataclasses
 import hashlib
 from collections.abc import Sequence
@@ -77,8 +78,8 @@
 
 
 def manifest(deployment: Deployment) -> dict[str, Any]:
-    """Return the manifest of a deployment as a JSON document."""
-    return {
+    """Return the manifest of a deployment as a JSON document of its own."""
+    document = {
         'format': 1,
         'deployment': deployment.name,
         'failure_domains': [
@@ -101,6 +102,7 @@
             {'name': 'pipeline', 'key_hashes': [_hash(OPERATOR_KEY)]}
         ],
     }
+    return copy.deepcopy(document)
 
 
 def _group(plan: EndpointPlan) -> dict[str, Any]:
