Split the request path into stages with one owner each

Selection, sessions, versions, admission, dispatch and peers each get a module with the interface that docs/design.md section 9 names; the present implementations are the simplest ones.

--- a/bronzeglade/entry/control.py
+++ b/bronzeglade/entry/control.py
@@ -14,6 +14,7 @@
 from bronzeglade.entry import http
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
+from bronzeglade.entry.peers import PEER_PREFIX
 from bronzeglade.outcome import Refusal, RunState
 
 
@@ -28,10 +29,25 @@
         return _publish(node, request)
     if route == ('GET', '/operator/status'):
         return _status(node, request)
+    if request.method == 'POST' and request.path.startswith(PEER_PREFIX):
+        return _peer(node, request)
     message = f'there is no {request.method} {request.path}'
     return http.refuse(Refusal(404, 'not_found', message), request.request_id)
 
 
+def _peer(node: Node, request: Request) -> Response:
+    body = http.read_body(request, node.settings)
+    if isinstance(body, Err):
+        return http.refuse(body.err_value, request.request_id)
+    name = request.path[len(PEER_PREFIX) :]
+    reply = node.peers.receive(name, body.ok_value)
+    if isinstance(reply, Err):
+        refusal = Refusal(401, 'peer_refused', reply.err_value)
+        return http.refuse(refusal, request.request_id)
+    length = str(len(reply.ok_value))
+    return Response(200, (reply.ok_value,), {'Content-Length': length})
+
+
 def _publish(node: Node, request: Request) -> Response:
     body = http.read_body(request, node.settings)
     if isinstance(body, Err):
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -15,7 +15,11 @@
 from bronzeglade.catalog import Catalog
 from bronzeglade.clock import Clock, SystemClock
 from bronzeglade.coordination.head import Published, read_published
+from bronzeglade.entry.admission import Admission
 from bronzeglade.entry.billing import Billing
+from bronzeglade.entry.peers import Gossip, Peers
+from bronzeglade.entry.sessions import Sessions
+from bronzeglade.entry.versions import Versions
 from bronzeglade.entry.workers import Worker, live_workers
 from bronzeglade.settings import EntrySettings
 
@@ -46,6 +50,11 @@
         self.vms: tuple[Vm, ...] = ()
         self.workers: tuple[Worker, ...] = ()
         self.billing = Billing(self.origin, self.table, self.clock)
+        self.peers = Peers(settings, self.pool)
+        self.gossip = Gossip(self.origin)
+        self.sessions = Sessions()
+        self.versions = Versions(self.gossip)
+        self.admission = Admission()
         self.in_flight: dict[str, int] = {}
         self.draining = False
         self.open_requests = 0
@@ -66,6 +75,7 @@
         if isinstance(outcome, Err):
             return
         self.vms = outcome.ok_value
+        self.peers.update(self.vms)
         self._refresh_workers()
 
     def read_head(self) -> None:
