--- /dev/null
+++ b/bronzeglade/coordination/rollout_test.py
@@ -0,0 +1,275 @@
+"""State machine of several nodes that share a lease and a roll-out.
+
+The table is fake: it has outages, applies transactions late or loses its
+replies. Nodes freeze between a check and the write that follows it.
+"""
+
+import dataclasses
+import datetime as dt
+import enum
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from bronzeglade import builders
+from bronzeglade.adapters.table import ABSENT, Row, Transaction
+from bronzeglade.coordination import rollout as rows
+from bronzeglade.coordination.lease import (
+    ROLLOUT_LEASE_KEY,
+    Lease,
+    LeaseSettings,
+    candidates,
+    decode,
+)
+from bronzeglade.coordination.rollout import RolloutState, RolloutView
+from bronzeglade.decisions import rollout as decisions
+
+ROLLOUT = builders.rollout()
+KEY = rows.row_key(ROLLOUT.name)
+RUN = rows.run_id(ROLLOUT)
+NODES = strategies.integers(0, 2)
+ENDED = frozenset((RolloutState.HALTED, RolloutState.DONE))
+
+
+class Mode(enum.Enum):
+    """What goes wrong in a turn."""
+
+    PROMPT = 'nothing'
+    LATE_RENEWAL = 'the lease write is applied later'
+    LATE_STEP = 'the step is applied later'
+    FROZEN = 'the node stands still between check and act'
+
+
+class FakeTable:
+    """Rows, and transactions that are still under way."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.under_way: list[Transaction] = []
+        self.history: list[rows.Progress] = []
+        self.tokens: list[int] = []
+        self.holders: dict[int, str] = {}
+
+    def version(self, key: str) -> int:
+        return self.rows[key].version if key in self.rows else ABSENT
+
+    def apply(self, wanted: Transaction) -> None:
+        if any(self.version(one.key) != one.version for one in wanted.checks):
+            return
+        for put in wanted.puts:
+            row = Row(put.key, self.version(put.key) + 1, put.body)
+            self.rows[put.key] = row
+            if put.key == KEY:
+                progress = rows.decode_row(row).progress
+                assert progress is not None
+                self.history.append(progress)
+                lease = decode(self.rows[ROLLOUT_LEASE_KEY].body)
+                # A stale holder's write must not apply.
+                assert progress.token == lease.token
+            else:
+                content = decode(row.body)
+                self.tokens.append(content.token)
+                if content.holder:
+                    holder = self.holders.setdefault(
+                        content.token, content.holder
+                    )
+                    assert holder == content.holder
+
+
+@dataclasses.dataclass
+class Member:
+    """A node with its own monotonic clock."""
+
+    clock: builders.ManualClock
+    lease: Lease
+    view: RolloutView
+    prepared: Transaction | None = None
+
+
+class Machine(RuleBasedStateMachine):
+    """Nodes, table and gossip in any order."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.table = FakeTable()
+        self.outage = 0
+        self.members: list[Member] = []
+        self.halted_at: set[int] = set()
+        for index in range(3):
+            clock = builders.ManualClock()
+            lease = Lease(LeaseSettings(), clock, f'node-{index}')
+            self.members.append(Member(clock, lease, RolloutView()))
+
+    @rule(turns=strategies.integers(1, 4))
+    def fail_table(self, turns: int) -> None:
+        self.outage = turns
+
+    @rule(
+        index=NODES,
+        seconds=strategies.sampled_from([0.5, 2, 3, 6, 9, 13]),
+        mode=strategies.sampled_from(Mode),
+    )
+    def take_turn(self, index: int, seconds: float, mode: Mode) -> None:
+        """Finish what a freeze interrupted, then act as the node would."""
+        for one in self.members:
+            one.clock.advance(seconds)
+        self.outage = max(0, self.outage - 1)
+        member = self.members[index]
+        if member.prepared is not None:
+            self.send(member.prepared)
+        self.read(member)
+        wanted = member.lease.request()
+        if wanted is not None:
+            self.send(wanted, mode is Mode.LATE_RENEWAL)
+            self.read(member)
+        member.prepared = self.prepare(member)
+        if member.prepared is not None and mode is not Mode.FROZEN:
+            self.send(member.prepared, mode is Mode.LATE_STEP)
+            member.prepared = None
+
+    @rule(index=NODES)
+    def resign(self, index: int) -> None:
+        wanted = self.members[index].lease.resign()
+        if wanted is not None:
+            self.send(wanted)
+
+    def read(self, member: Member) -> None:
+        if not self.outage:
+            member.lease.observe(self.table.rows.get(ROLLOUT_LEASE_KEY))
+            progress = rows.decode_row(self.table.rows.get(KEY)).progress
+            if progress is not None:
+                member.view.learn(ROLLOUT.name, progress)
+
+    def prepare(self, member: Member) -> Transaction | None:
+        tenure = member.lease.held()
+        if tenure is None or self.outage:
+            return None
+        stored = rows.decode_row(self.table.rows.get(KEY))
+        progress = stored.progress
+        reason = member.view.halt_reason(ROLLOUT)
+        if progress is None:
+            changed = rows.started(ROLLOUT, stored, tenure, ())
+        elif progress.state in ENDED:
+            return None
+        elif reason is None:
+            changed = rows.advanced(ROLLOUT, progress, tenure)
+        else:
+            changed = rows.halted(progress, reason, tenure)
+        return rows.write(ROLLOUT.name, stored, changed, tenure)
+
+    @rule()
+    def apply_late(self) -> None:
+        if self.table.under_way:
+            self.table.apply(self.table.under_way.pop(0))
+
+    @rule(index=NODES, likely=strategies.integers(0, 5))
+    def halt(self, index: int, likely: int) -> None:
+        if likely == 5:
+            self.members[index].view.halt(RUN, 'errors')
+            self.halted_at.add(index)
+
+    @rule(source=NODES, receiver=NODES)
+    def gossip(self, source: int, receiver: int) -> None:
+        document = self.members[source].view.document([ROLLOUT])
+        self.members[receiver].view.merge(document)
+        if source in self.halted_at:
+            self.halted_at.add(receiver)
+
+    def send(self, wanted: Transaction, late: bool = False) -> None:
+        if late:
+            self.table.under_way.append(wanted)
+        elif not self.outage:
+            self.table.apply(wanted)
+
+    @invariant()
+    def one_holder(self) -> None:
+        held = [one.lease.held() for one in self.members]
+        assert len([one for one in held if one is not None]) <= 1
+
+    @invariant()
+    def tokens_only_rise(self) -> None:
+        assert self.table.tokens == sorted(self.table.tokens)
+
+    @invariant()
+    def no_step_twice_or_skipped(self) -> None:
+        steps = [
+            one.step
+            for one in self.table.history
+            if one.state is RolloutState.RUNNING
+        ]
+        assert steps == list(range(len(steps)))
+        sequences = [one.sequence for one in self.table.history]
+        assert sequences == list(range(1, len(sequences) + 1))
+
+    @invariant()
+    def halt_is_never_undone(self) -> None:
+        states = [one.state for one in self.table.history]
+        if RolloutState.HALTED in states:
+            assert states[-1] is RolloutState.HALTED
+            assert states.count(RolloutState.HALTED) == 1
+        for index in self.halted_at:
+            assert self.members[index].view.halt_reason(ROLLOUT) is not None
+
+    @invariant()
+    def no_new_work_where_the_halt_is_known(self) -> None:
+        for index in self.halted_at:
+            share = self.members[index].view.share(ROLLOUT)
+            for unit in ('a', 'b', 'c'):
+                version = decisions.assign(unit, ROLLOUT, share)
+                assert version == ROLLOUT.from_version
+
+
+TestMachine = Machine.TestCase
+TestMachine.settings = settings(max_examples=200, stateful_step_count=50)
+
+
+def test_frozen_holder_stops_by_its_own_clock() -> None:
+    """A holder that resumes after its term must not act as leader."""
+    clock = builders.ManualClock()
+    lease = Lease(LeaseSettings(), clock, 'a')
+    lease.observe(None)
+    wanted = lease.request()
+    assert wanted is not None
+    clock.advance(1)
+    lease.observe(Row(ROLLOUT_LEASE_KEY, 1, wanted.puts[0].body))
+    tenure = lease.held()
+    assert tenure is not None
+    assert tenure.until == dt.timedelta(seconds=1008)
+    clock.advance(7)
+    assert lease.held() is None
+
+
+def test_candidates_stand_in_different_failure_domains() -> None:
+    """The loss of one failure domain must leave a candidate."""
+    live = [(f'n{index}', f'd{index % 3}') for index in range(330)]
+    chosen = candidates(live, ROLLOUT_LEASE_KEY, 3)
+    assert {dict(live)[name] for name in chosen} == {'d0', 'd1', 'd2'}
+    assert chosen == candidates(reversed(live), ROLLOUT_LEASE_KEY, 3)
+
+
+def test_halted_run_stays_halted_when_its_name_is_used_again() -> None:
+    """An operator who goes back to a halted pair must not restart it."""
+    clock = builders.ManualClock()
+    lease = Lease(LeaseSettings(), clock, 'a')
+    lease.observe(None)
+    wanted = lease.request()
+    assert wanted is not None
+    lease.observe(Row(ROLLOUT_LEASE_KEY, 1, wanted.puts[0].body))
+    tenure = lease.held()
+    assert tenure is not None
+    first = rows.started(ROLLOUT, rows.decode_row(None), tenure, ())
+    stopped = rows.halted(first, 'errors', tenure)
+    other = builders.rollout(to_version='v3')
+    stored = rows.StoredProgress(stopped, 2)
+    replaced = rows.started(other, stored, tenure, {RUN})
+    restarted = RolloutView()
+    restarted.learn(ROLLOUT.name, rows.unpack(rows.pack(replaced)))
+    assert restarted.halt_reason(other) is None
+    assert restarted.share(other) == other.steps[0].share
+    assert restarted.halt_reason(ROLLOUT) == rows.FORMER_REASON
+    assert restarted.share(ROLLOUT) == 0
