Judge a candidate by likelihood ratios over windows; simulate roll-outs

The CUSUM test compared the candidate with an averaged reference.

The test now compares both versions over the same windows, counts only harm above the limits of the manifest, and 5% of new work stays with the replaced version while the roll-out is published.

Seen to fail with the code broken on purpose: one window instead of several, likelihood without the control, variance without the control.

--- a/bronzeglade/builders.py
+++ b/bronzeglade/builders.py
@@ -1,8 +1,11 @@
 """Builders of test data, and a clock that tests move."""
 
 import datetime as dt
+import json
 from typing import Any
 
+from bronzeglade import catalog as catalogs
+from bronzeglade.catalog import Catalog, Configuration
 from bronzeglade.manifest import Rollout
 
 
@@ -47,3 +50,38 @@
         ],
     }
     return Rollout.model_validate({**document, **changes})
+
+
+def catalog(*rollouts: Rollout) -> Catalog:
+    """Return a catalog of model `m` with `v1` serving and two allowed."""
+    states = {'v1': 'serving', 'v2': 'allowed', 'v3': 'allowed'}
+    document = {
+        'deployment': 'test',
+        'failure_domains': [{'name': 'd0', 'region': 'r0'}],
+        'ranks': [
+            {
+                'name': 'standard',
+                'priority': 1,
+                'first_token_ms': 800,
+                'inter_token_ms': 26,
+            }
+        ],
+        'models': [
+            {
+                'name': 'm',
+                'prompt_cost': 1,
+                'completion_cost': 4,
+                'versions': [
+                    {'name': name, 'state': state}
+                    for name, state in states.items()
+                ],
+            }
+        ],
+        'rollouts': [one.model_dump(mode='json') for one in rollouts],
+        'operators': [{'name': 'o', 'key_hashes': ['0' * 64]}],
+    }
+    text = json.dumps(document).encode()
+    built, errors = catalogs.build(Configuration(1, 'digest', text))
+    if built is None:
+        raise ValueError(errors)
+    return built
--- a/bronzeglade/decisions/rollout.py
+++ b/bronzeglade/decisions/rollout.py
@@ -1,10 +1,11 @@
 """Roll-outs: who gets the candidate, when it halts, when it advances."""
 
+import collections
 import dataclasses
 import datetime as dt
 import enum
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 import xxhash
 
@@ -12,9 +13,12 @@
 from bronzeglade.manifest import Rollout, RolloutLimits
 
 _HASH_RANGE = float(1 << 64)
-# Largest probability of an error in an alternative hypothesis; 1 would make
-# a single success exclude it.
-_HIGHEST_ERROR = 0.9
+_LOWEST_RATE = 1e-9  # keeps logarithms finite
+_SEARCH_ROUNDS = 24  # of a ternary search: (2/3)^24 = 6e-5 of the range
+# Part of new work that stays with the replaced version while the roll-out is
+# published: without a control of the same time, a fault of the platform
+# cannot be told from a bad candidate.
+CONTROL_SHARE = 0.05
 
 
 class Measure(enum.StrEnum):
@@ -29,23 +33,21 @@
 class JudgeSettings:
     """Parameters of the sequential test.
 
-    `threshold` is a log likelihood ratio. Under equal versions a statistic
-    reaches 12 at most once in exp(12) = 163,000 samples on average.
+    `threshold` is a log likelihood ratio; for a candidate exactly at a limit,
+    12 is 4.9 standard errors, exceeded in one of 2,000,000 looks.
     A candidate does not advance while a statistic is above `suspicion`.
+    `windows` are numbers of calls of `feed`, in rising order; at two calls a
+    second they last 2 s to 240 s.
     """
 
     threshold: float = 12
     suspicion: float = 4
-    error_factors: Sequence[float] = (1, 4, 16)
-    latency_factors: Sequence[float] = (1, 3)
-    rating_factors: Sequence[float] = (1, 4, 10)
-    # Samples over which the reference of the replaced version is averaged:
-    # the long one is precise, the short one follows faults of the platform
-    # that hit both versions.
-    long_window: float = 2000
-    short_window: float = 60
-    least_ratings: float = 30
-    lowest_error: float = 0.002
+    windows: Sequence[int] = (4, 10, 30, 100, 480)
+    # A control that is expected from any version: without recent requests of
+    # the replaced version a total failure is still found.
+    prior_requests: float = 10
+    prior_errors: float = 0.2
+    least_values: float = 8  # a variance of fewer values says little
     lowest_deviation: float = 0.05
 
 
@@ -78,97 +80,45 @@
     Args:
       unit: identity of the session, or of a request without session.
       rollout: the roll-out of the model.
-      share: part of new work that the candidate gets now.
+      share: part of new work that the candidate gets now; the control
+        share is kept free.
     """
-    if position(rollout.name, unit) < share:
+    if position(rollout.name, unit) < min(share, 1 - CONTROL_SHARE):
         return rollout.to_version
     return rollout.from_version
 
 
-class _Reference:
-    """Mean and variance of the replaced version over recent samples."""
-
-    def __init__(self, prior: Moments, window: float) -> None:
-        """Start from a prior; `window` bounds the number of samples."""
-        self.moments = prior
-        self.window = window
-
-    def add(self, more: Moments) -> None:
-        """Count samples; old ones lose weight beyond the window."""
-        summed = self.moments.plus(more)
-        excess = self.window / max(summed.count, self.window)
-        self.moments = summed.scaled(excess)
-
-    def mean(self) -> float:
-        """Return the mean, 0 without samples."""
-        return self.moments.mean() if self.moments.count else 0
-
-    def error(self) -> float:
-        """Return the standard error of the mean, 0 without samples."""
-        if not self.moments.count:
-            return 0
-        return math.sqrt(self.moments.variance() / self.moments.count)
-
-
-class _Test:
-    """Cumulative sums of one measure, one for each size of the harm.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pair:
+    """Evidence of both versions over the same time."""
 
-    `sign` is 1 when larger values are worse and -1 otherwise.
-    """
+    candidate: Evidence = Evidence()
+    control: Evidence = Evidence()
 
-    def __init__(
-        self,
-        settings: JudgeSettings,
-        prior: Moments,
-        sign: float,
-        harms: Sequence[float],
-    ) -> None:
-        """Start at zero."""
-        self.settings = settings
-        self.sign = sign
-        self.harms = harms
-        self.long = _Reference(prior, settings.long_window)
-        self.short = _Reference(Moments(), settings.short_window)
-        self.sums = [float(0) for _ in harms]
-
-    def feed(
-        self,
-        candidate: Moments,
-        control: Moments,
-        likelihood: Callable[[Moments, float, float], float],
-    ) -> None:
-        """Count samples of both versions.
+    def plus(self, other: 'Pair') -> 'Pair':
+        """Return the sum of both."""
+        return Pair(
+            self.candidate.plus(other.candidate),
+            self.control.plus(other.control),
+        )
 
-        Args:
-          candidate: new samples of the candidate.
-          control: new samples of the replaced version.
-          likelihood: log likelihood ratio of samples, given the reference
-            and the size of the harm.
-        """
-        self.long.add(control)
-        self.short.add(control)
-        reference = self.reference()
-        self.sums = [
-            max(0, total + likelihood(candidate, reference, harm))
-            for total, harm in zip(self.sums, self.harms, strict=True)
-        ]
-
-    def reference(self) -> float:
-        """Return the mean to compare with, in favour of the candidate."""
-        mean = self.long.mean() + self.sign * self.long.error()
-        if self.short.moments.count < self.settings.short_window / 2:
-            return mean
-        worse = max if self.sign > 0 else min
-        return worse(mean, self.short.mean())
+    def minus(self, other: 'Pair') -> 'Pair':
+        """Return what is left without a part."""
+        return Pair(
+            self.candidate.minus(other.candidate),
+            self.control.minus(other.control),
+        )
 
 
 class Judge:
     """Sequential test of a candidate against the version it replaces.
 
-    A statistic for each measure and size of the harm sums log likelihood
-    ratios and never falls below zero (CUSUM), so a version that turns bad
-    after a long good time is found as soon as one that was always bad. It
-    takes the increments of counters merged over all nodes.
+    Over several windows that end now, the generalised likelihood ratio
+    compares both versions: a short window finds severe harm within seconds,
+    also after a long good time, and the long ones find slight harm. Both
+    versions are compared over the same time, so a fault of the platform that
+    hits both says nothing against the candidate. It takes the increments of
+    counters merged over all nodes.
     """
 
     def __init__(self, settings: JudgeSettings, limits: RolloutLimits) -> None:
@@ -176,31 +126,13 @@
 
         Args:
           settings: parameters of the test.
-          limits: harm at which the roll-out is to halt.
+          limits: harm that is tolerated.
         """
         self.settings = settings
-        increase = limits.max_error_increase or settings.lowest_error
-        drop = limits.max_rating_drop or settings.lowest_error
-        ratio = math.log(limits.max_latency_ratio)
-        # Priors: 1 failure in 50 requests; latency at the target.
-        self.errors = _Test(
-            settings,
-            Moments(50, 1, 1),
-            1,
-            [increase * factor for factor in settings.error_factors],
-        )
-        self.latency = _Test(
-            settings,
-            Moments(5, 0, 5),
-            1,
-            [ratio * factor for factor in settings.latency_factors],
-        )
-        self.rating = _Test(
-            settings,
-            Moments(),
-            -1,
-            [drop * factor for factor in settings.rating_factors],
-        )
+        self.limits = limits
+        self.recent: collections.deque[Pair] = collections.deque()
+        self.sums = [Pair() for _ in settings.windows]
+        self.statistics = {measure: float(0) for measure in Measure}
 
     def feed(self, candidate: Evidence, control: Evidence) -> None:
         """Take in what was counted since the last call.
@@ -209,19 +141,21 @@
           candidate: new evidence of the candidate.
           control: new evidence of the version that it replaces.
         """
-        self.errors.feed(candidate.errors, control.errors, self._failures)
-        self.latency.feed(candidate.latency, control.latency, self._slowness)
-        self.rating.feed(candidate.ratings, control.ratings, self._drop)
+        added = Pair(candidate, control)
+        self.recent.append(added)
+        for index, window in enumerate(self.settings.windows):
+            summed = self.sums[index].plus(added)
+            if len(self.recent) > window:
+                summed = summed.minus(self.recent[-window - 1])
+            self.sums[index] = summed
+        if len(self.recent) > self.settings.windows[-1]:
+            self.recent.popleft()
+        self._compare()
 
     def verdict(self) -> Verdict:
         """Return what the evidence says now."""
-        tests = {
-            Measure.ERRORS: self.errors,
-            Measure.LATENCY: self.latency,
-            Measure.RATING: self.rating,
-        }
-        measure = max(tests, key=lambda one: max(tests[one].sums))
-        statistic = max(tests[measure].sums)
+        measure = max(Measure, key=lambda one: self.statistics[one])
+        statistic = self.statistics[measure]
         return Verdict(
             measure,
             statistic,
@@ -229,31 +163,94 @@
             suspect=statistic >= self.settings.suspicion,
         )
 
-    def _failures(
-        self, seen: Moments, reference: float, increase: float
-    ) -> float:
-        expected = min(
-            max(reference, self.settings.lowest_error), _HIGHEST_ERROR / 2
-        )
-        harmed = min(expected + increase, _HIGHEST_ERROR)
-        passed = seen.count - seen.total
-        return seen.total * math.log(harmed / expected) + passed * math.log(
-            (1 - harmed) / (1 - expected)
+    def _compare(self) -> None:
+        limits = self.limits
+        prior = Moments(
+            self.settings.prior_requests, self.settings.prior_errors
         )
+        ratio = math.log(limits.max_latency_ratio)
+        drop = limits.max_rating_drop
+        for measure in Measure:
+            self.statistics[measure] = 0
+        for pair in self.sums:
+            good, bad = pair.control, pair.candidate
+            self._keep(
+                Measure.ERRORS,
+                failure_ratio(
+                    bad.errors,
+                    good.errors.plus(prior),
+                    limits.max_error_increase,
+                ),
+            )
+            self._keep(
+                Measure.LATENCY, self._shift(bad.latency, good.latency, ratio)
+            )
+            self._keep(
+                Measure.RATING,
+                self._shift(negated(bad.ratings), negated(good.ratings), drop),
+            )
+
+    def _keep(self, measure: Measure, statistic: float) -> None:
+        self.statistics[measure] = max(self.statistics[measure], statistic)
+
+    def _shift(
+        self, candidate: Moments, control: Moments, tolerated: float
+    ) -> float:
+        least = self.settings.least_values
+        if min(candidate.count, control.count) < least:
+            return 0
+        excess = candidate.mean() - control.mean() - tolerated
+        if excess <= 0:
+            return 0
+        lowest = self.settings.lowest_deviation**2
+        spread = max(lowest, candidate.variance()) / candidate.count
+        spread += max(lowest, control.variance()) / control.count
+        return excess * excess / (2 * spread)
 
-    def _slowness(self, seen: Moments, reference: float, shift: float) -> float:
-        above = seen.total - seen.count * (reference + shift / 2)
-        return shift * above / self._variance(self.latency)
 
-    def _drop(self, seen: Moments, reference: float, drop: float) -> float:
-        if self.rating.long.moments.count < self.settings.least_ratings:
-            return 0
-        below = seen.count * (reference - drop / 2) - seen.total
-        return drop * below / self._variance(self.rating)
+def negated(values: Moments) -> Moments:
+    """Return the moments of the negated values."""
+    return Moments(values.count, -values.total, values.squares)
 
-    def _variance(self, test: _Test) -> float:
-        lowest = self.settings.lowest_deviation**2
-        return max(lowest, test.long.moments.variance())
+
+def failure_ratio(
+    candidate: Moments, control: Moments, tolerated: float
+) -> float:
+    """Return the log likelihood ratio of an increase above a tolerated one.
+
+    Args:
+      candidate: requests and failures of the candidate.
+      control: those of the version it replaces; at least one request.
+      tolerated: increase of the failure rate that is no harm.
+
+    Returns:
+      0 or more; 0 when the increase seen is within the tolerated one.
+    """
+    if not candidate.count:
+        return 0
+    seen, expected = candidate.mean(), control.mean()
+    if seen <= expected + tolerated:
+        return 0
+
+    def likelihood(rate: float) -> float:
+        return _binomial(control, rate) + _binomial(candidate, rate + tolerated)
+
+    low = float(0)
+    high = min(seen, 1 - tolerated)
+    for _ in range(_SEARCH_ROUNDS):
+        third = (high - low) / 3
+        if likelihood(low + third) < likelihood(high - third):
+            low += third
+        else:
+            high -= third
+    best = _binomial(control, expected) + _binomial(candidate, seen)
+    return max(0, best - likelihood((low + high) / 2))
+
+
+def _binomial(seen: Moments, rate: float) -> float:
+    bounded = min(max(rate, _LOWEST_RATE), 1 - _LOWEST_RATE)
+    passed = seen.count - seen.total
+    return seen.total * math.log(bounded) + passed * math.log(1 - bounded)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/fleet/rollout_parts.py
@@ -0,0 +1,143 @@
+"""Parts of simulations: a table and gossip in memory, under a manual clock."""
+
+import random
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from result import Err, Ok, Result
+
+from bronzeglade.adapters.table import (
+    ABSENT,
+    CommitError,
+    Conflict,
+    Row,
+    StoreError,
+    Transaction,
+    Unavailable,
+    Unknown,
+)
+from bronzeglade.builders import ManualClock
+from bronzeglade.entry.peers import Gossip
+
+Sent = list[tuple[float, Any]]  # documents of one origin with their times
+
+KEPT_DOCUMENTS = 16  # of one origin and topic; more than the longest delay
+
+
+class MemoryTable:
+    """A table with outages and lost replies; every put is recorded."""
+
+    def __init__(self, source: random.Random, lost_replies: float) -> None:
+        """Create an empty table.
+
+        Args:
+          source: of randomness.
+          lost_replies: part of the commits whose reply is lost.
+        """
+        self.source = source
+        self.lost_replies = lost_replies
+        self.available = True
+        self.rows: dict[str, Row] = {}
+        self.history: list[Row] = []
+
+    def read(
+        self, keys: Sequence[str]
+    ) -> Result[Mapping[str, Row], StoreError]:
+        """Read rows by key."""
+        if not self.available:
+            return Err(StoreError('outage'))
+        return Ok({key: self.rows[key] for key in keys if key in self.rows})
+
+    def scan(self, prefix: str, limit: int) -> Result[list[Row], StoreError]:
+        """Read rows by prefix."""
+        if not self.available:
+            return Err(StoreError('outage'))
+        keys = sorted(key for key in self.rows if key.startswith(prefix))
+        return Ok([self.rows[key] for key in keys[:limit]])
+
+    def commit(self, transaction: Transaction) -> Result[None, CommitError]:
+        """Apply a transaction; its reply may be lost."""
+        if not self.available:
+            return Err(Unavailable('outage'))
+        for check in transaction.checks:
+            version = self._version(check.key)
+            if version != check.version:
+                return Err(Conflict(check.key, version))
+        for put in transaction.puts:
+            row = Row(put.key, self._version(put.key) + 1, put.body)
+            self.rows[put.key] = row
+            self.history.append(row)
+        if self.source.random() < self.lost_replies:
+            return Err(Unknown('lost'))
+        return Ok(None)
+
+    def _version(self, key: str) -> int:
+        row = self.rows.get(key)
+        return row.version if row else ABSENT
+
+
+class DelayedGossip(Gossip):
+    """Gossip whose documents reach other nodes after a delay."""
+
+    def __init__(
+        self, origin: str, clock: ManualClock, network: 'Network'
+    ) -> None:
+        """Join a network.
+
+        Args:
+          origin: name of this node.
+          clock: tells when a document was published.
+          network: documents of all nodes.
+        """
+        super().__init__(origin)
+        self.clock = clock
+        self.network = network
+
+    def publish(self, topic: str, document: Any) -> None:
+        """Replace this node's document of a topic."""
+        self.network.put(topic, self.origin, self.clock.monotonic(), document)
+
+    def read(self, topic: str) -> Mapping[str, Any]:
+        """Return the documents that have arrived."""
+        return self.network.arrived(topic, self.origin, self.clock.monotonic())
+
+
+class Network:
+    """Documents under way between nodes."""
+
+    def __init__(self, source: random.Random, longest_s: float) -> None:
+        """Create a network.
+
+        Args:
+          source: of the delay of each link.
+          longest_s: longest delay, seconds.
+        """
+        self.source = source
+        self.longest_s = longest_s
+        self.delays: dict[tuple[str, str], float] = {}
+        self.documents: dict[str, dict[str, Sent]] = {}
+
+    def put(self, topic: str, origin: str, at: Any, document: Any) -> None:
+        """Keep a document with its time."""
+        sent = self.documents.setdefault(topic, {}).setdefault(origin, [])
+        sent.append((at.total_seconds(), document))
+        del sent[:-KEPT_DOCUMENTS]  # noqa: WPS420
+
+    def arrived(self, topic: str, reader: str, now: Any) -> Mapping[str, Any]:
+        """Return the newest document of each origin that has arrived."""
+        found: dict[str, Any] = {}
+        for origin, sent in self.documents.get(topic, {}).items():
+            limit = now.total_seconds() - self._delay(origin, reader)
+            for at, document in reversed(sent):
+                if at <= limit:
+                    found[origin] = document
+                    break
+        return found
+
+    def _delay(self, origin: str, reader: str) -> float:
+        if origin == reader:
+            return 0
+        link = (origin, reader)
+        if link not in self.delays:
+            self.delays[link] = self.source.uniform(0, self.longest_s)
+        return self.delays[link]
