--- /dev/null
+++ b/bronzeglade/report/text.py
@@ -0,0 +1,97 @@
+"""The burn report as text and as JSON."""
+
+import dataclasses
+import json
+from collections.abc import Iterator
+
+from bronzeglade.report.burn import GroupBurn, Latency, Report, WindowBurn
+
+_MS = 1000
+NANO = 1_000_000_000
+
+
+def to_json(report: Report) -> str:
+    """Return the report as JSON; durations are seconds."""
+    return json.dumps(dataclasses.asdict(report), indent=2)
+
+
+def to_text(report: Report) -> str:
+    """Return the report as lines of text, the hurt groups first."""
+    return '\n'.join(_lines(report)) + '\n'
+
+
+def _lines(report: Report) -> Iterator[str]:
+    hurt = [group for group in report.groups if group.is_hurt()]
+    yield from _summary(report, hurt)
+    yield ''
+    yield (
+        f'{"group":<34}{"burn 1m":>9}{"5m":>7}{"30m":>7}{"1h":>7}'
+        f'{"first p95":>12}{"target":>9}{"gap p95":>9}{"cost $":>10}'
+    )
+    for group in sorted(report.groups, key=lambda one: not one.is_hurt()):
+        yield _row(group)
+        if group.refusals:
+            causes = ', '.join(
+                f'{cause} {count}' for cause, count in group.refusals.items()
+            )
+            yield f'    refusals since start: {causes}'
+    for rollout, exposed in report.exposure.items():
+        yield f'rollout {rollout}: {exposed} requests on the new version'
+
+
+def _summary(report: Report, hurt: list[GroupBurn]) -> Iterator[str]:
+    if hurt:
+        for group in hurt:
+            cause = main_cause(group)
+            yield f'BURNING FAST: {group.grouping} {group.name} ({cause})'
+    else:
+        yield 'no group burns its budget fast'
+    generations = ', '.join(str(one) for one in report.generation) or 'none'
+    yield f'generations active: {generations}'
+    yield f'nodes read: {len(report.nodes_read)}'
+    for node, error in report.nodes_unread:
+        yield f'NOT READ: {node}: {error}; its requests are missing below'
+    if report.short_history:
+        names = ', '.join(report.short_history)
+        yield f'nodes with less than 1 h of history: {names}'
+
+
+def main_cause(group: GroupBurn) -> str:
+    """Return what most of the missed requests of a group have in common."""
+    window = group.windows[0]
+    if group.refusals:
+        cause = max(group.refusals, key=lambda one: group.refusals[one])
+        if group.refusals[cause] * 2 >= window.missed:
+            return f'refusals: {cause}'
+    if _is_missed(group.first_token):
+        return 'first token over its target'
+    if _is_missed(group.inter_token):
+        return 'time between tokens over its target'
+    return 'requests over their targets'
+
+
+def _is_missed(latency: Latency) -> bool:
+    return (
+        latency.target is not None
+        and latency.p95 is not None
+        and latency.p95 > latency.target
+    )
+
+
+def _row(group: GroupBurn) -> str:
+    rates = [_rate(window) for window in group.windows]
+    name = f'{group.grouping} {group.name}'
+    return (
+        f'{name:<34}{rates[0]:>9}{rates[1]:>7}{rates[2]:>7}{rates[3]:>7}'
+        f'{_ms(group.first_token.p95):>12}{_ms(group.first_token.target):>9}'
+        f'{_ms(group.inter_token.p95):>9}'
+        f'{group.cost_nanodollars / NANO:>10.4f}'
+    )
+
+
+def _rate(window: WindowBurn) -> str:
+    return '-' if window.burn_rate is None else f'{window.burn_rate:.1f}'
+
+
+def _ms(seconds: float | None) -> str:
+    return '-' if seconds is None else f'{seconds * _MS:.0f} ms'
