Complete the stand-ins, each with faults that tests can cause

Change: continuous batching with a priority queue, prefix cache with events, fencing, resume, cancellation and bad versions in the engine; rate limits, outages and lost replies in the table; dropped connections in the plain service; new stand-ins for the object store, rating service and weight store. Answers are determined by messages, model and version. The launcher takes listening ports below the kernel's range of outgoing ports and stops a fleet gracefully on interrupt.

The text that fleet/launch_test.py expects changes with the answers; it is still compared as a whole.

Conclusion: 9 new process tests cause each fault and check its effect.

--- a/fleet/deployments.py
+++ b/fleet/deployments.py
@@ -48,6 +48,8 @@
     first_token_s: float = 0.05
     token_s: float = 0.01
     checks_fencing: bool = True
+    quality: float = 0.95
+    skill: float = 1  # part of all prompts that the model can handle
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -182,6 +184,8 @@
             versions=('v1',),
             first_token_s=0.03,
             token_s=0.005,
+            quality=0.9,
+            skill=0.7,
         ),
         EndpointPlan(
             'guide-llm-large', 3, model='guide-large', versions=('v1', 'v2')
@@ -245,6 +249,8 @@
             versions=('v1',),
             first_token_s=0.03,
             token_s=0.005,
+            quality=0.9,
+            skill=0.7,
         ),
         EndpointPlan(
             'scribes-large', 4, model='scribe-large', versions=('v1', 'v2')
--- a/fleet/launch.py
+++ b/fleet/launch.py
@@ -4,6 +4,7 @@
 import datetime as dt
 import json
 import os
+import random
 import secrets
 import signal
 import socket
@@ -22,7 +23,13 @@
 HOST = '127.0.0.1'
 START_LIMIT = dt.timedelta(seconds=60)
 STOP_LIMIT = dt.timedelta(seconds=20)
+DRAIN_LIMIT = dt.timedelta(minutes=4)  # above the drain limit of an entry
 POLL_S = 0.05
+MS_PER_S = 1000
+# Below the range from which the kernel takes the ports of outgoing
+# connections, so that none of them takes a port before its process listens.
+LISTENING_PORTS = range(10_000, 32_000)
+PLATFORM = ('table', 'vms', 'ratings', 'objects', 'weights')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,15 +54,23 @@
         return f'{HOST}:{self.control_port}'
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago, for TCP and UDP."""
-    holders = [socket.socket() for _ in range(count)]
-    for holder in holders:
-        holder.bind((HOST, 0))
-    ports = [int(holder.getsockname()[1]) for holder in holders]
-    for holder in holders:
-        holder.close()
-    return ports
+class Ports:
+    """Ports for the processes of one fleet."""
+
+    def __init__(self) -> None:
+        """Have given out none."""
+        self.random = random.SystemRandom()
+        self.given: set[int] = set()
+
+    def take(self, count: int) -> list[int]:
+        """Return ports that were free a moment ago, for TCP and UDP."""
+        ports: list[int] = []
+        while len(ports) < count:
+            port = self.random.choice(LISTENING_PORTS)
+            if port not in self.given and _is_free(port):
+                self.given.add(port)
+                ports.append(port)
+        return ports
 
 
 class Fleet:
@@ -75,6 +90,8 @@
         self.log_directory = log_directory
         self.options: dict[str, str] = dict(options or {})
         self.programs: list[Program] = []
+        self.ports = Ports()
+        self.urls: dict[str, str] = {}
         self.peer_key = f'1:{secrets.token_hex(32)}'
         self.http = urllib3.PoolManager(retries=False)
 
@@ -99,19 +116,17 @@
     def start(self) -> None:
         """Start all processes, publish the manifest and wait until ready."""
         self.log_directory.mkdir(parents=True, exist_ok=True)
-        table, vms = free_ports(2)
-        self.spawn('table', 'table', ['standins.table', f'--port={table}'])
-        self.spawn('vms', 'vms', ['standins.vms', f'--port={vms}'])
-        self.table_url = f'http://{HOST}:{table}'
-        self.vm_list_url = f'http://{HOST}:{vms}'
+        for name, port in zip(PLATFORM, self.ports.take(len(PLATFORM))):
+            self.spawn(name, name, [f'standins.{name}', f'--port={port}'])
+            self.urls[name] = f'http://{HOST}:{port}'
         for plan in self.deployment.endpoints:
             for index in range(plan.count):
                 self.start_endpoint(plan, index)
         for index in range(self.deployment.entry_count):
             self.start_entry(f'entry-{index}', self.domain(index))
         self.wait_until_listening()
-        self.register()
-        self.publish(deployments.manifest(self.deployment), 0)
+        self.register(self.programs)
+        self.publish(self.manifest(), 0)
         self.wait_until_ready()
 
     def domain(self, index: int) -> str:
@@ -156,8 +171,9 @@
 
     def start_endpoint(self, plan: EndpointPlan, index: int) -> Program:
         """Start the n-th endpoint of a group."""
-        port = free_ports(1)[0]
-        words = [f'--port={port}']
+        port = self.ports.take(1)[0]
+        one_way_s = self.deployment.one_way_ms / MS_PER_S
+        words = [f'--port={port}', f'--one_way={one_way_s}']
         if plan.model is None:
             words.insert(0, 'standins.service')
         else:
@@ -167,6 +183,12 @@
                     f'--slots={plan.slots}',
                     f'--first_token={plan.first_token_s}',
                     f'--token={plan.token_s}',
+                    f'--quality={plan.quality}',
+                    f'--skill={plan.skill}',
+                    f'--checks_fencing={plan.checks_fencing}',
+                    '--loaded={0}'.format(
+                        ','.join(f'{plan.model}@{v}' for v in plan.versions)
+                    ),
                 ]
             )
         name = f'{plan.group}-{index}'
@@ -174,15 +196,16 @@
 
     def start_entry(self, name: str, failure_domain: str) -> Program:
         """Start a router process."""
-        port, control_port = free_ports(2)
+        port, control_port = self.ports.take(2)
         flags = {
             'vm': name,
             'host': HOST,
             'port': port,
             'control_port': control_port,
             'failure_domain': failure_domain,
-            'vm_list_url': self.vm_list_url,
-            'table_url': self.table_url,
+            'vm_list_url': self.urls['vms'],
+            'table_url': self.urls['table'],
+            'rating_url': self.urls['ratings'],
             'peer_keys': self.peer_key,
             **self.options,
         }
@@ -206,23 +229,45 @@
                     raise RuntimeError(f'{program.name} does not listen')
                 time.sleep(POLL_S)
 
-    def register(self) -> None:
-        """Put every VM on the VM list."""
+    def register(self, programs: list[Program], state: str = 'live') -> None:
+        """Put VMs on the VM list, or change their state there.
+
+        Args:
+          programs: the VMs' programs; others are left out.
+          state: `live`, `leaving` or `gone`.
+        """
         vms = [
             {
                 'name': program.name,
                 'group': program.role,
                 'address': program.address,
                 'failure_domain': program.failure_domain,
-                'state': 'live',
+                'state': state,
                 'control_address': program.control_address
                 if program.control_port
                 else '',
             }
-            for program in self.programs
+            for program in programs
             if program.failure_domain
         ]
-        self.post(f'{self.vm_list_url}/vms', {'vms': vms})
+        self.post('{0}/vms'.format(self.urls['vms']), {'vms': vms})
+
+    def cause(self, program: Program, faults: dict[str, Any]) -> None:
+        """Set faults of a stand-in.
+
+        Args:
+          program: the stand-in.
+          faults: its fault values by name (docs/standins.md).
+        """
+        self.post(f'http://{program.address}/faults', faults)
+
+    def of_role(self, role: str) -> list[Program]:
+        """Return the programs of an endpoint group or platform service."""
+        return [program for program in self.programs if program.role == role]
+
+    def manifest(self) -> dict[str, Any]:
+        """Return the first manifest, as a document of its own."""
+        return deployments.manifest(self.deployment)
 
     def publish(self, document: dict[str, Any], replaces: int) -> Any:
         """Publish a manifest through the first entry process."""
@@ -288,6 +333,16 @@
         """Return the key of the first team."""
         return deployments.key_of(self.deployment.team_names[0])
 
+    def stop_gracefully(self) -> None:
+        """Let every router process finish its requests, then stop all."""
+        leaving = self.entries()
+        self.register(leaving, 'leaving')
+        for program in leaving:
+            program.process.send_signal(signal.SIGTERM)
+        for program in leaving:
+            program.process.wait(DRAIN_LIMIT.total_seconds())
+        self.stop()
+
     def stop(self) -> None:
         """Stop every process that this fleet started."""
         for program in self.programs:
@@ -297,6 +352,16 @@
             program.process.wait(STOP_LIMIT.total_seconds())
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+        try:
+            tcp.bind((HOST, port))
+            udp.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
 def _accepts(port: int) -> bool:
     with socket.socket() as probe:
         probe.settimeout(1)
--- a/fleet/launch_test.py
+++ b/fleet/launch_test.py
@@ -8,6 +8,8 @@
 
 from fleet import deployments
 from fleet.launch import Fleet
+from standins import answers
+from standins.answers import Marker
 
 
 @pytest.fixture(scope='module')
@@ -29,12 +31,16 @@
 
 def test_whole_answer_with_usage(fleet: Fleet) -> None:
     """A short answer or a wrong usage would be billed as if whole."""
+    messages = [{'role': 'user', 'content': 'which wader is this'}]
     answer = client(fleet).chat.completions.create(
         model='guide-large',
-        messages=[{'role': 'user', 'content': 'which wader is this'}],
+        messages=messages,  # type: ignore[arg-type]
         max_tokens=5,
     )
-    assert answer.choices[0].message.content == 'w0 w1 w2 w3 w4 '
+    marker = Marker('guide-large', 'v1', 0.95)
+    assert answer.choices[0].message.content == ''.join(
+        answers.tokens(messages, marker, 5)
+    )
     assert answer.usage is not None
     assert answer.usage.completion_tokens == 5
 
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -27,14 +27,19 @@
                 f'api_key={fleet.api_key()} model={fleet.model()}\n'
             )
             sys.stdout.flush()
-            _wait()
+            _wait(fleet)
 
 
-def _wait() -> None:
+def _wait(fleet: Fleet) -> None:
     try:
         signal.pause()
     except KeyboardInterrupt:
-        sys.stdout.write('stopping\n')
+        sys.stdout.write('stopping; interrupt again to stop at once\n')
+        sys.stdout.flush()
+    try:
+        fleet.stop_gracefully()
+    except KeyboardInterrupt:
+        sys.stdout.write('stopped before all requests ended\n')
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/standins/processes_test.py
@@ -0,0 +1,210 @@
+"""Guards the stand-ins' faults: a test that relies on one must get it."""
+
+import json
+import socket
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+import urllib3
+
+from fleet import deployments
+from fleet.launch import Fleet
+from standins import answers
+
+MESSAGES = [{'role': 'user', 'content': 'heron ' * 40}]
+HTTP = urllib3.PoolManager(retries=False)
+
+Start = Callable[..., str]
+
+
+@pytest.fixture
+def start(tmp_path: Path) -> Iterator[Start]:
+    """Return a function that starts a stand-in and returns its URL."""
+    fleet = Fleet(deployments.BROLGA, tmp_path)
+
+    def start_one(module: str, *words: str) -> str:
+        port = fleet.ports.take(1)[0]
+        fleet.spawn(
+            module, module, [f'standins.{module}', f'--port={port}', *words]
+        )
+        fleet.wait_until_listening()
+        return f'http://127.0.0.1:{port}'
+
+    yield start_one
+    fleet.stop()
+
+
+def post(
+    url: str, document: Any, headers: dict[str, str] | None = None
+) -> tuple[int, Any]:
+    """Send JSON and return status and decoded reply."""
+    reply = HTTP.request('POST', url, json=document, headers=headers)
+    return reply.status, json.loads(reply.data)
+
+
+def get(url: str) -> Any:
+    """Return a decoded page."""
+    return json.loads(HTTP.request('GET', url).data)
+
+
+def put(key: str) -> dict[str, Any]:
+    """Return a transaction that creates a row."""
+    return {
+        'checks': [{'key': key, 'version': 0}],
+        'puts': [{'key': key, 'body': 'eA=='}],
+        'deletes': [],
+    }
+
+
+def test_table_faults(start: Start) -> None:
+    """A lost reply must leave the write, an outage must not."""
+    table = start('table')
+    post(f'{table}/faults', {'lost_replies': 1})
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        post(f'{table}/commit', put('kept'))
+    assert post(f'{table}/commit', put('kept'))[0] == 409
+    post(f'{table}/faults', {'lost_requests': 1})
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        post(f'{table}/commit', put('dropped'))
+    post(f'{table}/faults', {'outage': 1})
+    assert post(f'{table}/commit', put('dropped'))[0] == 503
+    post(f'{table}/faults', {'reset': True})
+    rows = post(f'{table}/scan', {'prefix': '', 'limit': 9})[1]['rows']
+    assert [row['key'] for row in rows] == ['kept']
+    many = [{'key': str(index), 'body': ''} for index in range(129)]
+    large = {'checks': [], 'puts': many, 'deletes': []}
+    assert post(f'{table}/commit', large)[0] == 413
+
+
+def test_table_limits_writes(start: Start) -> None:
+    """A table without its limit hides a router that writes too often."""
+    table = start('table', '--writes=1')
+    statuses = [post(f'{table}/commit', put(str(one)))[0] for one in range(9)]
+    assert 429 in statuses
+
+
+def test_service_drops_before_and_after_executing(start: Start) -> None:
+    """Both look alike to a caller; only one of them has executed."""
+    service = start('service')
+    for fault in ('drop_before', 'drop_after'):
+        post(f'{service}/faults', {fault: 1})
+        with pytest.raises(urllib3.exceptions.HTTPError):
+            post(f'{service}/sightings', {}, {'X-Idempotency-Key': fault})
+    assert get(f'{service}/executions') == {'drop_after': 1}
+
+
+def complete(engine: str, count: int, resume: int = 0) -> str:
+    """Return the text of an answer."""
+    document = {'model': 'm@v1', 'messages': MESSAGES, 'max_tokens': count}
+    reply = HTTP.request(
+        'POST',
+        f'{engine}/v1/chat/completions',
+        json=document,
+        headers={'X-Resume-Tokens': str(resume)},
+    )
+    events = [
+        json.loads(line[6:])
+        for line in reply.data.decode().splitlines()
+        if line.startswith('data: {')
+    ]
+    return ''.join(
+        one['choices'][0]['delta'].get('content', '')
+        for one in events
+        if one['choices']
+    )
+
+
+def test_resumed_stream_continues_the_answer(start: Start) -> None:
+    """A resumed answer that differs could not be joined to its start."""
+    engine = start('engine')
+    whole = complete(engine, 6)
+    assert answers.is_whole(whole, MESSAGES, 6)
+    rest = complete(engine, 6, resume=4)
+    assert rest
+    assert whole.endswith(rest)
+    assert not answers.is_whole(rest, MESSAGES, 6)
+    assert not answers.is_whole(whole, MESSAGES, 7)
+    assert not answers.is_whole(whole, [{'role': 'user'}], 6)
+
+
+def open_request(engine: str, request_id: str, priority: int) -> socket.socket:
+    """Send a long completion and return its connection."""
+    host, port = engine.removeprefix('http://').split(':')
+    body = json.dumps(
+        {'model': 'm@v1', 'messages': MESSAGES, 'max_tokens': 9000}
+    )
+    connection = socket.create_connection((host, int(port)))
+    connection.sendall(
+        (
+            'POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n'
+            f'X-Request-Id: {request_id}\r\nX-Priority: {priority}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n{body}'
+        ).encode()
+    )
+    return connection
+
+
+def wait_for(engine: str, line: str) -> None:
+    """Wait until the load page has a line."""
+    for _attempt in range(1000):
+        page = HTTP.request('GET', f'{engine}/metrics').data.decode()
+        if line in page.splitlines():
+            return
+    pytest.fail(f'no {line!r} in {page}')
+
+
+def test_disconnect_frees_the_slot_for_the_most_urgent(start: Start) -> None:
+    """A slot that an absent client holds is lost; a queue has its order."""
+    engine = start('engine', '--slots=1')
+    first = open_request(engine, 'first', 1)
+    wait_for(engine, 'engine_requests_running 1')
+    waiting = [open_request(engine, f'rank-{one}', one) for one in (2, 0, 1)]
+    wait_for(engine, 'engine_requests_waiting 3')
+    waiting.pop().close()
+    wait_for(engine, 'engine_requests_waiting 2')
+    first.close()
+    wait_for(engine, 'engine_requests_waiting 1')
+    assert get(f'{engine}/executed')['requests'] == ['first', 'rank-0']
+    for connection in waiting:
+        connection.close()
+    wait_for(engine, 'engine_requests_running 0')
+
+
+def test_cache_is_bounded_and_its_events_tell(start: Start) -> None:
+    """An index built from events must see blocks come and go."""
+    engine = start('engine', '--cache_blocks=1')
+    complete(engine, 1)
+    reply = get(f'{engine}/cache/events?since=0')
+    actions = [one['action'] for one in reply['events']]
+    assert actions == ['added', 'added', 'removed']
+    wait_for(engine, 'engine_cached_blocks 1')
+    assert get(f'{engine}/cache/events?since=3')['events'] == []
+
+
+@pytest.mark.parametrize(('checks', 'status'), [(True, 409), (False, 200)])
+def test_stale_fencing_token(start: Start, checks: bool, status: int) -> None:
+    """Engines of both kinds exist; the router must cope with either."""
+    engine = start('engine', f'--checks_fencing={checks}', '--loaded=m@v1')
+    order = {'action': 'load', 'model': 'm', 'version': 'v2'}
+    assert post(f'{engine}/orders', {**order, 'fencing_token': 7})[0] == 200
+    unload = {**order, 'action': 'unload', 'fencing_token': 6}
+    assert post(f'{engine}/orders', unload)[0] == status
+    assert get(f'{engine}/orders')['highest_token'] == 7
+
+
+def test_bad_version_answers_badly(start: Start) -> None:
+    """A rollout test needs a version that really becomes bad."""
+    engine = start('engine', '--loaded=m@v1')
+    ratings = start('ratings', '--noise=0', '--delay=0')
+    good = complete(engine, 3)
+    post(f'{engine}/faults', {'bad_version': 'v1', 'bad_errors': 0})
+    bad = complete(engine, 3)
+    rated = [
+        post(f'{ratings}/rate', {'prompt': '', 'answer': text})[1]['rating']
+        for text in (good, bad)
+    ]
+    assert rated == [0.95, 0.3]
+    post(f'{engine}/faults', {'bad_errors': -1})
+    assert complete(engine, 3) == ''
--- a/standins/vms.py
+++ b/standins/vms.py
@@ -6,7 +6,14 @@
 
 from absl import flags
 
-from standins.web import Reply, json_application, parse_flags, serve
+from standins.faults import Faults
+from standins.web import (
+    Reply,
+    address_flags,
+    json_application,
+    parse_flags,
+    serve,
+)
 
 
 class VmListState:
@@ -18,18 +25,20 @@
         Args:
           lag_s: seconds until a change is visible.
         """
-        self.lag_s = lag_s
+        self.faults = Faults(lag_s=lag_s, outage=0)
         self.changes: list[tuple[float, dict[str, Any]]] = []
         self.visible: dict[str, dict[str, Any]] = {}
 
     def put(self, document: Mapping[str, Any]) -> Reply:
         """Add or change VMs: `{"vms": [...]}`; state `gone` removes one."""
-        due = time.monotonic() + self.lag_s
+        due = time.monotonic() + self.faults.level('lag_s')
         self.changes.extend((due, dict(vm)) for vm in document['vms'])
         return 200, {}
 
     def read(self, _document: Mapping[str, Any]) -> Reply:
         """Return the visible list."""
+        if self.faults.level('outage'):
+            return 503, {'error': 'outage'}
         now = time.monotonic()
         due = [vm for at, vm in self.changes if at <= now]
         self.changes = [change for change in self.changes if change[0] > now]
@@ -41,14 +50,13 @@
 
 def main() -> None:
     """Serve the list."""
-    values = flags.FlagValues()
-    flags.DEFINE_integer('port', 0, 'TCP port.', flag_values=values)
-    flags.DEFINE_string('host', '127.0.0.1', 'Address.', flag_values=values)
+    values = address_flags()
     flags.DEFINE_float('lag', 0, 'Lag in seconds.', flag_values=values)
     parse_flags(values)
     state = VmListState(values.lag)
     routes = {('GET', '/vms'): state.read, ('POST', '/vms'): state.put}
-    serve(values.host, values.port, json_application(routes))
+    application = json_application(routes, state.faults)
+    serve(values.host, values.port, application)
 
 
 if __name__ == '__main__':
