Make run states exact and resume cut streams

Cause: a refusal said unknown also when every engine had refused the work or no connection was made, and a stream that a worker cut ended in an error although the endpoint group resumes streams. A streamed answer that the server never began to send kept its slot, because a generator that was not started does not run its finally.

Change: decisions/retry.py says what a failed try proves (429, 503 and 4xx of validation: not run; anything else after sending: unknown) and holds a retry budget of 0.095 retries for each first try with a reserve of 4. An engine's 400, 413 or 422 goes to the caller. The configuration is read again before each try, so queued or retried work never reaches a version that was withdrawn meanwhile. A cut or crossed stream continues on another worker of the same version with X-Resume-Tokens, at most twice.

Rule of completeness: end marker, finish reason and usage arrived. Groups that resume streams count one token an event, so the events received must equal completion_tokens; other groups may put several tokens into one event, so there may be fewer events, never more.

--- a/bronzeglade/adapters/engine.py
+++ b/bronzeglade/adapters/engine.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-import pydantic_core
 import urllib3
 from result import Err, Ok, Result
 from urllib3.exceptions import HTTPError
@@ -14,23 +13,15 @@
 from bronzeglade.adapters import transport
 
 _HTTP_OK = 200
-_EVENT_PREFIX = b'data: '
+_EVENT_PREFIX = b'data:'
 _END_MARKER = b'[DONE]'
 _LONGEST_LINE = 1024 * 1024  # bytes; a longer event ends the stream
 _READ_SIZE = 65536  # bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Chunk:
-    """An event of a stream: its text as received and its content."""
-
-    raw: bytes
-    content: Mapping[str, Any]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineRefusal:
-    """A reply other than 200: the request did not run."""
+    """A reply other than 200; `failure_of_status` tells what it proves."""
 
     status: int
     detail: str
@@ -40,12 +31,14 @@
 class EngineRequest:
     """A chat completion for an engine.
 
-    `priority` is 0 for the most urgent work.
+    `priority` is 0 for the most urgent work. With `resume_tokens` the stream
+    starts after that many generated tokens.
     """
 
     request_id: str
     body: Mapping[str, Any]
     priority: int
+    resume_tokens: int = 0
 
 
 class EngineStream:
@@ -56,8 +49,8 @@
         self.response = response
         self.complete = False
 
-    def chunks(self) -> Iterator[Chunk]:
-        """Yield events until the end marker or the end of the connection.
+    def batches(self) -> Iterator[list[bytes]]:
+        """Yield the payloads of the events that arrived together.
 
         `complete` is true after the end marker only. Errors of the connection
         end the iteration.
@@ -74,26 +67,32 @@
         else:
             self.response.close()
 
-    def _events(self) -> Iterator[Chunk]:
-        for line in _lines(self.response):
-            if not line.startswith(_EVENT_PREFIX):
-                continue
-            payload = line[len(_EVENT_PREFIX) :]
-            if payload == _END_MARKER:
+    def _events(self) -> Iterator[list[bytes]]:
+        for lines in _lines(self.response):
+            payloads = [
+                line[len(_EVENT_PREFIX) :].strip()
+                for line in lines
+                if line.startswith(_EVENT_PREFIX)
+            ]
+            ended = _END_MARKER in payloads
+            if ended:
+                del payloads[payloads.index(_END_MARKER) :]
+            if payloads:
+                yield payloads
+            if ended:
                 self.response.drain_conn()
                 self.complete = True
                 return
-            yield Chunk(payload, pydantic_core.from_json(payload))
 
 
-def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[list[bytes]]:
     rest = b''
     for block in response.stream(_READ_SIZE):
         lines = (rest + block).split(b'\n')
         rest = lines.pop()
         if len(rest) > _LONGEST_LINE:
             raise ValueError('an event is too long')
-        yield from lines
+        yield lines
 
 
 def open_stream(
@@ -123,11 +122,7 @@
             'POST',
             f'http://{address}/v1/chat/completions',
             body=json.dumps(document).encode(),
-            headers={
-                'Content-Type': 'application/json',
-                'X-Request-Id': request.request_id,
-                'X-Priority': str(request.priority),
-            },
+            headers=_headers(request),
             timeout=timeout,
             preload_content=False,
             redirect=False,
@@ -139,6 +134,17 @@
     return Ok(EngineStream(response))
 
 
+def _headers(request: EngineRequest) -> dict[str, str]:
+    headers = {
+        'Content-Type': 'application/json',
+        'X-Request-Id': request.request_id,
+        'X-Priority': str(request.priority),
+    }
+    if request.resume_tokens:
+        headers['X-Resume-Tokens'] = str(request.resume_tokens)
+    return headers
+
+
 def _refusal(response: urllib3.BaseHTTPResponse) -> EngineRefusal:
     try:
         detail = response.read(_READ_SIZE).decode(errors='replace')
--- /dev/null
+++ b/bronzeglade/decisions/retry.py
@@ -0,0 +1,97 @@
+"""Retries: what a failed try proves, and a budget for further tries."""
+
+import dataclasses
+import enum
+
+from bronzeglade.outcome import RunState
+
+
+class Failure(enum.Enum):
+    """Why a try on an endpoint gave no answer."""
+
+    NOT_CONNECTED = 'not_connected'  # no byte left this process
+    REFUSED = 'refused'  # the endpoint said that it takes no more work
+    REJECTED = 'rejected'  # the endpoint found the request invalid
+    LOST = 'lost'  # sent, and the outcome is not known
+
+    @property
+    def run_state(self) -> RunState:
+        """Whether the request can have run at the endpoint."""
+        if self is Failure.LOST:
+            return RunState.UNKNOWN
+        return RunState.NOT_RUN
+
+
+_REFUSED_STATUSES = frozenset((429, 503))
+_REJECTED_STATUSES = frozenset((400, 413, 422))
+
+
+def failure_of_status(status: int) -> Failure:
+    """Return what a reply other than 200 of an engine proves.
+
+    429 and 503 are sent by an engine before it queues the request; 400, 413
+    and 422 before it accepts it. Any other status may come from a failure in
+    the middle of the work.
+
+    Args:
+      status: HTTP status of the reply.
+    """
+    if status in _REFUSED_STATUSES:
+        return Failure.REFUSED
+    if status in _REJECTED_STATUSES:
+        return Failure.REJECTED
+    return Failure.LOST
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetrySettings:
+    """Limits of the retries of one node.
+
+    `ratio` is earned by each first try, up to `reserve`; a retry costs 1.
+    """
+
+    ratio: float = 0.095  # with the reserve stays under 1.1 tries a request
+    reserve: float = 4  # retries in a row after a quiet time
+    attempts: int = 3  # tries of one request
+
+
+class RetryBudget:
+    """Retries in proportion to first tries.
+
+    The balance is capped, so that neither an outage nor its end lets a node
+    send more than `reserve` retries at a time above the ratio.
+    """
+
+    def __init__(self, settings: RetrySettings) -> None:
+        """Create a budget with half of its reserve.
+
+        Args:
+          settings: ratio and reserve.
+        """
+        self.settings = settings
+        self.balance = settings.reserve / 2
+
+    def earn(self) -> None:
+        """Count a first try."""
+        limit = self.settings.reserve
+        self.balance = min(limit, self.balance + self.settings.ratio)
+
+    def may_retry(
+        self, attempt: int, failure: Failure, repeatable: bool
+    ) -> bool:
+        """Return whether another try is allowed.
+
+        Args:
+          attempt: tries so far, at least 1.
+          failure: outcome of the last one.
+          repeatable: whether the work may run twice without harm.
+        """
+        if attempt >= self.settings.attempts or self.balance < 1:
+            return False
+        if failure is Failure.REJECTED:
+            return False
+        return repeatable or failure.run_state is RunState.NOT_RUN
+
+    def spend(self) -> None:
+        """Count a retry."""
+        self.balance -= 1
--- a/bronzeglade/entry/admission.py
+++ b/bronzeglade/entry/admission.py
@@ -21,6 +21,10 @@
 class Admission:
     """Admits every request."""
 
+    def __init__(self) -> None:
+        """Start with no open tickets."""
+        self.open = 0
+
     def enter(
         self, team: Team, rank: Rank, model: str, deadline: dt.timedelta
     ) -> Result[Ticket, Refusal]:
@@ -35,7 +39,9 @@
         Returns:
           A ticket, or a refusal at once; nothing has run.
         """
+        self.open += 1
         return Ok(Ticket(team.name, rank.name, model))
 
     def leave(self, ticket: Ticket) -> None:
         """Return a ticket when its request has ended."""
+        self.open -= 1
--- a/bronzeglade/entry/answer.py
+++ b/bronzeglade/entry/answer.py
@@ -1,12 +1,17 @@
 """An answer on its way: identity and completeness are checked."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
-from bronzeglade.adapters.engine import Chunk, EngineStream
+import pydantic_core
+
+from bronzeglade.adapters.engine import EngineStream
 from bronzeglade.coordination.bill import Usage
 
 ID_PREFIX = 'chatcmpl-'
+MAX_RESUMES = 2  # of one answer; each one prefills the prompt again
+
+Reopen = Callable[[int], EngineStream | None]
 
 
 class Answer:
@@ -16,18 +21,28 @@
     the caller sees the end only when the request is billed.
     """
 
-    def __init__(self, stream: EngineStream, request_id: str) -> None:
+    def __init__(
+        self,
+        stream: EngineStream,
+        request_id: str,
+        reopen: Reopen | None = None,
+    ) -> None:
         """Wrap an open stream.
 
         Args:
           stream: stream of the engine.
           request_id: identity that every event must carry.
+          reopen: opens the rest of a cut stream after a number of tokens;
+            None when the endpoint group does not resume streams.
         """
         self.stream = stream
         self.identity = ID_PREFIX + request_id
-        self.source = stream.chunks()
-        self.first: Chunk | None = None
-        self.held: list[Chunk] = []
+        self.source = stream.batches()
+        self.reopen = reopen
+        self.resumes = 0
+        self.first = b''
+        self.held: list[tuple[bytes, bool]] = []
+        self.held_tokens = 0
         self.text: list[str] = []
         self.tokens = 0
         self.reported: Mapping[str, int] | None = None
@@ -43,33 +58,38 @@
             self.stream.complete
             and not self.crossed
             and self.finish_reason is not None
-            and self.reported is not None
+            and self._counts_agree()
         )
 
     def read_first(self) -> bool:
-        """Wait for the first event; return whether it belongs here."""
-        self.first = next(self.source, None)
-        return self.first is not None and self._belongs(self.first)
+        """Wait for the first events; return whether they belong here."""
+        batch = next(self.source, None)
+        if batch is None:
+            return False
+        self.first = self._take_all(batch)
+        return not self.crossed
 
     def body(self) -> Iterator[bytes]:
-        """Yield the events before the end, as the engine wrote them."""
-        if self.first is not None:
-            yield from self._take(self.first)
-        for chunk in self.source:
-            if not self._belongs(chunk):
-                self.crossed = True
-                return
-            yield from self._take(chunk)
+        """Yield the events before the end, framed as server-sent events.
+
+        Events that arrived together are yielded together. A cut stream is
+        resumed on another worker when the endpoint group allows it.
+        """
+        if self.first:
+            yield self.first
+        yield from self._rest()
+        while not self.complete and self._resume():
+            yield from self._rest()
 
     def ending(self, with_usage: bool) -> Iterator[bytes]:
-        """Yield the events that were held back.
+        """Yield the events that were held back, framed.
 
         Args:
           with_usage: whether the caller asked for the usage.
         """
-        for chunk in self.held:
-            if chunk.content['choices'] or with_usage:
-                yield chunk.raw
+        for payload, has_choices in self.held:
+            if has_choices or with_usage:
+                yield frame(payload)
 
     def usage(self) -> Usage:
         """Return the tokens of the request, as far as they are known."""
@@ -111,26 +131,106 @@
         self.source.close()  # type: ignore[attr-defined]
         self.stream.close()
 
-    def _belongs(self, chunk: Chunk) -> bool:
-        return chunk.content.get('id') == self.identity
-
-    def _take(self, chunk: Chunk) -> Iterator[bytes]:
-        content = chunk.content
-        self.model = content.get('model', self.model)
-        self.created = content.get('created', self.created)
-        usage = content.get('usage')
-        if usage:
-            self.reported = usage
-        choices = content['choices']
+    def _counts_agree(self) -> bool:
+        # An engine that resumes streams counts one token an event, so a lost
+        # event shows as a difference. Other engines may put several tokens
+        # into an event, but never fewer than one.
+        if self.reported is None:
+            return False
+        expected = self.reported.get('completion_tokens', -1)
+        if self.reopen is None:
+            return self.tokens <= expected
+        return self.tokens == expected
+
+    def _rest(self) -> Iterator[bytes]:
+        for batch in self.source:
+            events = self._take_all(batch)
+            if events:
+                yield events
+            if self.crossed:
+                return
+
+    def _resume(self) -> bool:
+        # More tokens than reported cannot be repaired: they are delivered.
+        finished = self.stream.complete and not self.crossed
+        if self.reopen is None or finished or self.resumes >= MAX_RESUMES:
+            return False
+        self.resumes += 1
+        self.close()
+        stream = self.reopen(self.tokens - self.held_tokens)
+        if stream is None:
+            return False
+        self.stream = stream
+        self.source = stream.batches()
+        self.crossed = False
+        self._drop_held()
+        return True
+
+    def _drop_held(self) -> None:
+        # The resumed stream sends them again.
+        if self.held_tokens:
+            del self.text[-self.held_tokens :]
+        self.tokens -= self.held_tokens
+        self.held_tokens = 0
+        self.held = []
+        self.reported = None
+        self.finish_reason = None
+
+    def _take_all(self, batch: list[bytes]) -> bytes:
+        framed: list[bytes] = []
+        for payload in batch:
+            event = _decode(payload)
+            if event is None or event.get('id') != self.identity:
+                self.crossed = True
+                break
+            if self._take(payload, event):
+                framed.append(frame(payload))
+        return b''.join(framed)
+
+    def _take(self, payload: bytes, event: Mapping[str, Any]) -> bool:
+        self.model = event.get('model', self.model)
+        self.created = event.get('created', self.created)
+        self.reported = event.get('usage') or self.reported
+        choices = event['choices']
         if not choices:
-            self.held.append(chunk)
-            return
-        delta = choices[0]['delta'].get('content')
-        if delta:
+            self.held.append((payload, False))
+            return False
+        delta = choices[0]['delta']
+        self.finish_reason = choices[0].get('finish_reason')
+        held = self.finish_reason is not None
+        if any(delta[key] for key in delta if key != 'role'):
             self.tokens += 1
-            self.text.append(delta)
-        if choices[0].get('finish_reason'):
-            self.finish_reason = choices[0]['finish_reason']
-            self.held.append(chunk)
-            return
-        yield chunk.raw
+            self.held_tokens += held
+            self.text.append(delta.get('content') or '')
+        if held:
+            self.held.append((payload, True))
+        return not held
+
+
+def frame(payload: bytes) -> bytes:
+    """Return a payload as a server-sent event."""
+    return b'data: ' + payload + b'\n\n'
+
+
+def _decode(payload: bytes) -> dict[str, Any] | None:
+    # Anything that is not an event of a completion, such as an error object,
+    # is no part of the answer.
+    try:
+        event = pydantic_core.from_json(payload)
+    except ValueError:
+        return None
+    return event if _is_event(event) else None
+
+
+def _is_event(event: object) -> bool:
+    if not isinstance(event, dict):
+        return False
+    choices = event.get('choices')
+    if not isinstance(choices, list) or len(choices) > 1:
+        return False
+    if not isinstance(event.get('usage') or {}, dict):
+        return False
+    return all(
+        isinstance(one, dict) and isinstance(one.get('delta'), dict)
+        for one in choices
+    )
--- /dev/null
+++ b/bronzeglade/entry/answer_test.py
@@ -0,0 +1,92 @@
+"""Guards against answers that are cut, crossed, repeated or not closed."""
+
+import re
+from collections.abc import Sequence
+from typing import Any
+
+import pytest
+
+from bronzeglade.builders import FakeStream, engine_event, engine_events
+from bronzeglade.entry.answer import Answer
+
+COUNT = 4
+
+
+def run(answer: Answer) -> list[str]:
+    """Return the tokens that the caller receives, in order."""
+    assert answer.read_first()
+    return re.findall(r'w\d+', b''.join(answer.body()).decode())
+
+
+def answer_of(
+    payloads: Sequence[bytes], *rest: Any, whole: bool = True
+) -> Answer:
+    """Return an answer whose later streams are given."""
+    stream: Any = FakeStream(payloads, complete_after=whole)
+    streams = list(rest)
+
+    def reopen(tokens: int) -> Any:
+        return streams.pop(0)(tokens) if streams else None
+
+    return Answer(stream, 'a', reopen if rest else None)
+
+
+def resumed(tokens: int) -> FakeStream:
+    """Return the rest of the answer as an engine resumes it."""
+    return FakeStream(engine_events('a', tokens, COUNT))
+
+
+@pytest.mark.parametrize('delivered', range(1, COUNT + 2))
+def test_cut_stream_is_resumed_without_gap_or_repetition(
+    delivered: int,
+) -> None:
+    """A resumed answer must have each token once, at any place of the cut."""
+    events = engine_events('a', 0, COUNT)[:delivered]
+    answer = answer_of(events, resumed, whole=False)
+    assert run(answer) == ['w0', 'w1', 'w2', 'w3']
+    assert answer.complete
+    assert len(list(answer.ending(with_usage=True))) == 2
+
+
+def test_resume_from_the_start_is_not_whole() -> None:
+    """An engine that ignores the resume header repeats tokens."""
+    events = engine_events('a', 0, COUNT)[:2]
+    answer = answer_of(events, lambda _tokens: resumed(0), whole=False)
+    run(answer)
+    assert not answer.complete
+
+
+def test_lost_event_is_not_whole() -> None:
+    """A stream that ends in order may still lack a token in the middle."""
+    events = engine_events('a', 0, COUNT)
+    del events[1]
+    answer = answer_of(events, resumed)
+    run(answer)
+    assert not answer.complete
+
+
+def test_event_of_another_request_is_never_delivered() -> None:
+    """An engine that mixes up streams must not leak an answer."""
+    crossed = engine_event('b', 'w9 ')
+    events = [engine_event('a', 'w0 '), crossed]
+    plain = answer_of(events)
+    assert run(plain) == ['w0']
+    assert not plain.complete
+    repaired = answer_of(events, resumed)
+    assert run(repaired) == ['w0', 'w1', 'w2', 'w3']
+    assert repaired.complete
+
+
+def test_first_event_of_another_request_is_no_start() -> None:
+    """The wrong first event has to lead to a retry."""
+    assert not answer_of([engine_event('b', 'w0 ')]).read_first()
+    assert not answer_of([b'{"error": {}}']).read_first()
+    assert not answer_of([b'not json']).read_first()
+
+
+@pytest.mark.parametrize('kept', range(1, COUNT + 3))
+def test_cut_stream_without_resume_is_not_whole(kept: int) -> None:
+    """A truncated answer must never look whole, at any place of the cut."""
+    answer = answer_of(engine_events('a', 0, COUNT)[:kept], whole=False)
+    run(answer)
+    assert not answer.complete
--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -2,7 +2,7 @@
 
 import datetime as dt
 import json
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 
 from result import Err, Ok, Result
 
@@ -157,15 +157,39 @@
         'Content-Type': 'text/event-stream',
         'Cache-Control': 'no-cache',
     }
-    return Response(200, _events(node, started), headers)
+    return Response(200, _Stream(node, started), headers)
 
 
-def _events(node: Node, started: Started) -> Iterator[bytes]:
+class _Stream:
+    """The events of an answer; releases everything when it is closed.
+
+    A generator that was never started does not run its `finally`, so the
+    server's call of `close` has to do it.
+    """
+
+    def __init__(self, node: Node, started: Started) -> None:
+        """Wrap a started answer."""
+        self.node = node
+        self.started = started
+        self.events = _events(node, started)
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Iterate over the events."""
+        return self.events
+
+    def close(self) -> None:
+        """End the answer; called once by the server in every case."""
+        try:
+            self.events.close()
+        finally:
+            dispatch.finish(self.node, self.started)
+
+
+def _events(node: Node, started: Started) -> Generator[bytes, None, None]:
     answer = started.answer
     whole = False
     try:
-        for chunk in answer.body():
-            yield b'data: ' + chunk + b'\n\n'
+        yield from answer.body()
         whole = answer.complete
     finally:
         dispatch.finish(node, started)
@@ -188,8 +212,7 @@
         yield _error_event(_unbilled(billed.err_value), started)
         return
     usage = started.work.chat.wants_usage()
-    for chunk in started.answer.ending(usage):
-        yield b'data: ' + chunk + b'\n\n'
+    yield from started.answer.ending(usage)
     yield b'data: [DONE]\n\n'
 
 
--- a/bronzeglade/entry/dispatch.py
+++ b/bronzeglade/entry/dispatch.py
@@ -7,6 +7,9 @@
 
 from bronzeglade import catalog as catalogs
 from bronzeglade.adapters import engine as engines
+from bronzeglade.adapters.engine import EngineRefusal, EngineStream
+from bronzeglade.adapters.transport import CallFailure
+from bronzeglade.decisions.retry import Failure, failure_of_status
 from bronzeglade.entry.access import Caller
 from bronzeglade.entry.admission import Ticket
 from bronzeglade.entry.answer import Answer
@@ -18,7 +21,6 @@
 from bronzeglade.manifest import VersionState
 from bronzeglade.outcome import Refusal, RunState, require
 
-MAX_ATTEMPTS = 3
 RETRY_AFTER = dt.timedelta(seconds=1)
 
 
@@ -33,14 +35,36 @@
     deadline: dt.timedelta
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
+class Tries:
+    """Workers that were tried for one request, and what that proves."""
+
+    vms: set[str] = dataclasses.field(default_factory=set)
+    run_state: RunState = RunState.NOT_RUN
+    worker: Worker | None = None
+    rejection: EngineRefusal | None = None
+
+
+@dataclasses.dataclass(slots=True)
 class Started:
     """A stream whose first event has arrived."""
 
     work: Work
-    worker: Worker
+    tries: Tries
     answer: Answer
     ticket: Ticket
+    finished: bool = False
+
+    @property
+    def worker(self) -> Worker | None:
+        """The worker that runs the request, or None after a cut stream."""
+        return self.tries.worker
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Failed:
+    failure: Failure
+    refusal: EngineRefusal | None = None
 
 
 def start(node: Node, work: Work, ticket: Ticket) -> Result[Started, Refusal]:
@@ -52,31 +76,69 @@
       ticket: leave to run; released here when no worker answers.
 
     Returns:
-      The started answer, or a refusal with status 503 or 504.
+      The started answer, or a refusal.
     """
-    tried: set[str] = set()
-    for _attempt in range(MAX_ATTEMPTS):
-        workers = [
-            worker
-            for worker in serving_model(
-                node.workers, work.choice.model, work.choice.version
-            )
-            if worker.vm not in tried
-        ]
-        if not workers or node.clock.monotonic() >= work.deadline:
-            break
-        worker = choose_worker(node, workers)
-        tried.add(worker.vm)
-        answer = _try_worker(node, work, worker)
-        if answer is not None:
-            return Ok(Started(work, worker, answer, ticket))
-    node.admission.leave(ticket)
-    return Err(_failure(node, work, bool(tried)))
-
-
-def _failure(node: Node, work: Work, tried: bool) -> Refusal:
-    state = RunState.UNKNOWN if tried else RunState.NOT_RUN
-    if node.clock.monotonic() >= work.deadline:
+    tries = Tries()
+    answer = None
+    try:
+        answer = _first_answer(node, work, tries)
+    finally:
+        if answer is None:
+            _end_try(node, tries)
+            node.admission.leave(ticket)
+    if answer is None:
+        return Err(_failure(node, work, tries))
+    return Ok(Started(work, tries, answer, ticket))
+
+
+def _first_answer(node: Node, work: Work, tries: Tries) -> Answer | None:
+    node.retries.earn()
+    while not _expired(node, work):
+        worker = _next_worker(node, work, tries)
+        if worker is None:
+            return None
+        outcome = _try_worker(node, work, tries, worker)
+        if isinstance(outcome, Ok):
+            return outcome.ok_value
+        failed = outcome.err_value
+        if failed.failure.run_state is not RunState.NOT_RUN:
+            tries.run_state = failed.failure.run_state
+        if failed.failure is Failure.REJECTED:
+            tries.rejection = failed.refusal
+        # A chat completion has no side effects, so it may run twice.
+        if not node.retries.may_retry(len(tries.vms), failed.failure, True):
+            return None
+        node.retries.spend()
+    return None
+
+
+def _expired(node: Node, work: Work) -> bool:
+    return node.clock.monotonic() >= work.deadline
+
+
+def _next_worker(node: Node, work: Work, tries: Tries) -> Worker | None:
+    # The configuration may have changed since the request was checked, while
+    # it was queued, retried or streamed.
+    if not is_permitted(node, work):
+        return None
+    workers = [
+        worker
+        for worker in serving_model(
+            node.workers, work.choice.model, work.choice.version
+        )
+        if worker.vm not in tries.vms
+    ]
+    return choose_worker(node, workers) if workers else None
+
+
+def _failure(node: Node, work: Work, tries: Tries) -> Refusal:
+    state = tries.run_state
+    if tries.rejection is not None:
+        message = f'the engine rejects the request: {tries.rejection.detail}'
+        return Refusal(
+            tries.rejection.status, 'engine_rejected', message, state
+        )
+    if _expired(node, work):
         message = 'the deadline passed before the first token'
         return Refusal(504, 'deadline_exceeded', message, state)
     message = f'no worker of {work.choice.model!r} answered'
@@ -89,9 +151,36 @@
     return min(workers, key=lambda one: node.in_flight.get(one.vm, 0))
 
 
-def _try_worker(node: Node, work: Work, worker: Worker) -> Answer | None:
+def _try_worker(
+    node: Node, work: Work, tries: Tries, worker: Worker
+) -> Result[Answer, _Failed]:
+    tries.vms.add(worker.vm)
+    stream = _open(node, work, tries, worker, 0)
+    if isinstance(stream, Err):
+        return stream
+
+    def reopen(tokens: int) -> EngineStream | None:
+        return _resume(node, work, tries, tokens)
+
+    answer = Answer(
+        stream.ok_value,
+        work.request.request_id,
+        reopen if worker.resumes_streams else None,
+    )
+    if answer.read_first():
+        return Ok(answer)
+    answer.close()
+    _end_try(node, tries)
+    return Err(_Failed(Failure.LOST))
+
+
+def _open(
+    node: Node, work: Work, tries: Tries, worker: Worker, tokens: int
+) -> Result[EngineStream, _Failed]:
     check_choice(work)
     left = work.deadline - node.clock.monotonic()
+    tries.worker = worker
+    node.in_flight[worker.vm] = node.in_flight.get(worker.vm, 0) + 1
     stream = engines.open_stream(
         node.pool,
         worker.address,
@@ -99,17 +188,45 @@
             work.request.request_id,
             work.chat.engine_body(work.choice.model, work.choice.version),
             work.caller.rank.priority,
+            tokens,
+        ),
+        engines.stream_timeout(
+            node.settings.connect_timeout, max(left, dt.timedelta(seconds=1))
         ),
-        engines.stream_timeout(node.settings.connect_timeout, left),
     )
-    if isinstance(stream, Err):
+    if isinstance(stream, Ok):
+        return stream
+    _end_try(node, tries)
+    return Err(_failed(stream.err_value))
+
+
+def _failed(error: CallFailure | EngineRefusal) -> _Failed:
+    if isinstance(error, EngineRefusal):
+        return _Failed(failure_of_status(error.status), error)
+    return _Failed(Failure.LOST if error.sent else Failure.NOT_CONNECTED)
+
+
+def _resume(
+    node: Node, work: Work, tries: Tries, tokens: int
+) -> EngineStream | None:
+    _end_try(node, tries)
+    if _expired(node, work):
         return None
-    node.in_flight[worker.vm] = node.in_flight.get(worker.vm, 0) + 1
-    answer = Answer(stream.ok_value, work.request.request_id)
-    if answer.read_first():
-        return answer
-    _close(node, worker, answer)
-    return None
+    worker = _next_worker(node, work, tries)
+    if worker is None or not worker.resumes_streams:
+        return None
+    tries.vms.add(worker.vm)
+    return _open(node, work, tries, worker, tokens).ok()
+
+
+def is_permitted(node: Node, work: Work) -> bool:
+    """Return whether the version may still receive the work."""
+    if node.catalog is None:
+        return False
+    state = catalogs.version_state(
+        node.catalog, work.choice.model, work.choice.version
+    )
+    return state is not VersionState.WITHDRAWN
 
 
 def check_choice(work: Work) -> None:
@@ -126,11 +243,16 @@
 
 
 def finish(node: Node, started: Started) -> None:
-    """Close an answer and return its ticket."""
-    _close(node, started.worker, started.answer)
+    """Close an answer and return its ticket; further calls do nothing."""
+    if started.finished:
+        return
+    started.finished = True
+    _end_try(node, started.tries)
     node.admission.leave(started.ticket)
+    started.answer.close()
 
 
-def _close(node: Node, worker: Worker, answer: Answer) -> None:
-    answer.close()
-    node.in_flight[worker.vm] -= 1
+def _end_try(node: Node, tries: Tries) -> None:
+    if tries.worker is not None:
+        node.in_flight[tries.worker.vm] -= 1
+        tries.worker = None
--- /dev/null
+++ b/bronzeglade/entry/dispatch_test.py
@@ -0,0 +1,175 @@
+"""Guards against untrue run states and against slots that are not freed."""
+
+import io
+import json
+import socketserver
+import threading
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+
+from bronzeglade import catalog as catalogs
+from bronzeglade.catalog import Configuration
+from bronzeglade.entry import chat
+from bronzeglade.entry.http import Request, Response
+from bronzeglade.entry.node import Node
+from bronzeglade.entry.workers import Worker
+from bronzeglade.settings import EntrySettings
+from fleet import deployments
+
+HEAD = b'HTTP/1.1 %d S\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n'
+CLOSED = '127.0.0.1:1'
+
+Start = Callable[[int, bytes], str]
+
+
+class _Server(socketserver.ThreadingTCPServer):
+    reply = b''
+
+
+class _Handler(socketserver.BaseRequestHandler):
+    def handle(self) -> None:
+        self.request.recv(65536)
+        self.request.sendall(getattr(self.server, 'reply'))  # noqa: B009
+
+
+@pytest.fixture
+def engine() -> Iterator[Start]:
+    """Return a function that starts an engine with one fixed reply."""
+    servers: list[Any] = []
+
+    def start(status: int, events: bytes) -> str:
+        server = _Server(('127.0.0.1', 0), _Handler)
+        server.reply = HEAD % status + events
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        servers.append(server)
+        return '127.0.0.1:{0}'.format(server.server_address[1])
+
+    yield start
+    for server in servers:
+        server.shutdown()
+        server.server_close()
+
+
+def catalog_of(document: Any) -> catalogs.Catalog | None:
+    """Return the catalog of a manifest."""
+    text = json.dumps(document).encode()
+    return catalogs.build(Configuration(1, 'd', text))[0]
+
+
+def node_with(addresses: list[str]) -> Node:
+    """Return a node whose workers of one model stand at given addresses."""
+    settings = EntrySettings.model_validate(
+        {
+            'vm': 'entry-0',
+            'host': '127.0.0.1',
+            'port': 1,
+            'control_port': 1,
+            'failure_domain': 'qld-a',
+            'vm_list_url': f'http://{CLOSED}',
+            'table_url': f'http://{CLOSED}',
+            'peer_keys': '1:00112233445566778899aabbccddeeff',
+        }
+    )
+    node = Node(settings)
+    node.catalog = catalog_of(deployments.manifest(deployments.BROLGA))
+    node.workers = tuple(
+        Worker(
+            vm=f'w{index}',
+            address=address,
+            failure_domain='qld-a',
+            group='guide-llm-small',
+            slots=8,
+            resumes_streams=False,
+            model='guide-small',
+            versions=('v1',),
+        )
+        for index, address in enumerate(addresses)
+    )
+    return node
+
+
+def respond(node: Node, stream: bool = False) -> Response:
+    """Send a chat completion through the node."""
+    body = json.dumps(
+        {
+            'model': 'guide-small',
+            'messages': [{'role': 'user', 'content': 'hi'}],
+            'stream': stream,
+        }
+    ).encode()
+    key = deployments.key_of('atlas')
+    environ = {
+        'HTTP_AUTHORIZATION': f'Bearer {key}',
+        'CONTENT_LENGTH': str(len(body)),
+        'wsgi.input': io.BytesIO(body),
+    }
+    request = Request('POST', '/v1/chat/completions', '', environ, 'r1')
+    return chat.handle(node, request)
+
+
+def run_state(response: Response) -> str:
+    """Return what a refusal says about execution."""
+    error = json.loads(b''.join(response.body))['error']
+    return str(error['run_state'])
+
+
+def test_nothing_ran_when_no_engine_took_the_work(engine: Start) -> None:
+    """`unknown` for surely unexecuted work keeps callers from retrying."""
+    refusing = engine(503, b'busy')
+    response = respond(node_with([CLOSED, refusing]))
+    assert response.status == 503
+    assert run_state(response) == 'not_run'
+
+
+def test_work_may_have_run_when_an_engine_broke(engine: Start) -> None:
+    """`not_run` after one lost try would be untrue."""
+    for status in (200, 500):
+        broken = engine(status, b'')
+        response = respond(node_with([CLOSED, broken]))
+        assert response.status == 503
+        assert run_state(response) == 'unknown'
+
+
+def test_rejection_by_the_engine_is_final(engine: Start) -> None:
+    """A request that is invalid for one engine is so for all."""
+    response = respond(node_with([engine(400, b'too long')]))
+    assert response.status == 400
+    assert run_state(response) == 'not_run'
+
+
+def test_stream_that_is_never_read_frees_its_slot(engine: Start) -> None:
+    """A caller that leaves before the first byte must not hold a slot."""
+    event = json.dumps(
+        {
+            'id': 'chatcmpl-r1',
+            'choices': [{'index': 0, 'delta': {'content': 'w0 '}}],
+        }
+    ).encode()
+    node = node_with([engine(200, b'data: ' + event + b'\n\n')])
+    response = respond(node, stream=True)
+    assert response.status == 200
+    assert sum(node.in_flight.values()) == 1
+    response.body.close()  # type: ignore[attr-defined]
+    assert sum(node.in_flight.values()) == 0
+    assert node.admission.open == 0
+
+
+def test_version_withdrawn_since_the_check_receives_nothing(
+    engine: Start,
+) -> None:
+    """Queued work must not start on a version withdrawn meanwhile."""
+    node = node_with([engine(200, b'')])
+    enter = node.admission.enter
+
+    def withdraw(*arguments: Any, **options: Any) -> Any:
+        document = deployments.manifest(deployments.BROLGA)
+        document['models'][0]['versions'][0]['state'] = 'withdrawn'
+        node.catalog = catalog_of(document)
+        return enter(*arguments, **options)
+
+    node.admission.enter = withdraw  # type: ignore[method-assign]
+    response = respond(node)
+    assert response.status == 503
+    assert run_state(response) == 'not_run'
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -15,6 +15,7 @@
 from bronzeglade.catalog import Catalog
 from bronzeglade.clock import Clock, SystemClock
 from bronzeglade.coordination.head import Published, read_published
+from bronzeglade.decisions.retry import RetryBudget, RetrySettings
 from bronzeglade.entry.admission import Admission
 from bronzeglade.entry.billing import Billing
 from bronzeglade.entry.peers import Gossip, Peers
@@ -56,6 +57,7 @@
         self.versions = Versions(self.gossip)
         self.admission = Admission()
         self.in_flight: dict[str, int] = {}
+        self.retries = RetryBudget(RetrySettings())
         self.draining = False
         self.open_requests = 0
 
