--- a/fleet/launch.py
+++ b/fleet/launch.py
@@ -1,5 +1,6 @@
 """Starts a deployment as separate processes on loopback and stops it."""
 
+import base64
 import dataclasses
 import datetime as dt
 import json
@@ -261,6 +262,12 @@
         """
         self.post(f'http://{program.address}/faults', faults)
 
+    def table_row(self, key: str) -> bytes | None:
+        """Return the body of a row in the table service, or None."""
+        table = self.urls['table']
+        rows = self.post(f'{table}/read', {'keys': [key]})['rows']
+        return base64.b64decode(rows[0]['body']) if rows else None
+
     def of_role(self, role: str) -> list[Program]:
         """Return the programs of an endpoint group or platform service."""
         return [program for program in self.programs if program.role == role]
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -73,7 +73,8 @@
     team: str | None
     priority: int
     resumed_from: int
-    started_at: float
+    received_at: float
+    started_at: float = 0
     tokens: int = 0
     finished: bool = False
 
@@ -203,7 +204,7 @@
             team=environ.get('HTTP_X_TEAM'),
             priority=int(environ.get('HTTP_X_PRIORITY') or 1),
             resumed_from=int(environ.get('HTTP_X_RESUME_TOKENS') or 0),
-            started_at=0,
+            received_at=time.time(),
         )
         return Job(
             execution,
