--- a/fleet/caller.py
+++ b/fleet/caller.py
@@ -195,7 +195,7 @@
         document = json.loads(response.read())
         response.release_conn()
         if response.status != 200:
-            error = document.get('error') or {}
+            error = _error_of(document)
             _set_state(received, error.get('run_state', UNKNOWN), error)
             return
         received.first_token_at = time.monotonic()
@@ -293,8 +293,8 @@
             response.release_conn()
             return
         document = json.loads(payload)
-        error = document.get('error')
-        if error is not None:
+        error = _error_of(document)
+        if error:
             _set_state(received, error.get('run_state', UNKNOWN), error)
             response.close()
             return
@@ -303,6 +303,12 @@
     received.truncated = True
 
 
+def _error_of(document: Mapping[str, Any]) -> Mapping[str, Any]:
+    error = document.get('error') or {}
+    # An endpoint's own error, passed on, need not have the OpenAI shape.
+    return error if isinstance(error, Mapping) else {'code': error}
+
+
 def _set_state(
     received: _Received, state: str, error: Mapping[str, Any] | None = None
 ) -> None:
--- a/fleet/checker.py
+++ b/fleet/checker.py
@@ -23,6 +23,16 @@
 # A configuration is to be active everywhere within this time (docs/design.md).
 ACTIVE_WITHIN_S = 11.0
 
+# Codes of attempts that ended without a response (names of exceptions).
+BROKEN = frozenset(
+    (
+        'ProtocolError',
+        'ReadTimeoutError',
+        'IncompleteRead',
+        'InvalidChunkLength',
+    )
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineRun:
@@ -51,7 +61,9 @@
     """Everything that a verdict rests on.
 
     `grants` holds the models and versions of each team; `final` names the
-    generation that each process reported when all faults had ended.
+    generation that each process reported when all faults had ended;
+    `drained` are the addresses of entry processes that were stopped gracefully
+    and neither killed nor paused.
     """
 
     calls: Sequence[Call] = ()
@@ -63,6 +75,7 @@
     publications: Sequence[Publication] = ()
     statuses: Sequence[StatusSeen] = ()
     final: Sequence[StatusSeen] = ()
+    drained: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -284,6 +297,19 @@
     )
 
 
+def _planned_stop(evidence: Evidence, findings: _Findings) -> None:
+    for call in evidence.calls:
+        for attempt in call.attempts:
+            # A router that still answers says itself that it does not know.
+            broken = attempt.run_state == 'unknown' and attempt.code in BROKEN
+            if attempt.entry in evidence.drained:
+                findings.check(
+                    not broken,
+                    f'call {call.planned.number} lost its connection to '
+                    f'{attempt.entry}: {attempt.code}',
+                )
+
+
 def _never_reverts(evidence: Evidence, findings: _Findings) -> None:
     accepted = {
         one.generation: one.digest
@@ -324,5 +350,6 @@
     "whole answer of one's own request": _whole,
     'a true not_run': _not_run,
     'no doubled order': _at_most_once,
+    'a planned stop interrupts no request': _planned_stop,
     'configuration never reverts': _never_reverts,
 }
--- a/fleet/checker_test.py
+++ b/fleet/checker_test.py
@@ -32,6 +32,7 @@
 )
 RUN = EngineRun('a', 'm', 'v1', 100)
 ORDER_RUN = OrderRun('b', ORDER.order_id)
+LOST = 'ProtocolError'
 REFUSED = Attempt('e', 'not_run', 'c', 503)
 CALL = Call(
     CHAT,
@@ -56,6 +57,7 @@
     publications=(Publication(2, 'x', True, 1), Publication(2, 'y', False, 1)),
     statuses=(StatusSeen('e', 1, 1, 'w'), StatusSeen('e', 2, 2, 'x')),
     final=(StatusSeen('e', 9, 2, 'x'),),
+    drained=frozenset('e'),
 )
 
 
@@ -144,6 +146,16 @@
             )
         },
     ),
+    (
+        'a planned stop interrupts no request',
+        {
+            'calls': (
+                dataclasses.replace(
+                    CALL, attempts=(Attempt('e', 'unknown', code=LOST),)
+                ),
+            )
+        },
+    ),
     ('configuration never reverts', {'final': (StatusSeen('e', 9, 1, 'w'),)}),
 ]
 
--- a/fleet/evidence.py
+++ b/fleet/evidence.py
@@ -45,6 +45,7 @@
     calls: Sequence[Call],
     settle_s: float,
     final: Sequence[StatusSeen] = (),
+    drained: Sequence[str] = (),
 ) -> Evidence:
     """Gather the evidence when the callers' last calls have ended.
 
@@ -54,9 +55,10 @@
       calls: what callers saw.
       settle_s: how long records may take to reach the ledger.
       final: configuration of each process at the end.
+      drained: entry processes that were stopped gracefully.
     """
     limit = time.monotonic() + settle_s
-    http = urllib3.PoolManager(retries=False)
+    http = urllib3.PoolManager(maxsize=8, retries=False)
     while True:
         evidence = Evidence(
             calls=calls,
@@ -68,6 +70,7 @@
             publications=operator.publications,
             statuses=operator.statuses,
             final=final,
+            drained=frozenset(drained),
         )
         if not unbilled(evidence) or time.monotonic() > limit:
             return evidence
--- a/fleet/launch.py
+++ b/fleet/launch.py
@@ -1,6 +1,7 @@
 """Starts a deployment as separate processes on loopback and stops it."""
 
 import base64
+import copy
 import dataclasses
 import datetime as dt
 import json
@@ -17,6 +18,7 @@
 from typing import Any
 
 import urllib3
+from urllib3.exceptions import HTTPError
 
 from fleet import deployments
 from fleet.deployments import Deployment, EndpointPlan
@@ -30,6 +32,7 @@
 # Below the range from which the kernel takes the ports of outgoing
 # connections, so that none of them takes a port before its process listens.
 LISTENING_PORTS = range(10_000, 32_000)
+SEED_COUNT = 3
 PLATFORM = ('table', 'vms', 'ratings', 'objects', 'weights')
 
 
@@ -92,9 +95,11 @@
         self.options: dict[str, str] = dict(options or {})
         self.programs: list[Program] = []
         self.ports = Ports()
+        self.document = deployments.manifest(deployment)
         self.urls: dict[str, str] = {}
+        self.ended: set[str] = set()  # programs that were stopped
         self.peer_key = f'1:{secrets.token_hex(32)}'
-        self.http = urllib3.PoolManager(retries=False)
+        self.http = urllib3.PoolManager(maxsize=8, retries=False)
 
     def __enter__(self) -> 'Fleet':
         """Start everything."""
@@ -208,6 +213,7 @@
             'table_url': self.urls['table'],
             'rating_url': self.urls['ratings'],
             'peer_keys': self.peer_key,
+            'seeds': ','.join(self.seeds()),
             **self.options,
         }
         words = [f'--{flag}={given}' for flag, given in flags.items()]
@@ -219,10 +225,14 @@
             (port, control_port),
         )
 
+    def seeds(self) -> list[str]:
+        """Return control addresses that a new router process may ask."""
+        return [entry.control_address for entry in self.entries()][:SEED_COUNT]
+
     def wait_until_listening(self) -> None:
         """Wait until every process accepts connections."""
         limit = time.monotonic() + START_LIMIT.total_seconds()
-        for program in self.programs:
+        for program in self.running():
             while not _accepts(program.port):
                 if program.process.poll() is not None:
                     raise RuntimeError(f'{program.name} ended; see its log')
@@ -263,9 +273,12 @@
         self.post(f'http://{program.address}/faults', faults)
 
     def table_row(self, key: str) -> bytes | None:
-        """Return the body of a row in the table service, or None."""
+        """Return the body of a row; None without one or without a reply."""
         table = self.urls['table']
-        rows = self.post(f'{table}/read', {'keys': [key]})['rows']
+        try:
+            rows = self.post(f'{table}/read', {'keys': [key]})['rows']
+        except (RuntimeError, HTTPError):
+            return None
         return base64.b64decode(rows[0]['body']) if rows else None
 
     def of_role(self, role: str) -> list[Program]:
@@ -274,7 +287,7 @@
 
     def manifest(self) -> dict[str, Any]:
         """Return the first manifest, as a document of its own."""
-        return deployments.manifest(self.deployment)
+        return copy.deepcopy(self.document)
 
     def publish(self, document: dict[str, Any], replaces: int) -> Any:
         """Publish a manifest through the first entry process."""
@@ -300,6 +313,10 @@
             raise RuntimeError(f'{url}: {reply.status} {decoded}')
         return decoded
 
+    def running(self) -> list[Program]:
+        """Return the programs that run or ended by themselves."""
+        return [one for one in self.programs if one.name not in self.ended]
+
     def entries(self) -> list[Program]:
         """Return the router processes that run."""
         return [
@@ -308,6 +325,28 @@
             if program.role == 'entry' and program.process.poll() is None
         ]
 
+    def kill(self, program: Program) -> None:
+        """End a program with SIGKILL."""
+        self.ended.add(program.name)
+        program.process.send_signal(signal.SIGKILL)
+        program.process.wait(STOP_LIMIT.total_seconds())
+
+    def drain(self, program: Program) -> None:
+        """Stop a router process as operators do, and wait for its end."""
+        self.ended.add(program.name)
+        self.register([program], 'leaving')
+        program.process.send_signal(signal.SIGTERM)
+        program.process.wait(DRAIN_LIMIT.total_seconds())
+        self.register([program], 'gone')
+
+    def add_entry(self, failure_domain: str) -> Program:
+        """Start one more router process and put it on the VM list."""
+        number = sum(one.role == 'entry' for one in self.programs)
+        program = self.start_entry(f'entry-{number}', failure_domain)
+        self.wait_until_listening()
+        self.register([program])
+        return program
+
     def wait_until_ready(self) -> None:
         """Wait until every router process serves a request."""
         limit = time.monotonic() + START_LIMIT.total_seconds()
--- a/fleet/operator.py
+++ b/fleet/operator.py
@@ -45,7 +45,7 @@
           fleet: a started fleet.
         """
         self.fleet = fleet
-        self.http = urllib3.PoolManager(retries=False)
+        self.http = urllib3.PoolManager(maxsize=8, retries=False)
         self.lock = threading.Lock()
         self.document: Document = fleet.manifest()
         self.generation = 1
@@ -207,3 +207,22 @@
             for rollout in document['rollouts']
             if (rollout['model'], rollout['to_version']) != (model, version)
         ]
+
+
+def add_rollout(model: str, from_version: str, to_version: str) -> Change:
+    """Return the change that puts a short rollout into a manifest."""
+    rollout = {
+        'name': f'{model}-{to_version}',
+        'model': model,
+        'from_version': from_version,
+        'to_version': to_version,
+        'steps': [
+            {'share': share, 'min_requests': 10, 'min_seconds': 3}
+            for share in (0.1, 0.5, 1)
+        ],
+    }
+
+    def change(document: Document) -> None:
+        document['rollouts'] = [rollout]
+
+    return change
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -16,7 +16,7 @@
 from fleet.history import Call, Kind, Outcome
 from fleet.launch import Fleet
 from fleet.load import Source, callers, plan, run_calls
-from fleet.operator import Document, Operator
+from fleet.operator import Operator, add_rollout
 
 SEED = flags.DEFINE_integer('seed', 1, 'Seed of the load.')
 LOAD_S = flags.DEFINE_float('load_seconds', 28, 'Length of the load.')
@@ -61,22 +61,6 @@
     ]
 
 
-def add_rollout(document: Document) -> None:
-    """Put a rollout of guide-large v2 into the manifest."""
-    document['rollouts'] = [
-        {
-            'name': 'guide-large-v2',
-            'model': 'guide-large',
-            'from_version': 'v1',
-            'to_version': 'v2',
-            'steps': [
-                {'share': share, 'min_requests': 10, 'min_seconds': 3}
-                for share in (0.1, 0.5, 1)
-            ],
-        }
-    ]
-
-
 class Progress:
     """Prints what happens with its time."""
 
@@ -110,7 +94,7 @@
 ) -> None:
     """Publish the rollout, announce the flood and kill a process."""
     _sleep_until(started_at + ROLLOUT_AT_S)
-    accepted = operator.publish(add_rollout)
+    accepted = operator.publish(add_rollout('guide-large', 'v1', 'v2'))
     progress.say(
         f'published a rollout of guide-large v1 to v2: accepted={accepted}'
     )
@@ -120,8 +104,7 @@
     progress.say('flood ends')
     _sleep_until(started_at + KILL_AT_S)
     victim = fleet.entries()[-1]
-    victim.process.send_signal(signal.SIGKILL)
-    victim.process.wait()
+    fleet.kill(victim)
     fleet.register([victim], 'gone')
     progress.say(f'killed {victim.name} with SIGKILL')
 
@@ -146,8 +129,10 @@
     ]
     for thread in threads:
         thread.start()
-    done = run_calls(calls, by_team, progress.count)
-    stopped.set()
+    try:
+        done = run_calls(calls, by_team, progress.count)
+    finally:
+        stopped.set()
     for thread in threads:
         thread.join()
     progress.say('all calls have ended; reading the ledger')
