Choose workers by expected cost from delayed reports and cache events

Cause: the worker with the fewest requests of this node was chosen, which knows nothing of other nodes, caches, distance or failing workers.

--- a/bronzeglade/adapters/engine.py
+++ b/bronzeglade/adapters/engine.py
@@ -154,6 +154,76 @@
     return EngineRefusal(response.status, detail)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadPage:
+    """What an engine reports of its load, as of some time ago."""
+
+    running: int
+    waiting: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CachePage:
+    """Cache events after a sequence number; `next` is the one to ask for."""
+
+    events: tuple[tuple[int, str, bool], ...]
+    next: int
+
+
+def read_load(
+    pool: urllib3.PoolManager, address: str, timeout: dt.timedelta
+) -> LoadPage | None:
+    """Read the load page of an engine, or None when it gives none."""
+    url = f'http://{address}/metrics'
+    reply = transport.call(pool, 'GET', url, timeout)
+    if isinstance(reply, Err) or reply.ok_value.status != _HTTP_OK:
+        return None
+    gauges = _gauges(reply.ok_value.body.decode(errors='replace'))
+    running = gauges.get('engine_requests_running')
+    waiting = gauges.get('engine_requests_waiting')
+    if running is None or waiting is None:
+        return None
+    return LoadPage(running, waiting)
+
+
+def _gauges(text: str) -> dict[str, int]:
+    found: dict[str, int] = {}
+    for line in text.splitlines():
+        name, _, number = line.rpartition(' ')
+        if number.isdecimal():
+            found[name] = int(number)
+    return found
+
+
+def read_cache_events(
+    pool: urllib3.PoolManager, address: str, since: int, timeout: dt.timedelta
+) -> CachePage | None:
+    """Read the cache events of an engine, or None when it gives none.
+
+    Args:
+      pool: connections to use.
+      address: IP address and port of the engine.
+      since: sequence number after which events are wanted.
+      timeout: limit on connecting and on each read.
+    """
+    url = f'http://{address}/cache/events?since={since}'
+    reply = transport.call(pool, 'GET', url, timeout)
+    if isinstance(reply, Err) or reply.ok_value.status != _HTTP_OK:
+        return None
+    try:
+        return _cache_page(json.loads(reply.ok_value.body))
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def _cache_page(document: Any) -> CachePage:
+    events = tuple(
+        (int(one['seq']), str(one['hash']), one['action'] == 'added')
+        for one in document['events']
+    )
+    return CachePage(events, int(document['next']))
+
+
 def stream_timeout(
     connect: dt.timedelta, read: dt.timedelta
 ) -> urllib3.Timeout:
--- a/bronzeglade/decisions/retry.py
+++ b/bronzeglade/decisions/retry.py
@@ -22,16 +22,16 @@
         return RunState.NOT_RUN
 
 
-_REFUSED_STATUSES = frozenset((429, 503))
+_REFUSED_STATUSES = frozenset((404, 429, 503))
 _REJECTED_STATUSES = frozenset((400, 413, 422))
 
 
 def failure_of_status(status: int) -> Failure:
     """Return what a reply other than 200 of an engine proves.
 
-    429 and 503 are sent by an engine before it queues the request; 400, 413
-    and 422 before it accepts it. Any other status may come from a failure in
-    the middle of the work.
+    429 and 503 are sent by an engine before it queues the request, 404 when
+    it does not hold the version; 400, 413 and 422 when the request is invalid.
+    Any other status may come from a failure in the middle of the work.
 
     Args:
       status: HTTP status of the reply.
--- a/bronzeglade/decisions/retry_test.py
+++ b/bronzeglade/decisions/retry_test.py
@@ -41,6 +41,7 @@
     [
         (429, RunState.NOT_RUN),
         (503, RunState.NOT_RUN),
+        (404, RunState.NOT_RUN),
         (400, RunState.NOT_RUN),
         (500, RunState.UNKNOWN),
         (502, RunState.UNKNOWN),
--- a/bronzeglade/entry/dispatch.py
+++ b/bronzeglade/entry/dispatch.py
@@ -9,7 +9,9 @@
 from bronzeglade.adapters import engine as engines
 from bronzeglade.adapters.engine import EngineRefusal, EngineStream
 from bronzeglade.adapters.transport import CallFailure
+from bronzeglade.decisions.prefix import prompt_blocks
 from bronzeglade.decisions.retry import Failure, failure_of_status
+from bronzeglade.decisions.routing import NoWorker, RoutedRequest
 from bronzeglade.entry.access import Caller
 from bronzeglade.entry.admission import Ticket
 from bronzeglade.entry.answer import Answer
@@ -43,16 +45,18 @@
     run_state: RunState = RunState.NOT_RUN
     worker: Worker | None = None
     rejection: EngineRefusal | None = None
+    blocks: tuple[str, ...] | None = None
 
 
 @dataclasses.dataclass(slots=True)
 class Started:
-    """A stream whose first event has arrived."""
+    """A stream whose first event has arrived; `at` is monotonic."""
 
     work: Work
     tries: Tries
     answer: Answer
     ticket: Ticket
+    at: dt.timedelta
     finished: bool = False
 
     @property
@@ -88,7 +92,7 @@
             node.admission.leave(ticket)
     if answer is None:
         return Err(_failure(node, work, tries))
-    return Ok(Started(work, tries, answer, ticket))
+    return Ok(Started(work, tries, answer, ticket, node.clock.monotonic()))
 
 
 def _first_answer(node: Node, work: Work, tries: Tries) -> Answer | None:
@@ -121,14 +125,27 @@
     # it was queued, retried or streamed.
     if not is_permitted(node, work):
         return None
-    workers = [
-        worker
-        for worker in serving_model(
-            node.workers, work.choice.model, work.choice.version
+    workers = serving_model(
+        node.workers, work.choice.model, work.choice.version
+    )
+    choice = node.routing.choose(
+        workers,
+        RoutedRequest(_blocks(node, work, tries), work.caller.rank.priority),
+        tries.vms,
+    )
+    if isinstance(choice, NoWorker):
+        return None
+    return next(one for one in workers if one.vm == choice.worker)
+
+
+def _blocks(node: Node, work: Work, tries: Tries) -> tuple[str, ...]:
+    if tries.blocks is None:
+        messages = (
+            {'role': one.role, 'content': one.content}
+            for one in work.chat.messages
         )
-        if worker.vm not in tries.vms
-    ]
-    return choose_worker(node, workers) if workers else None
+        tries.blocks = prompt_blocks(messages, node.routing.settings.prefix)
+    return tries.blocks
 
 
 def _failure(node: Node, work: Work, tries: Tries) -> Refusal:
@@ -145,12 +162,6 @@
     return Refusal(503, 'no_worker', message, state, RETRY_AFTER)
 
 
-def choose_worker(node: Node, workers: list[Worker]) -> Worker:
-    """Choose the worker with the fewest requests of this node."""
-    node.random.shuffle(workers)
-    return min(workers, key=lambda one: node.in_flight.get(one.vm, 0))
-
-
 def _try_worker(
     node: Node, work: Work, tries: Tries, worker: Worker
 ) -> Result[Answer, _Failed]:
@@ -168,10 +179,10 @@
         reopen if worker.resumes_streams else None,
     )
     if answer.read_first():
+        node.routing.succeeded(worker.vm)
         return Ok(answer)
     answer.close()
-    _end_try(node, tries)
-    return Err(_Failed(Failure.LOST))
+    return Err(_end_failed(node, tries, _Failed(Failure.LOST)))
 
 
 def _open(
@@ -180,7 +191,7 @@
     check_choice(work)
     left = work.deadline - node.clock.monotonic()
     tries.worker = worker
-    node.in_flight[worker.vm] = node.in_flight.get(worker.vm, 0) + 1
+    node.routing.started(worker.vm, tries.blocks or ())
     stream = engines.open_stream(
         node.pool,
         worker.address,
@@ -196,8 +207,7 @@
     )
     if isinstance(stream, Ok):
         return stream
-    _end_try(node, tries)
-    return Err(_failed(stream.err_value))
+    return Err(_end_failed(node, tries, _failed(stream.err_value)))
 
 
 def _failed(error: CallFailure | EngineRefusal) -> _Failed:
@@ -209,7 +219,7 @@
 def _resume(
     node: Node, work: Work, tries: Tries, tokens: int
 ) -> EngineStream | None:
-    _end_try(node, tries)
+    _end_failed(node, tries, _Failed(Failure.LOST))
     if _expired(node, work):
         return None
     worker = _next_worker(node, work, tries)
@@ -247,6 +257,8 @@
     if started.finished:
         return
     started.finished = True
+    if started.answer.complete:
+        node.routing.served(node.clock.monotonic() - started.at)
     _end_try(node, started.tries)
     node.admission.leave(started.ticket)
     started.answer.close()
@@ -254,5 +266,12 @@
 
 def _end_try(node: Node, tries: Tries) -> None:
     if tries.worker is not None:
-        node.in_flight[tries.worker.vm] -= 1
+        node.routing.finished(tries.worker.vm)
         tries.worker = None
+
+
+def _end_failed(node: Node, tries: Tries, failed: _Failed) -> _Failed:
+    if tries.worker is not None:
+        node.routing.failed(tries.worker.vm, failed.failure)
+    _end_try(node, tries)
+    return failed
--- a/bronzeglade/entry/dispatch_test.py
+++ b/bronzeglade/entry/dispatch_test.py
@@ -150,9 +150,9 @@
     node = node_with([engine(200, b'data: ' + event + b'\n\n')])
     response = respond(node, stream=True)
     assert response.status == 200
-    assert sum(node.in_flight.values()) == 1
+    assert node.routing.loads.own.total() == 1
     response.body.close()  # type: ignore[attr-defined]
-    assert sum(node.in_flight.values()) == 0
+    assert node.routing.loads.own.total() == 0
     assert node.admission.open == 0
 
 
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -16,12 +16,18 @@
 from bronzeglade.clock import Clock, SystemClock
 from bronzeglade.coordination.head import Published, read_published
 from bronzeglade.decisions.retry import RetryBudget, RetrySettings
+from bronzeglade.decisions.routing import Routing, RoutingSettings
 from bronzeglade.entry.admission import Admission
 from bronzeglade.entry.billing import Billing
+from bronzeglade.entry.feeds import Feeds
 from bronzeglade.entry.peers import Gossip, Peers
 from bronzeglade.entry.sessions import Sessions
 from bronzeglade.entry.versions import Versions
-from bronzeglade.entry.workers import Worker, live_workers
+from bronzeglade.entry.workers import (
+    Worker,
+    failure_domain_delays,
+    live_workers,
+)
 from bronzeglade.settings import EntrySettings
 
 JITTER = 0.2  # part of an interval by which loops of nodes are spread
@@ -56,7 +62,8 @@
         self.sessions = Sessions()
         self.versions = Versions(self.gossip)
         self.admission = Admission()
-        self.in_flight: dict[str, int] = {}
+        self.routing = Routing(RoutingSettings(), self.clock, self.random)
+        self.feeds = Feeds(settings, self.pool, self.routing)
         self.retries = RetryBudget(RetrySettings())
         self.draining = False
         self.open_requests = 0
@@ -70,6 +77,7 @@
             self.settings.head_poll_interval.total_seconds(), self.read_head
         )
         eventlet.spawn(self.billing.run)
+        self._every(0, self.feeds.read_next)
 
     def read_vms(self) -> None:
         """Read the VM list; the last list stays when that fails."""
@@ -118,6 +126,10 @@
     def _refresh_workers(self) -> None:
         if self.catalog is not None:
             self.workers = live_workers(self.catalog, self.vms)
+            self.feeds.update(self.workers)
+            self.routing.delays = failure_domain_delays(
+                self.catalog, self.settings.failure_domain
+            )
 
     def _every(self, seconds: float, action: Callable[[], None]) -> None:
         def loop() -> None:
--- a/bronzeglade/entry/workers.py
+++ b/bronzeglade/entry/workers.py
@@ -64,3 +64,18 @@
 def serving(workers: Iterable[Worker], service: str) -> tuple[Worker, ...]:
     """Return the endpoints of a plain service."""
     return tuple(worker for worker in workers if worker.service == service)
+
+
+def failure_domain_delays(catalog: Catalog, home: str) -> dict[str, float]:
+    """Return the one-way delay to each failure domain in seconds.
+
+    Args:
+      catalog: the manifest in force.
+      home: failure domain of this node.
+    """
+    domains = {one.name: one for one in catalog.manifest.failure_domains}
+    own = domains[home].one_way_ms if home in domains else 0
+    return {
+        name: 0 if name == home else max(own, domain.one_way_ms) / 1000
+        for name, domain in domains.items()
+    }
