--- a/bronzeglade/coordination/rollout_test.py
+++ b/bronzeglade/coordination/rollout_test.py
@@ -117,7 +117,7 @@
     def take_turn(self, index: int, seconds: float, mode: Mode) -> None:
         """Finish what a freeze interrupted, then act as the node would."""
         for one in self.members:
-            one.clock.advance(seconds)
+            one.clock.advance(dt.timedelta(seconds=seconds))
         self.outage = max(0, self.outage - 1)
         member = self.members[index]
         if member.prepared is not None:
@@ -235,12 +235,12 @@
     lease.observe(None)
     wanted = lease.request()
     assert wanted is not None
-    clock.advance(1)
+    clock.advance(dt.timedelta(seconds=1))
     lease.observe(Row(ROLLOUT_LEASE_KEY, 1, wanted.puts[0].body))
     tenure = lease.held()
     assert tenure is not None
-    assert tenure.until == dt.timedelta(seconds=1008)
-    clock.advance(7)
+    assert tenure.until == dt.timedelta(seconds=8)
+    clock.advance(dt.timedelta(seconds=7))
     assert lease.held() is None
 
 
--- a/bronzeglade/decisions/evidence.py
+++ b/bronzeglade/decisions/evidence.py
@@ -21,6 +21,9 @@
     counts: bool = True  # false for a rating that follows its request
 
 
+FAILED = Observation(error=True)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Moments:
     """Number, sum and sum of squares of values."""
--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -2,12 +2,19 @@
 
 import datetime as dt
 import json
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 
 from result import Err, Ok, Result
 
 from bronzeglade.coordination.bill import Bill, cost_of
-from bronzeglade.entry import access, completion, dispatch, http, selection
+from bronzeglade.entry import (
+    access,
+    completion,
+    dispatch,
+    evidence,
+    http,
+    selection,
+)
 from bronzeglade.entry.dispatch import Started, Work
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
@@ -37,9 +44,11 @@
     )
     if isinstance(ticket, Err):
         return http.refuse(ticket.err_value, request_id)
+    began = node.clock.monotonic()
     started = dispatch.start(node, work, ticket.ok_value)
     if isinstance(started, Err):
         return http.refuse(started.err_value, request_id)
+    evidence.first_token(node, started.ok_value, began)
     if work.chat.stream:
         return _streamed(node, started.ok_value)
     return _whole(node, started.ok_value)
@@ -133,6 +142,7 @@
             continue
     finally:
         dispatch.finish(node, started)
+    evidence.ended(node, started)
     if not started.answer.complete:
         message = 'the worker stopped before the answer was complete'
         return http.refuse(
@@ -157,16 +167,41 @@
         'Content-Type': 'text/event-stream',
         'Cache-Control': 'no-cache',
     }
-    return Response(200, _events(node, started), headers)
+    return Response(200, _Stream(node, started), headers)
 
 
-def _events(node: Node, started: Started) -> Iterator[bytes]:
+class _Stream:
+    """The events of an answer; releases everything when it is closed.
+
+    A generator that was never started does not run its `finally`, so the
+    server's call of `close` has to do it.
+    """
+
+    def __init__(self, node: Node, started: Started) -> None:
+        """Wrap a started answer."""
+        self.node = node
+        self.started = started
+        self.events = _events(node, started)
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Iterate over the events."""
+        return self.events
+
+    def close(self) -> None:
+        """End the answer; called once by the server in every case."""
+        try:
+            self.events.close()
+        finally:
+            dispatch.finish(self.node, self.started)
+
+
+def _events(node: Node, started: Started) -> Generator[bytes, None, None]:
     answer = started.answer
     whole = False
     try:
-        for chunk in answer.body():
-            yield b'data: ' + chunk + b'\n\n'
+        yield from answer.body()
         whole = answer.complete
+        evidence.ended(node, started)
     finally:
         dispatch.finish(node, started)
         if not whole and answer.tokens:
@@ -188,8 +223,7 @@
         yield _error_event(_unbilled(billed.err_value), started)
         return
     usage = started.work.chat.wants_usage()
-    for chunk in started.answer.ending(usage):
-        yield b'data: ' + chunk + b'\n\n'
+    yield from started.answer.ending(usage)
     yield b'data: [DONE]\n\n'
 
 
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -10,17 +10,31 @@
 
 from bronzeglade import catalog as catalogs
 from bronzeglade.adapters import transport
+from bronzeglade.adapters.orders import HttpOrders
+from bronzeglade.adapters.rating import HttpRatings, NoRatings, RatingService
 from bronzeglade.adapters.table import HttpTable
 from bronzeglade.adapters.vms import ENTRY_GROUP, HttpVmList, Vm, VmState
 from bronzeglade.catalog import Catalog
 from bronzeglade.clock import Clock, SystemClock
 from bronzeglade.coordination.head import Published, read_published
+from bronzeglade.decisions.retry import RetryBudget, RetrySettings
+from bronzeglade.decisions.routing import Routing, RoutingSettings
 from bronzeglade.entry.admission import Admission
+from bronzeglade.entry import rollouts
 from bronzeglade.entry.billing import Billing
+from bronzeglade.entry.feeds import Feeds
+from bronzeglade.entry.loading import Loading
 from bronzeglade.entry.peers import Gossip, Peers
+from bronzeglade.entry.ratings import RATE_INTERVAL, RatingSampler
+from bronzeglade.entry.rollouts import Identity, Rollouts, Surroundings
 from bronzeglade.entry.sessions import Sessions
 from bronzeglade.entry.versions import Versions
-from bronzeglade.entry.workers import Worker, live_workers
+from bronzeglade.entry.workers import (
+    Worker,
+    failure_domain_delays,
+    live_workers,
+)
+from bronzeglade.manifest import Rollout
 from bronzeglade.settings import EntrySettings
 
 JITTER = 0.2  # part of an interval by which loops of nodes are spread
@@ -54,8 +68,34 @@
         self.gossip = Gossip(self.origin)
         self.sessions = Sessions()
         self.versions = Versions(self.gossip)
+        self.rollouts = Rollouts(
+            Identity(settings.vm, self.origin, settings.failure_domain),
+            self.clock,
+            self.table,
+            self.versions,
+            Surroundings(
+                lambda: self.catalog, self.live_nodes, self._load_candidate
+            ),
+        )
+        self.loading = Loading(
+            HttpOrders(self.pool, settings.table_timeout),
+            self.rollouts.lease,
+            self.clock,
+            eventlet.spawn,
+        )
+        self.rating_service: RatingService = NoRatings()
+        if settings.rating_url is not None:
+            self.rating_service = HttpRatings(settings.rating_url, self.pool)
+        self.rating_sampler = RatingSampler(
+            self.rating_service,
+            self.clock,
+            self.versions,
+            lambda: len(self.peers.live()) + 1,
+        )
         self.admission = Admission()
-        self.in_flight: dict[str, int] = {}
+        self.routing = Routing(RoutingSettings(), self.clock, self.random)
+        self.feeds = Feeds(settings, self.pool, self.routing)
+        self.retries = RetryBudget(RetrySettings())
         self.draining = False
         self.open_requests = 0
 
@@ -68,6 +108,14 @@
             self.settings.head_poll_interval.total_seconds(), self.read_head
         )
         eventlet.spawn(self.billing.run)
+        self._every(0, self.feeds.read_next)
+        for interval, action in (
+            (rollouts.JUDGE_INTERVAL, self.rollouts.judge),
+            (rollouts.COORDINATE_INTERVAL, self.rollouts.coordinate),
+            (rollouts.POLL_INTERVAL, self.rollouts.poll),
+            (RATE_INTERVAL, self.rating_sampler.rate_next),
+        ):
+            self._every(interval.total_seconds(), action)
 
     def read_vms(self) -> None:
         """Read the VM list; the last list stays when that fails."""
@@ -113,9 +161,23 @@
             and not (self.draining and vm.name == self.settings.vm)
         )
 
+    def live_nodes(self) -> list[tuple[str, str]]:
+        """Return name and failure domain of the other live nodes."""
+        return [(peer.vm, peer.failure_domain) for peer in self.peers.live()]
+
+    def _load_candidate(self, rollout: Rollout) -> bool:
+        groups = self.catalog.groups if self.catalog else {}
+        return self.loading.advance(
+            rollout, self.workers, lambda name: groups[name].checks_fencing
+        )
+
     def _refresh_workers(self) -> None:
         if self.catalog is not None:
             self.workers = live_workers(self.catalog, self.vms)
+            self.feeds.update(self.workers)
+            self.routing.delays = failure_domain_delays(
+                self.catalog, self.settings.failure_domain
+            )
 
     def _every(self, seconds: float, action: Callable[[], None]) -> None:
         def loop() -> None:
--- a/bronzeglade/entry/versions.py
+++ b/bronzeglade/entry/versions.py
@@ -135,6 +135,21 @@
         others = [one for one in usable if one != rollout.to_version]
         return others[0] if others else usable[0]
 
+    def permits(
+        self, catalog: Catalog, model: str, version: str, bound: bool
+    ) -> bool:
+        """Return whether a version that was chosen may still get the work.
+
+        Args:
+          catalog: the manifest in force.
+          model: which model.
+          version: the choice.
+          bound: whether the request belongs to a session.
+        """
+        offered = self.offered(catalog, model, (version,))
+        left = offered.bound if bound else offered.unbound
+        return version in left
+
     def observe(
         self, model: str, version: str, observation: Observation
     ) -> None:
--- a/fleet/bench_rollout.py
+++ b/fleet/bench_rollout.py
@@ -7,12 +7,12 @@
 """
 
 import dataclasses
+import datetime as dt
 import functools
 import heapq
 import random
 import statistics
 import sys
-from typing import Any
 
 from bronzeglade import builders
 from bronzeglade.builders import ManualClock
@@ -22,8 +22,10 @@
 from bronzeglade.entry.rollouts import Identity, Rollouts, Surroundings
 from bronzeglade.entry.versions import Versions
 from bronzeglade.manifest import Rollout
+from fleet.bench import Figure, medians, scenario
 from fleet.rollout_parts import DelayedGossip, MemoryTable, Network
 
+EXPOSURE = 'requests given to the bad version'
 ROLLOUTS = 200  # good ones, and as many bad ones
 NODES = 3
 RATE = 100  # requests a second of the whole fleet
@@ -68,7 +70,7 @@
     steps_in_order: bool
 
 
-def scenario(source: random.Random, bad: bool) -> Scenario:
+def scenario_of(source: random.Random, bad: bool) -> Scenario:
     """Return a random roll-out with random faults of the platform."""
     kind = source.choice(('errors', 'latency', 'rating'))
     quality = Quality(
@@ -132,7 +134,7 @@
                 node.judge()
                 if tick % COORDINATE_TICKS == 0:
                     node.coordinate()
-            self.clock.advance(TICK_S)
+            self.clock.advance(dt.timedelta(seconds=TICK_S))
             tick += 1
         reasons = [
             node.view.halt_reason(self.rollout) is not None
@@ -276,21 +278,15 @@
     return exposure
 
 
-def _entry(
-    metric: str, unit: str, baseline: float, ours: float, target: float
-) -> dict[str, Any]:
-    return {
-        'scenario': 'rollouts',
-        'metric': metric,
-        'unit': unit,
-        'baseline': round(baseline, 1),
-        'ours': round(ours, 1),
-        'target': round(target, 1),
-        'met': ours <= target,
-    }
+def _figure(
+    metric: str, baseline: float | None, ours: float, target: float
+) -> Figure:
+    unit = 'requests' if metric == EXPOSURE else 'rollouts'
+    met = ours <= target
+    return Figure('rollouts', metric, unit, baseline, ours, target, met)
 
 
-def run(seed: int) -> list[dict[str, Any]]:
+def run(seed: int) -> list[Figure]:
     """Run good and bad roll-outs.
 
     Args:
@@ -301,29 +297,35 @@
     """
     source = random.Random(seed)
     bad = [
-        Simulation(scenario(source, bad=True), source).run()
+        Simulation(scenario_of(source, bad=True), source).run()
         for _ in range(ROLLOUTS)
     ]
     good = [
-        Simulation(scenario(source, bad=False), source).run()
+        Simulation(scenario_of(source, bad=False), source).run()
         for _ in range(ROLLOUTS)
     ]
+    every = bad + good
     baseline = statistics.fmean(one.baseline_exposure for one in bad)
     ours = statistics.fmean(one.exposure for one in bad)
     missed = sum(not one.halted for one in bad)
     false_halts = sum(one.halted for one in good)
-    every = bad + good
     disordered = sum(not one.steps_in_order for one in every)
     unfinished = sum(not one.done and not one.halted for one in good)
     return [
-        _entry('exposure', 'requests', baseline, ours, baseline / 10),
-        _entry('bad rollouts not halted', 'rollouts', 0, missed, 0),
-        _entry('false halts in 200 good', 'rollouts', 0, false_halts, 2),
-        _entry('steps twice or skipped', 'rollouts', 0, disordered, 0),
-        _entry('good rollouts not done', 'rollouts', 0, unfinished, 0),
+        _figure(EXPOSURE, baseline, ours, baseline / 10),
+        _figure('bad rollouts not halted', None, missed, 0),
+        _figure('false halts in 200 good rollouts', None, false_halts, 2),
+        _figure('steps taken twice or skipped', None, disordered, 0),
+        _figure('good rollouts not done', None, unfinished, 0),
     ]
 
 
+@scenario('rollouts')
+def bench(seeds: tuple[int, ...]) -> list[Figure]:
+    """Return the medians of the runs with the given seeds."""
+    return medians([run(seed) for seed in seeds])
+
+
 if __name__ == '__main__':
     figures = run(int(sys.argv[1]))
     for figure in figures:
