--- /dev/null
+++ b/bronzeglade/coordination/gossip.py
@@ -0,0 +1,192 @@
+"""Small documents that every node tells all others, without I/O."""
+
+import datetime as dt
+import hashlib
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import msgpack
+from eliot import log_message
+
+from bronzeglade.clock import Clock, SystemClock
+from bronzeglade.coordination.datagram import Document
+from bronzeglade.coordination.dissemination import News
+
+# What one document may take in a datagram beside the head and a few facts;
+# a larger one is announced there and fetched over HTTP.
+INLINE_LIMIT = 700  # bytes
+DOCUMENT_LIMIT = 65_536  # bytes; a larger document is refused
+# Documents of an origin that membership does not name are kept this long:
+# the fact about a new node may arrive after its documents.
+UNKNOWN_ORIGIN_GRACE = dt.timedelta(seconds=30)
+DIFFERENCE_LIMIT = 262_144  # bytes of documents in one anti-entropy reply
+FINGERPRINT_BYTES = 6
+
+Key = tuple[str, str]  # origin, topic
+Version = tuple[bytes, int]  # fingerprint of a key, version
+
+
+class Gossip:
+    """Documents by topic and by the origin that owns them.
+
+    Each node owns one document for each topic; the newest one wins. The
+    document of a dead node disappears.
+    """
+
+    def __init__(self, origin: str, clock: Clock | None = None) -> None:
+        """Know only this node.
+
+        Args:
+          origin: unique name of this process.
+          clock: only its monotonic time is used.
+        """
+        self.origin = origin
+        self.clock = clock or SystemClock()
+        self.documents: dict[str, dict[str, Any]] = {}
+        self.stored: dict[Key, Document] = {}
+        self.received: dict[Key, dt.timedelta] = {}
+        self.dead: set[str] = set()
+        self.news: News[Key] = News()
+        self.wanted: set[Key] = set()
+        self.refused = 0
+
+    def publish(self, topic: str, document: Any) -> None:
+        """Replace this node's document of a topic.
+
+        A document above DOCUMENT_LIMIT is refused: the earlier one stays.
+
+        Args:
+          topic: name of at most 64 characters.
+          document: anything that MessagePack carries.
+        """
+        body: bytes = msgpack.packb(document)
+        if len(body) > DOCUMENT_LIMIT:
+            self.refused += 1
+            log_message('gossip:refused', topic=topic, size=len(body))
+            return
+        before = self.stored.get((self.origin, topic))
+        if before is not None and before.body == body:
+            return
+        version = 1 if before is None else before.version + 1
+        self._store(Document(self.origin, topic, version, body), document)
+
+    def read(self, topic: str) -> Mapping[str, Any]:
+        """Return the documents of a topic by the origin that owns them."""
+        return self.documents.get(topic, {})
+
+    def merge(self, document: Document) -> bool:
+        """Take a document of a node when it is newer than what is known.
+
+        Args:
+          document: with its body, or an announcement without.
+
+        Returns:
+          Whether the body is newer and must be fetched.
+        """
+        key = (document.origin, document.topic)
+        known = self.stored.get(key)
+        if document.origin == self.origin or document.origin in self.dead:
+            return False
+        if known is not None and known.version >= document.version:
+            return False
+        if document.body is None:
+            self.wanted.add(key)
+            return True
+        decoded = _decode(document.body)
+        if decoded is not None:
+            self._store(document, decoded[0])
+        return False
+
+    def expire(self, live: Iterable[str], dead: Iterable[str]) -> None:
+        """Drop the documents of nodes that are gone.
+
+        Args:
+          live: origins of the nodes that are not dead.
+          dead: origins that are known to be dead.
+        """
+        now = self.clock.monotonic()
+        named = {*live, self.origin}
+        self.dead = set(dead) - named
+        for key in tuple(self.stored):
+            late = now - self.received[key] >= UNKNOWN_ORIGIN_GRACE
+            if key[0] in self.dead or (key[0] not in named and late):
+                self._drop(key)
+
+    def inline(self, key: Key) -> Document | None:
+        """Return a document as a datagram carries it."""
+        document = self.stored.get(key)
+        if document is None or document.body is None:
+            return None
+        if len(document.body) <= INLINE_LIMIT:
+            return document
+        return Document(*key, document.version, None)
+
+    def versions(self) -> list[Version]:
+        """Return what this node holds, for anti-entropy."""
+        return [
+            (fingerprint(key), document.version)
+            for key, document in self.stored.items()
+        ]
+
+    def difference(
+        self, versions: Iterable[Version]
+    ) -> tuple[list[Document], list[bytes]]:
+        """Compare with what another node holds.
+
+        Args:
+          versions: what `versions` returned there.
+
+        Returns:
+          Documents that are newer here, up to DIFFERENCE_LIMIT bytes, and
+          the fingerprints of those that are newer there.
+        """
+        theirs = dict(versions)
+        newer: list[Document] = []
+        size = 0
+        for key, document in self.stored.items():
+            version = theirs.pop(fingerprint(key), 0)
+            if version > document.version:
+                theirs[fingerprint(key)] = version
+            elif version < document.version and size < DIFFERENCE_LIMIT:
+                newer.append(document)
+                size += len(document.body or b'')
+        return newer, list(theirs)
+
+    def select(self, prints: Iterable[bytes]) -> list[Document]:
+        """Return the documents with these fingerprints."""
+        wanted = set(prints)
+        return [
+            document
+            for key, document in self.stored.items()
+            if fingerprint(key) in wanted
+        ]
+
+    def _store(self, document: Document, decoded: Any) -> None:
+        key = (document.origin, document.topic)
+        self.stored[key] = document
+        self.received[key] = self.clock.monotonic()
+        self.documents.setdefault(document.topic, {})[document.origin] = decoded
+        self.wanted.discard(key)
+        self.news.add(key)
+
+    def _drop(self, key: Key) -> None:
+        origin, topic = key
+        self.stored.pop(key)
+        self.received.pop(key)
+        self.documents[topic].pop(origin, None)
+        self.news.drop(key)
+
+
+def fingerprint(key: Key) -> bytes:
+    """Return a short hash of a document's key."""
+    text = '\0'.join(key).encode()
+    return hashlib.blake2b(text, digest_size=FINGERPRINT_BYTES).digest()
+
+
+def _decode(body: bytes) -> tuple[Any] | None:
+    if len(body) > DOCUMENT_LIMIT:
+        return None
+    try:
+        return (msgpack.unpackb(body),)
+    except (ValueError, TypeError, msgpack.UnpackException):
+        return None
--- a/bronzeglade/coordination/head.py
+++ b/bronzeglade/coordination/head.py
@@ -1,7 +1,8 @@
 """The published configuration in the table service.
 
 Row `config/head` names the generation in force; row `config/generation/N`
-holds its manifest. Both are written in one transaction that checks the head.
+holds its manifest and the publication that made it. Both are written in one
+transaction that checks the head.
 """
 
 import dataclasses
@@ -36,11 +37,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Superseded:
-    """Another publication holds the head."""
+    """Another publication won the generation.
+
+    `generation` and `digest` are those of the head, from which the operator
+    starts again; `operator` and `publication_id` are the winner's.
+    """
 
     generation: int
     digest: str
     operator: str
+    publication_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reused:
+    """The publication id belongs to another manifest."""
+
+    detail: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,7 +70,7 @@
     detail: str
 
 
-PublishError = Superseded | NotStored | Undecided
+PublishError = Superseded | Reused | NotStored | Undecided
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,37 +108,34 @@
     return Ok(decode_head(outcome.ok_value.get(HEAD_KEY)))
 
 
-def read_published(
-    table: Table, known: int
-) -> Result[Published | None, StoreError]:
-    """Read the generation in force when it is higher than a known one.
+def read_generation(
+    table: Table, generation: int
+) -> Result[Published, StoreError]:
+    """Read a committed generation.
 
     Args:
       table: the table service.
-      known: generation that the caller has.
+      generation: its number, as the head row has it.
 
     Returns:
-      The published generation; None when it is not higher.
+      The generation with its publication, or why it could not be read.
     """
-    outcome = read_head(table)
-    if isinstance(outcome, Err):
-        return outcome
-    head = outcome.ok_value
-    if head.generation <= known:
-        return Ok(None)
-    key = generation_key(head.generation)
+    key = generation_key(generation)
     rows = table.read([key])
     if isinstance(rows, Err):
         return rows
     if key not in rows.ok_value:
         return Err(StoreError(f'no row {key}'))
-    text = rows.ok_value[key].body
-    return Ok(
-        Published(
-            Configuration(head.generation, digest_of(text), text),
-            head.publication_id,
-            head.operator,
-        )
+    return Ok(_decode_generation(generation, rows.ok_value[key]))
+
+
+def _decode_generation(generation: int, row: Row) -> Published:
+    content = msgpack.unpackb(row.body)
+    text = content['text']
+    return Published(
+        Configuration(generation, digest_of(text), text),
+        content['publication_id'],
+        content['operator'],
     )
 
 
@@ -134,24 +144,25 @@
 ) -> Result[Published, PublishError]:
     """Commit a generation on top of the one before it.
 
-    A publication that finds itself as the head counts as committed, so a
-    lost reply and a repeated call are harmless.
+    The row of the generation says which publication made it, so a lost reply
+    and a repeated call are harmless, also when a later publication has
+    replaced this one.
 
     Args:
       table: the table service.
       published: the new generation; it replaces `generation - 1`.
 
     Returns:
-      The publication, or who holds the head.
+      The publication, or who won its generation.
     """
-    outcome = read_head(table)
-    if isinstance(outcome, Err):
-        return Err(NotStored(outcome.err_value.detail))
-    head = outcome.ok_value
-    if head.publication_id == published.publication_id:
-        return Ok(published)
+    stored = _read_stored(table, published.configuration.generation)
+    if isinstance(stored, Err):
+        return Err(NotStored(stored.err_value.detail))
+    head, winner = stored.ok_value
+    if winner is not None:
+        return _judge(head, winner, published)
     if head.generation != published.configuration.generation - 1:
-        return Err(Superseded(head.generation, head.digest, head.operator))
+        return Err(_superseded(head, None))
     commit = table.commit(_transaction(head, published))
     if isinstance(commit, Ok):
         return Ok(published)
@@ -160,35 +171,68 @@
     return _read_back(table, published, isinstance(commit.err_value, Conflict))
 
 
+def _read_stored(
+    table: Table, generation: int
+) -> Result[tuple[Head, Published | None], StoreError]:
+    key = generation_key(generation)
+    rows = table.read([HEAD_KEY, key])
+    if isinstance(rows, Err):
+        return rows
+    row = rows.ok_value.get(key)
+    winner = None if row is None else _decode_generation(generation, row)
+    return Ok((decode_head(rows.ok_value.get(HEAD_KEY)), winner))
+
+
+def _judge(
+    head: Head, winner: Published, published: Published
+) -> Result[Published, PublishError]:
+    if winner.publication_id != published.publication_id:
+        return Err(_superseded(head, winner))
+    if winner.configuration.digest != published.configuration.digest:
+        return Err(Reused('the publication id belongs to another manifest'))
+    return Ok(winner)
+
+
+def _superseded(head: Head, winner: Published | None) -> Superseded:
+    return Superseded(
+        head.generation,
+        head.digest,
+        head.operator if winner is None else winner.operator,
+        head.publication_id if winner is None else winner.publication_id,
+    )
+
+
 def _transaction(head: Head, published: Published) -> Transaction:
     configuration = published.configuration
+    publication = {
+        'publication_id': published.publication_id,
+        'operator': published.operator,
+    }
     body = msgpack.packb(
         {
             'generation': configuration.generation,
             'digest': configuration.digest,
-            'publication_id': published.publication_id,
-            'operator': published.operator,
+            **publication,
         }
     )
+    text = msgpack.packb({'text': configuration.text, **publication})
+    key = generation_key(configuration.generation)
     return Transaction(
-        checks=(Check(HEAD_KEY, head.row_version),),
-        puts=(
-            Put(HEAD_KEY, body),
-            Put(generation_key(configuration.generation), configuration.text),
-        ),
+        checks=(Check(HEAD_KEY, head.row_version), Check(key, ABSENT)),
+        puts=(Put(HEAD_KEY, body), Put(key, text)),
     )
 
 
 def _read_back(
     table: Table, published: Published, decided: bool
 ) -> Result[Published, PublishError]:
-    outcome = read_head(table)
-    if isinstance(outcome, Err):
-        return Err(Undecided(outcome.err_value.detail))
-    head = outcome.ok_value
-    if head.publication_id == published.publication_id:
-        return Ok(published)
-    if decided or head.generation >= published.configuration.generation:
-        return Err(Superseded(head.generation, head.digest, head.operator))
+    stored = _read_stored(table, published.configuration.generation)
+    if isinstance(stored, Err):
+        return Err(Undecided(stored.err_value.detail))
+    head, winner = stored.ok_value
+    if winner is not None:
+        return _judge(head, winner, published)
+    if decided:
+        return Err(_superseded(head, None))
     # The commit may still be under way in the table service.
     return Err(Undecided('the commit has not been seen'))
--- a/bronzeglade/coordination/seal.py
+++ b/bronzeglade/coordination/seal.py
@@ -28,19 +28,31 @@
     return tuple(keys)
 
 
-def seal(keys: Sequence[SharedKey], payload: bytes) -> bytes:
-    """Return a payload with key number and tag of the first key."""
+def seal(
+    keys: Sequence[SharedKey], payload: bytes, purpose: bytes = b''
+) -> bytes:
+    """Return a payload with key number and tag of the first key.
+
+    Args:
+      keys: the first one signs.
+      payload: what is authenticated.
+      purpose: what the message is for; it is part of the tag, so a message
+        for one purpose is not accepted for another.
+    """
     key = keys[0]
     number = bytes((key.number,))
-    return number + _tag(key, payload) + payload
+    return number + _tag(key, payload, purpose) + payload
 
 
-def unseal(keys: Sequence[SharedKey], message: bytes) -> Result[bytes, str]:
+def unseal(
+    keys: Sequence[SharedKey], message: bytes, purpose: bytes = b''
+) -> Result[bytes, str]:
     """Return the payload of an authentic message.
 
     Args:
       keys: each of them is accepted, so that keys can be rotated.
       message: what `seal` returned on another node.
+      purpose: the one that the message was sealed for.
 
     Returns:
       The payload, or why the message is not authentic.
@@ -51,11 +63,13 @@
     for key in keys:
         if key.number == message[0]:
             tag = message[1:HEADER_BYTES]
-            if hmac.compare_digest(tag, _tag(key, payload)):
+            if hmac.compare_digest(tag, _tag(key, payload, purpose)):
                 return Ok(payload)
             return Err('the tag is wrong')
     return Err('the key is not known')
 
 
-def _tag(key: SharedKey, payload: bytes) -> bytes:
-    return hmac.digest(key.secret, payload, hashlib.sha256)[:TAG_BYTES]
+def _tag(key: SharedKey, payload: bytes, purpose: bytes) -> bytes:
+    # The length of the purpose keeps it apart from the payload.
+    signed = bytes((len(purpose),)) + purpose + payload
+    return hmac.digest(key.secret, signed, hashlib.sha256)[:TAG_BYTES]
--- /dev/null
+++ b/bronzeglade/coordination/simulation.py
@@ -0,0 +1,256 @@
+"""Several nodes in one process over a simulated network, for tests."""
+
+import dataclasses
+import datetime as dt
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any
+
+import urllib3
+from result import Err, Ok, Result
+
+from bronzeglade.adapters.transport import CallFailure
+from bronzeglade.builders import ManualClock, MemoryTable, entry_settings
+from bronzeglade.coordination.datagram import MemberState
+from bronzeglade.coordination.gossip import Gossip
+from bronzeglade.coordination.membership import Membership
+from bronzeglade.coordination.publication import Publication
+from bronzeglade.entry.configuration import Distribution, Services
+from bronzeglade.entry.heartbeats import Heartbeats, Links, new_member
+from bronzeglade.entry.peers import Peer, Peers
+from bronzeglade.settings import EntrySettings
+
+STEP = dt.timedelta(milliseconds=50)
+STEPS_PER_TICK = 5
+STEPS_PER_POLL = 100
+STEPS_PER_COMPARISON = 100
+
+
+@dataclasses.dataclass(slots=True)
+class Conditions:
+    """State of the simulated network."""
+
+    loss: float = 0
+    duplicates: float = 0
+    delay: dt.timedelta = dt.timedelta(milliseconds=10)
+    sides: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def linked(self, one: str, other: str) -> bool:
+        """Return whether two addresses are on the same side."""
+        return self.sides.get(one, 0) == self.sides.get(other, 0)
+
+
+class SimulatedPeers(Peers):
+    """Peers whose calls run in this process."""
+
+    def __init__(self, settings: EntrySettings, simulation: Any) -> None:
+        """Call through a simulation."""
+        super().__init__(settings, urllib3.PoolManager())
+        self.simulation = simulation
+
+    def send(
+        self, peer: Peer, name: str, message: bytes
+    ) -> Result[bytes, CallFailure]:
+        """Run the handler of a peer that can be reached."""
+        mine = f'{self.settings.host}:{self.settings.control_port}'
+        outcome: Result[bytes, CallFailure] = self.simulation.call(
+            mine, peer.control_address, name, message
+        )
+        return outcome
+
+
+class SimulatedSocket:
+    """The UDP socket of one node."""
+
+    def __init__(self, address: str, simulation: 'Simulation') -> None:
+        """Send from an address."""
+        self.address = address
+        self.simulation = simulation
+
+    def sendto(self, packed: bytes, target: tuple[str, int]) -> None:
+        """Send a datagram over the simulated network."""
+        host, port = target
+        self.simulation.send(self.address, f'{host}:{port}', packed)
+
+
+class SimulatedNode:
+    """The coordination of one node: everything but requests."""
+
+    def __init__(self, simulation: 'Simulation', index: int) -> None:
+        """Create a node whose process starts now."""
+        self.simulation = simulation
+        self.settings = entry_settings(index)
+        clock = simulation.clock
+        origin = f'{self.settings.vm}-{next(simulation.numbers)}'
+        source = random.Random(simulation.random.random())
+        myself = new_member(self.settings, origin, clock.now())
+        self.address = myself.address
+        self.membership = Membership(
+            myself, self.settings.probe_interval, clock, source
+        )
+        self.gossip = Gossip(origin, clock)
+        self.peers = SimulatedPeers(self.settings, simulation)
+        self.publication = Publication(self.settings, myself, clock)
+        self.distribution = Distribution(
+            self.publication,
+            Services(
+                simulation.table,
+                self.peers,
+                clock,
+                source,
+                simulation.spawn,
+            ),
+            lambda _catalog: None,
+        )
+        self.heartbeats = Heartbeats(
+            Links(
+                self.membership,
+                self.gossip,
+                self.peers,
+                self.distribution,
+                clock,
+            )
+        )
+        self.heartbeats.socket = SimulatedSocket(self.address, simulation)
+        self.paused = False
+
+    def step(self, number: int) -> None:
+        """Do what is due in a step."""
+        if self.paused:
+            return
+        if number % STEPS_PER_TICK == 0:
+            self.heartbeats.tick()
+        if number % STEPS_PER_POLL == 0:
+            self.distribution.poll()
+        if number % STEPS_PER_COMPARISON == 0 and self.peers.live():
+            peers = self.peers.live()
+            self.heartbeats.compare_with(self.membership.random.choice(peers))
+
+    def taken_for_dead(self) -> set[str]:
+        """Return the addresses that this node takes for dead."""
+        return {
+            address
+            for address, member in self.membership.known.items()
+            if member.state is MemberState.DEAD
+        }
+
+
+class Simulation:
+    """Nodes, network, table and clock."""
+
+    def __init__(self, count: int, seed: int = 1) -> None:
+        """Start nodes that know each other's addresses.
+
+        Args:
+          count: number of nodes.
+          seed: of every random choice.
+        """
+        self.clock = ManualClock()
+        self.random = random.Random(seed)
+        self.table = MemoryTable()
+        self.conditions = Conditions()
+        self.numbers = itertools.count()
+        self.queue: list[tuple[dt.timedelta, int, str, bytes]] = []
+        self.calls: list[tuple[str, str, bytes]] = []
+        self.tasks: list[tuple[Callable[..., Any], tuple[Any, ...]]] = []
+        self.nodes: dict[str, SimulatedNode] = {}
+        self.sent_bytes = 0
+        self.largest = 0
+        self.called_bytes = 0
+        self.steps = 0
+        for index in range(count):
+            self.start(index)
+        self.propose()
+
+    def start(self, index: int) -> SimulatedNode:
+        """Start the process of the n-th VM, in place of an earlier one."""
+        node = SimulatedNode(self, index)
+        self.nodes[node.address] = node
+        node.membership.propose(self.nodes)
+        return node
+
+    def propose(self) -> None:
+        """Give every node the addresses of all nodes."""
+        for node in self.nodes.values():
+            node.membership.propose(self.nodes)
+
+    def spawn(self, action: Callable[..., Any], *arguments: Any) -> None:
+        """Run an action in the next step."""
+        self.tasks.append((action, arguments))
+
+    def send(self, source: str, target: str, packed: bytes) -> None:
+        """Send a datagram under the conditions of the network."""
+        self.sent_bytes += len(packed)
+        self.largest = max(self.largest, len(packed))
+        conditions = self.conditions
+        copies = 1 + (self.random.random() < conditions.duplicates)
+        for _copy in range(copies):
+            lost = self.random.random() < conditions.loss
+            if not lost and conditions.linked(source, target):
+                late = self.random.random() * 2 * conditions.delay
+                entry = (
+                    self.clock.monotonic() + late,
+                    next(self.numbers),
+                    target,
+                    packed,
+                )
+                heapq.heappush(self.queue, entry)
+
+    def call(
+        self, source: str, target: str, name: str, message: bytes
+    ) -> Result[bytes, CallFailure]:
+        """Call a handler of a node under the conditions of the network."""
+        node = self.nodes.get(target)
+        linked = self.conditions.linked(source, target)
+        if node is None or node.paused or not linked:
+            return Err(CallFailure(sent=False, detail='not reachable'))
+        self.calls.append((target, name, message))
+        reply = node.peers.receive(name, message)
+        if isinstance(reply, Err):
+            return Err(CallFailure(sent=True, detail=reply.err_value))
+        self.called_bytes += len(message) + len(reply.ok_value)
+        if self.random.random() < self.conditions.loss:
+            return Err(CallFailure(sent=True, detail='lost reply'))
+        return Ok(reply.ok_value)
+
+    def repeat_call(self, number: int) -> None:
+        """Deliver a call a second time, late; its reply is lost."""
+        if self.calls:
+            target, name, message = self.calls[number % len(self.calls)]
+            node = self.nodes.get(target)
+            if node is not None:
+                node.peers.receive(name, message)
+
+    def run(self, duration: dt.timedelta) -> None:
+        """Let time pass."""
+        for _step in range(duration // STEP):
+            self.step()
+
+    def step(self) -> None:
+        """Let one step of time pass."""
+        self.clock.sleep(STEP)
+        self.steps += 1
+        self._deliver()
+        tasks = self.tasks
+        self.tasks = []
+        self.random.shuffle(tasks)
+        for action, arguments in tasks:
+            action(*arguments)
+        for offset, node in enumerate(tuple(self.nodes.values())):
+            # Nodes do not tick at the same moment.
+            node.step(self.steps + offset)
+
+    def _deliver(self) -> None:
+        now = self.clock.monotonic()
+        waiting: list[tuple[dt.timedelta, int, str, bytes]] = []
+        while self.queue and self.queue[0][0] <= now:
+            entry = heapq.heappop(self.queue)
+            node = self.nodes.get(entry[2])
+            if node is not None and node.paused:
+                waiting.append(entry)
+            elif node is not None:
+                node.heartbeats.receive(entry[3])
+        for entry in waiting:
+            heapq.heappush(self.queue, entry)
--- a/bronzeglade/entry/access.py
+++ b/bronzeglade/entry/access.py
@@ -6,6 +6,7 @@
 
 from bronzeglade import catalog as catalogs
 from bronzeglade.catalog import Catalog
+from bronzeglade.coordination.publication import Staleness
 from bronzeglade.entry.http import Request
 from bronzeglade.entry.node import Node
 from bronzeglade.manifest import Rank, Team
@@ -15,6 +16,12 @@
     503, 'no_configuration', 'this node has no configuration yet'
 )
 
+STALE = Refusal(
+    503,
+    'stale_configuration',
+    'the configuration has not been confirmed for too long',
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Caller:
@@ -36,12 +43,10 @@
       The caller, or a refusal with status 401, 422 or 503.
     """
     catalog = node.catalog
-    if catalog is None:
-        return Err(
-            dataclasses.replace(
-                NOT_READY, retry_after=node.settings.head_poll_interval
-            )
-        )
+    if catalog is None or not node.ready():
+        return Err(_later(node, NOT_READY))
+    if node.publication.staleness() is Staleness.EXPIRED:
+        return Err(_later(node, STALE))
     team = catalogs.team_of_key(catalog, request.bearer_key())
     if team is None:
         return Err(Refusal(401, 'invalid_api_key', 'the API key is not valid'))
@@ -51,6 +56,11 @@
     return Ok(Caller(catalog, team, rank.ok_value))
 
 
+def _later(node: Node, refusal: Refusal) -> Refusal:
+    retry_after = node.settings.head_poll_interval
+    return dataclasses.replace(refusal, retry_after=retry_after)
+
+
 def _rank(
     catalog: Catalog, team: Team, wanted: str | None
 ) -> Result[Rank, Refusal]:
--- a/bronzeglade/entry/callers.py
+++ b/bronzeglade/entry/callers.py
@@ -1,14 +1,19 @@
 """The application towards callers."""
 
+import dataclasses
+
 from result import Err
 
 from bronzeglade import catalog as catalogs
-from bronzeglade.adapters.vms import Vm
-from bronzeglade.entry import access, chat, http, services
+from bronzeglade.entry import access, chat, entries, http, services
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
 from bronzeglade.outcome import Refusal
 
+STOPPING = Refusal(
+    503, 'stopping', 'this node is shutting down; use another entry address'
+)
+
 
 def handle(node: Node, request: Request) -> Response:
     """Answer a request of a caller.
@@ -20,6 +25,11 @@
     Returns:
       The response.
     """
+    if node.refusing:
+        refusal = dataclasses.replace(
+            STOPPING, retry_after=node.settings.probe_interval
+        )
+        return http.refuse(refusal, request.request_id, {http.CLOSE: 'close'})
     if request.path.startswith(services.PREFIX):
         return services.handle(node, request)
     route = (request.method, request.path)
@@ -60,30 +70,12 @@
 
 def _entries(node: Node, request: Request) -> Response:
     seconds = int(node.settings.entries_max_age.total_seconds())
+    wanted = request.header('X-Failure-Domain')
     addresses = [
-        {'address': vm.address, 'failure_domain': vm.failure_domain}
-        for vm in ordered_entries(node, _wanted_domain(request))
+        {'address': entry.address, 'failure_domain': entry.failure_domain}
+        for entry in entries.ordered(node, wanted)
     ]
     return http.json_response(
         {'entries': addresses, 'max_age_s': seconds},
         headers={'Cache-Control': f'max-age={seconds}'},
     )
-
-
-def _wanted_domain(request: Request) -> str:
-    return request.header('X-Failure-Domain') or ''
-
-
-def ordered_entries(node: Node, failure_domain: str) -> list[Vm]:
-    """Return the entry VMs, those of a failure domain first.
-
-    The order inside a failure domain is random, so that callers spread.
-
-    Args:
-      node: state of this process.
-      failure_domain: the caller's, or empty for this node's.
-    """
-    wanted = failure_domain or node.settings.failure_domain
-    vms = list(node.entry_vms())
-    node.random.shuffle(vms)
-    return sorted(vms, key=lambda vm: vm.failure_domain != wanted)
--- a/bronzeglade/entry/control.py
+++ b/bronzeglade/entry/control.py
@@ -1,7 +1,7 @@
 """The application towards operators, peers and metrics."""
 
+import dataclasses
 import uuid
-from typing import Any
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from result import Err, Ok
@@ -9,9 +9,14 @@
 from bronzeglade import catalog as catalogs
 from bronzeglade import manifest as manifests
 from bronzeglade.catalog import Configuration
-from bronzeglade.coordination import head as heads
-from bronzeglade.coordination.head import Published, Superseded, Undecided
-from bronzeglade.entry import http
+from bronzeglade.coordination.head import (
+    Published,
+    Reused,
+    Superseded,
+    Undecided,
+)
+from bronzeglade.entry import http, status
+from bronzeglade.entry.access import NOT_READY
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
 from bronzeglade.entry.peers import PEER_PREFIX
@@ -69,6 +74,12 @@
         request.header('X-Publication-Id') or uuid.uuid4().hex,
         request.header('X-Operator') or 'unnamed',
     )
+    if node.catalog is None and published.configuration.generation > 1:
+        # Only the first manifest may name its own operators.
+        refusal = dataclasses.replace(
+            NOT_READY, retry_after=node.settings.head_poll_interval
+        )
+        return http.refuse(refusal, request.request_id)
     return _commit(node, request, published)
 
 
@@ -83,26 +94,17 @@
 
 
 def _commit(node: Node, request: Request, published: Published) -> Response:
-    outcome = heads.publish(node.table, published)
+    outcome = node.distribution.commit(published)
     if isinstance(outcome, Ok):
-        node.adopt(outcome.ok_value)
-        configuration = published.configuration
-        return http.json_response(
-            {
-                'generation': configuration.generation,
-                'digest': configuration.digest,
-            }
-        )
+        return _committed(node, outcome.ok_value)
     error = outcome.err_value
     if isinstance(error, Superseded):
         return http.json_response(
-            {
-                'generation': error.generation,
-                'digest': error.digest,
-                'operator': error.operator,
-            },
-            409,
+            {'status': 'superseded', **dataclasses.asdict(error)}, 409
         )
+    if isinstance(error, Reused):
+        refusal = Refusal(422, 'publication_id_reused', error.detail)
+        return http.refuse(refusal, request.request_id)
     unknown = isinstance(error, Undecided)
     state = RunState.UNKNOWN if unknown else RunState.NOT_RUN
     refusal = Refusal(
@@ -115,23 +117,28 @@
     return http.refuse(refusal, request.request_id)
 
 
+def _committed(node: Node, published: Published) -> Response:
+    configuration = published.configuration
+    accepted = node.distribution.wait_accepted(configuration.generation)
+    holders = node.publication.holding(configuration.generation)
+    document = {
+        'status': 'accepted' if accepted else 'committed',
+        'generation': configuration.generation,
+        'digest': configuration.digest,
+        'publication_id': published.publication_id,
+        'current_generation': node.generation(),
+        'holders': [
+            {'vm': holder.vm, 'failure_domain': holder.failure_domain}
+            for holder in holders
+        ],
+    }
+    return http.json_response(document, 200 if accepted else 202)
+
+
 def _status(node: Node, request: Request) -> Response:
     if node.catalog is not None and not catalogs.is_operator_key(
         node.catalog.manifest, request.bearer_key()
     ):
         refusal = Refusal(401, 'invalid_operator_key', 'the key is not valid')
         return http.refuse(refusal, request.request_id)
-    return http.json_response({'nodes': [node_status(node)]})
-
-
-def node_status(node: Node) -> dict[str, Any]:
-    """Return what is in force on this node."""
-    configuration = node.catalog.configuration if node.catalog else None
-    return {
-        'vm': node.settings.vm,
-        'failure_domain': node.settings.failure_domain,
-        'generation': node.generation(),
-        'digest': configuration.digest if configuration else '',
-        'draining': node.draining,
-        'open_requests': node.open_requests,
-    }
+    return http.json_response({'nodes': status.of_all(node)})
--- a/bronzeglade/entry/dispatch.py
+++ b/bronzeglade/entry/dispatch.py
@@ -16,7 +16,7 @@
 from bronzeglade.entry.selection import Choice
 from bronzeglade.entry.workers import Worker, serving_model
 from bronzeglade.manifest import VersionState
-from bronzeglade.outcome import Refusal, RunState, require
+from bronzeglade.outcome import Refusal, RunState
 
 MAX_ATTEMPTS = 3
 RETRY_AFTER = dt.timedelta(seconds=1)
@@ -63,7 +63,8 @@
             )
             if worker.vm not in tried
         ]
-        if not workers or node.clock.monotonic() >= work.deadline:
+        late = node.clock.monotonic() >= work.deadline
+        if not workers or late or withdrawal(node, work) is not None:
             break
         worker = choose_worker(node, workers)
         tried.add(worker.vm)
@@ -79,6 +80,9 @@
     if node.clock.monotonic() >= work.deadline:
         message = 'the deadline passed before the first token'
         return Refusal(504, 'deadline_exceeded', message, state)
+    withdrawn = withdrawal(node, work)
+    if withdrawn is not None:
+        return Refusal(503, 'version_withdrawn', withdrawn, state, RETRY_AFTER)
     message = f'no worker of {work.choice.model!r} answered'
     return Refusal(503, 'no_worker', message, state, RETRY_AFTER)
 
@@ -90,7 +94,6 @@
 
 
 def _try_worker(node: Node, work: Work, worker: Worker) -> Answer | None:
-    check_choice(work)
     left = work.deadline - node.clock.monotonic()
     stream = engines.open_stream(
         node.pool,
@@ -112,17 +115,30 @@
     return None
 
 
-def check_choice(work: Work) -> None:
-    """Assert that the chosen version may receive this work."""
+def withdrawal(node: Node, work: Work) -> str | None:
+    """Return why the chosen version may not receive this work now, or None.
+
+    A request keeps the manifest that it started with, but what a newer one
+    has withdrawn receives no new work, not even a retry.
+
+    Args:
+      node: state of this process.
+      work: checked request.
+    """
+    catalog = node.catalog or work.caller.catalog
     choice = work.choice
-    catalog = work.caller.catalog
-    require(
-        catalogs.is_granted(work.caller.team, choice.model, choice.version),
-        'allowed-version',
-        choice,
-    )
     state = catalogs.version_state(catalog, choice.model, choice.version)
-    require(state is not VersionState.WITHDRAWN, 'withdrawn-version', choice)
+    if state is VersionState.WITHDRAWN:
+        return f'version {choice.version!r} of {choice.model!r} is withdrawn'
+    granted = any(
+        team.name == work.caller.team.name
+        and catalogs.is_granted(team, choice.model, choice.version)
+        for team in catalog.manifest.teams
+    )
+    if granted:
+        return None
+    name = work.caller.team.name
+    return f'team {name!r} may no longer use {choice.model!r}'
 
 
 def finish(node: Node, started: Started) -> None:
--- /dev/null
+++ b/bronzeglade/entry/heartbeats.py
@@ -0,0 +1,242 @@
+"""Sockets and loops of membership and gossip."""
+
+import dataclasses
+import datetime as dt
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+from eventlet.green import socket
+from result import Err
+
+from bronzeglade.clock import Clock
+from bronzeglade.coordination.datagram import (
+    MALFORMED,
+    DATAGRAM_LIMIT,
+    Document,
+    Member,
+    MemberState,
+    document_fields,
+    member_fields,
+    read_document,
+    read_member,
+)
+from bronzeglade.coordination.exchange import (
+    TICKS_PER_INTERVAL,
+    Exchange,
+)
+from bronzeglade.coordination.gossip import Gossip, Key, fingerprint
+from bronzeglade.coordination.membership import Membership
+from bronzeglade.entry.configuration import Distribution
+from bronzeglade.entry.peers import Peer, Peers
+from bronzeglade.settings import EntrySettings
+
+# Anti-entropy sends about 10 bytes for each document held, so its interval
+# grows with the number of nodes and its bytes per second stay the same.
+ANTI_ENTROPY_INTERVAL = dt.timedelta(seconds=5)
+NODES_PER_INTERVAL_SECOND = 10
+FETCH_LIMIT = 64  # documents that one fetch may name
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Links:
+    """What the heartbeats of a node work with."""
+
+    membership: Membership
+    gossip: Gossip
+    peers: Peers
+    distribution: Distribution
+    clock: Clock
+
+
+class Heartbeats:
+    """Sends and receives the datagrams of one node."""
+
+    def __init__(self, links: Links) -> None:
+        """Register the handlers that peers call.
+
+        Args:
+          links: the parts of the node.
+        """
+        self.links = links
+        self.publication = links.distribution.publication
+        self.exchange = Exchange(
+            links.membership,
+            links.gossip,
+            links.peers.keys,
+            self.publication.heartbeat,
+        )
+        self.socket: Any = None
+        self.joined = False
+        self.fetching: set[Key] = set()
+        links.peers.membership = links.membership
+        links.peers.handlers['gossip/compare'] = self.compare
+        links.peers.handlers['gossip/take'] = self.take
+        links.peers.handlers['gossip/fetch'] = self.fetch
+
+    def start(self, host: str, port: int) -> None:
+        """Bind the control port and start the loops."""
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((host, port))
+        self.links.peers.propose()
+        eventlet.spawn(self._receive_loop)
+        eventlet.spawn(self._tick_loop)
+        eventlet.spawn(self._anti_entropy_loop)
+
+    def leave(self, gone: bool = False) -> None:
+        """Tell every node that this one leaves, or is gone."""
+        self._send_all(self.exchange.leave(gone))
+
+    def compare(self, argument: Any) -> Any:
+        """Answer a peer's anti-entropy with what it lacks."""
+        versions = [(_bytes(key), int(one)) for key, one in argument['held']]
+        newer, wanted = self.links.gossip.difference(versions)
+        membership = self.links.membership
+        same = argument['members'] == membership.digest()
+        members = () if same else (membership.myself, *membership.members())
+        return {
+            'documents': [document_fields(one) for one in newer],
+            'wanted': wanted,
+            'members': [member_fields(one) for one in members],
+        }
+
+    def take(self, argument: Any) -> Any:
+        """Take documents that this node asked a peer for."""
+        self._merge(argument)
+        return {}
+
+    def fetch(self, argument: Any) -> Any:
+        """Return documents by fingerprint."""
+        prints = [_bytes(one) for one in argument][:FETCH_LIMIT]
+        found = self.links.gossip.select(prints)
+        return [document_fields(document) for document in found]
+
+    def receive(self, packed: bytes) -> None:
+        """Take a datagram; one that is not authentic changes nothing."""
+        received = self.exchange.receive(packed)
+        self._send_all(received.replies)
+        message = received.message
+        if message is None:
+            return
+        sender = message.sender
+        peer = Peer(sender.vm, sender.address, sender.failure_domain)
+        if self.publication.hear(sender, message.heartbeat):
+            self._spawn(self.links.distribution.pull, peer)
+        wanted = set(received.fetch) - self.fetching
+        if wanted:
+            self.fetching |= wanted
+            self._spawn(self._fetch_from, peer, wanted)
+
+    def tick(self) -> None:
+        """Send what is due; called TICKS_PER_INTERVAL times an interval."""
+        if not self.joined and self.links.membership.candidates:
+            self.joined = True
+            self._send_all(self.exchange.join())
+        self._send_all(self.exchange.tick())
+        live = {one.address for one in self.links.membership.members()}
+        self.publication.forget(live)
+
+    def _spawn(self, action: Callable[..., None], *arguments: Any) -> None:
+        self.links.distribution.services.spawn(action, *arguments)
+
+    def _receive_loop(self) -> None:
+        while True:
+            try:
+                packed, _sender = self.socket.recvfrom(DATAGRAM_LIMIT + 1)
+            except OSError:
+                # A port unreachable message for an earlier datagram.
+                continue
+            self.receive(packed)
+
+    def _fetch_from(self, peer: Peer, keys: set[Key]) -> None:
+        prints = [fingerprint(key) for key in keys]
+        try:
+            reply = self.links.peers.call(peer, 'gossip/fetch', prints)
+        finally:
+            self.fetching -= keys
+        if not isinstance(reply, Err):
+            self._merge(reply.ok_value)
+
+    def _merge(self, documents: Any) -> None:
+        for fields in documents:
+            self.links.gossip.merge(read_document(fields))
+
+    def _tick_loop(self) -> None:
+        pause = self.links.membership.interval / TICKS_PER_INTERVAL
+        while True:
+            self.links.clock.sleep(pause)
+            self.tick()
+
+    def _send_all(self, outgoing: Any) -> None:
+        for address, packed in outgoing:
+            self._send(address, packed)
+
+    def _send(self, address: str, packed: bytes) -> None:
+        host, _, port = address.rpartition(':')
+        try:
+            self.socket.sendto(packed, (host, int(port)))
+        except (OSError, ValueError, OverflowError):
+            # An address that cannot be reached counts as a lost datagram.
+            return
+
+    def _anti_entropy_loop(self) -> None:
+        while True:
+            nodes = self.links.membership.size()
+            grown = dt.timedelta(seconds=nodes / NODES_PER_INTERVAL_SECOND)
+            self.links.clock.sleep(max(ANTI_ENTROPY_INTERVAL, grown))
+            peers = self.links.peers.live()
+            if peers:
+                self.compare_with(self.links.membership.random.choice(peers))
+
+    def compare_with(self, peer: Peer) -> None:
+        """Exchange with a peer what either of the two lacks."""
+        gossip = self.links.gossip
+        argument = {
+            'held': [list(one) for one in gossip.versions()],
+            'members': self.links.membership.digest(),
+        }
+        reply = self.links.peers.call(peer, 'gossip/compare', argument)
+        if isinstance(reply, Err):
+            return
+        try:
+            wanted = self._compared(reply.ok_value)
+        except MALFORMED:
+            return
+        if wanted:
+            documents = [document_fields(one) for one in wanted]
+            self.links.peers.call(peer, 'gossip/take', documents)
+
+    def _compared(self, reply: Any) -> list[Document]:
+        for fields in reply['members']:
+            self.links.membership.merge(read_member(fields))
+        self._merge(reply['documents'])
+        prints = [_bytes(one) for one in reply['wanted']]
+        return self.links.gossip.select(prints)
+
+
+def _bytes(field: Any) -> bytes:
+    if not isinstance(field, bytes):
+        raise TypeError('a fingerprint is bytes')
+    return field
+
+
+def new_member(
+    settings: EntrySettings, origin: str, now: dt.datetime
+) -> Member:
+    """Return this node as it describes itself to others.
+
+    Args:
+      settings: of the process.
+      origin: unique name of the process.
+      now: wall time at the start; it makes the incarnation higher than that
+        of an earlier process at the same address.
+    """
+    return Member(
+        address=f'{settings.host}:{settings.control_port}',
+        origin=origin,
+        vm=settings.vm,
+        failure_domain=settings.failure_domain,
+        caller_address=f'{settings.host}:{settings.port}',
+        incarnation=int(now.timestamp() * 1000),
+        state=MemberState.ALIVE,
+    )
--- a/bronzeglade/entry/http.py
+++ b/bronzeglade/entry/http.py
@@ -11,6 +11,7 @@
 import eventlet
 from result import Err, Ok, Result
 
+from bronzeglade.entry import protocol
 from bronzeglade.outcome import Refusal
 
 Environ = dict[str, Any]
@@ -44,6 +45,7 @@
     429: 'rate_limit_error',
 }
 _FIRST_SERVER_ERROR = 500
+CLOSE = 'Connection'  # a response with this header ends its connection
 _READ_SIZE = 65536  # bytes
 
 
@@ -101,14 +103,50 @@
     """
 
     def application(environ: Environ, start: StartResponse) -> Body:
-        response = handler(read_head(environ))
+        request = read_head(environ)
+        refusal = head_refusal(request)
+        if refusal is None:
+            response = handler(request)
+        else:
+            response = refuse(refusal, request.request_id)
         reason = _REASONS.get(response.status, 'Unknown')
-        start(f'{response.status} {reason}', list(response.headers.items()))
+        headers = dict(response.headers)
+        if headers.pop(CLOSE, '') or _has_rest(environ):
+            environ[protocol.KEY].close_after_response()
+        start(f'{response.status} {reason}', list(headers.items()))
         return response.body
 
     return application
 
 
+def head_refusal(request: Request) -> Refusal | None:
+    """Return the refusal of a head that is not UTF-8, or None.
+
+    The server hands over each byte as one character.
+
+    Args:
+      request: as the server read it.
+    """
+    parts = {'path': request.path, 'query': request.query}
+    parts.update(request.environ.get('headers_raw', ()))
+    for name, text in parts.items():
+        try:
+            text.encode('latin-1').decode()
+        except UnicodeError:
+            message = f'{ascii(name)} is not valid UTF-8'
+            return Refusal(400, 'invalid_encoding', message)
+    return None
+
+
+def _has_rest(environ: Environ) -> bool:
+    # The server would read the rest of a refused body before the next
+    # request, however long it is.
+    body = environ.get('eventlet.input')
+    if body is None or protocol.KEY not in environ:
+        return False
+    return bool(body.chunked_input) or body.position < body.content_length
+
+
 def read_head(environ: Environ) -> Request:
     """Build the request of a WSGI environment, under a new identity."""
     return Request(
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -6,17 +6,21 @@
 
 import eventlet
 import urllib3
+from eliot import write_traceback
 from result import Err
 
-from bronzeglade import catalog as catalogs
 from bronzeglade.adapters import transport
 from bronzeglade.adapters.table import HttpTable
-from bronzeglade.adapters.vms import ENTRY_GROUP, HttpVmList, Vm, VmState
+from bronzeglade.adapters.vms import HttpVmList, Vm
 from bronzeglade.catalog import Catalog
 from bronzeglade.clock import Clock, SystemClock
-from bronzeglade.coordination.head import Published, read_published
+from bronzeglade.coordination.head import Published
+from bronzeglade.coordination.membership import Membership
+from bronzeglade.coordination.publication import Publication
 from bronzeglade.entry.admission import Admission
 from bronzeglade.entry.billing import Billing
+from bronzeglade.entry.configuration import Distribution, Services
+from bronzeglade.entry.heartbeats import Heartbeats, Links, new_member
 from bronzeglade.entry.peers import Gossip, Peers
 from bronzeglade.entry.sessions import Sessions
 from bronzeglade.entry.versions import Versions
@@ -51,12 +55,33 @@
         self.workers: tuple[Worker, ...] = ()
         self.billing = Billing(self.origin, self.table, self.clock)
         self.peers = Peers(settings, self.pool)
-        self.gossip = Gossip(self.origin)
+        self.gossip = Gossip(self.origin, self.clock)
+        myself = new_member(settings, self.origin, self.clock.now())
+        self.membership = Membership(
+            myself, settings.probe_interval, self.clock, self.random
+        )
+        self.publication = Publication(settings, myself, self.clock)
+        self.distribution = Distribution(
+            self.publication,
+            Services(self.table, self.peers, self.clock, self.random),
+            self._use,
+        )
+        self.heartbeats = Heartbeats(
+            Links(
+                self.membership,
+                self.gossip,
+                self.peers,
+                self.distribution,
+                self.clock,
+            )
+        )
         self.sessions = Sessions()
         self.versions = Versions(self.gossip)
         self.admission = Admission()
         self.in_flight: dict[str, int] = {}
+        self.on_drain: list[Callable[[], None]] = []
         self.draining = False
+        self.refusing = False
         self.open_requests = 0
 
     def start(self) -> None:
@@ -65,8 +90,10 @@
             self.settings.vm_poll_interval.total_seconds(), self.read_vms
         )
         self._every(
-            self.settings.head_poll_interval.total_seconds(), self.read_head
+            self.settings.head_poll_interval.total_seconds(),
+            self.distribution.poll,
         )
+        self.heartbeats.start(self.settings.host, self.settings.control_port)
         eventlet.spawn(self.billing.run)
 
     def read_vms(self) -> None:
@@ -78,24 +105,17 @@
         self.peers.update(self.vms)
         self._refresh_workers()
 
-    def read_head(self) -> None:
-        """Adopt the generation of the table when it is higher."""
-        outcome = read_published(self.table, self.generation())
-        if not isinstance(outcome, Err) and outcome.ok_value is not None:
-            self.adopt(outcome.ok_value)
-
     def adopt(self, published: Published) -> None:
         """Put a generation in force unless a higher one is.
 
         Args:
-          published: a committed generation.
+          published: a generation that was committed just now.
         """
-        if published.configuration.generation <= self.generation():
-            return
-        catalog, _errors = catalogs.build(published.configuration)
-        if catalog is not None:
-            self.catalog = catalog
-            self._refresh_workers()
+        self.distribution.adopt(published, self.clock.monotonic())
+
+    def ready(self) -> bool:
+        """Return whether the table or a peer told the generation."""
+        return self.publication.ready(len(self.membership.candidates))
 
     def generation(self) -> int:
         """Return the generation in force; 0 when there is none."""
@@ -103,15 +123,9 @@
             return 0
         return self.catalog.configuration.generation
 
-    def entry_vms(self) -> tuple[Vm, ...]:
-        """Return the entry VMs that callers may be sent to."""
-        return tuple(
-            vm
-            for vm in self.vms
-            if vm.group == ENTRY_GROUP
-            and vm.state is VmState.LIVE
-            and not (self.draining and vm.name == self.settings.vm)
-        )
+    def _use(self, catalog: Catalog) -> None:
+        self.catalog = catalog
+        self._refresh_workers()
 
     def _refresh_workers(self) -> None:
         if self.catalog is not None:
@@ -120,7 +134,11 @@
     def _every(self, seconds: float, action: Callable[[], None]) -> None:
         def loop() -> None:
             while True:
-                action()
+                try:
+                    action()
+                except Exception:
+                    # A loop that ended would leave the node out of date.
+                    write_traceback()
                 spread = 1 + JITTER * (self.random.random() - 0.5)
                 eventlet.sleep(seconds * spread)
 
--- a/bronzeglade/entry/peers.py
+++ b/bronzeglade/entry/peers.py
@@ -1,21 +1,28 @@
 """Other nodes: who they are, calls to them and what they tell."""
 
 import dataclasses
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any
 
 import msgpack
 import urllib3
+from eliot import log_message
 from result import Err, Ok, Result
 
 from bronzeglade.adapters import transport
 from bronzeglade.adapters.transport import CallFailure
 from bronzeglade.adapters.vms import ENTRY_GROUP, Vm, VmState
 from bronzeglade.coordination import seal
+from bronzeglade.coordination.datagram import MALFORMED
+
+# Gossip is part of this module's interface.
+from bronzeglade.coordination.gossip import Gossip as Gossip  # noqa: F401
+from bronzeglade.coordination.membership import Membership
 from bronzeglade.settings import EntrySettings
 
 PEER_PREFIX = '/peer/'
 
+REPLY = b'/reply'  # purpose of a reply, after the handler's name
 _HTTP_OK = 200
 
 PeerHandler = Callable[[Any], Any]
@@ -47,21 +54,49 @@
         self.keys = seal.parse_keys(settings.peer_keys)
         self.listed: tuple[Vm, ...] = ()
         self.handlers: dict[str, PeerHandler] = {}
+        self.membership: Membership | None = None
 
     def update(self, vms: tuple[Vm, ...]) -> None:
-        """Take the VM list as the candidates."""
+        """Take the VM list, with the seeds, as the candidates."""
         self.listed = tuple(
             vm
             for vm in vms
             if vm.group == ENTRY_GROUP and vm.name != self.settings.vm
         )
+        self.propose()
+
+    def propose(self) -> None:
+        """Let membership probe the VMs of the list and the seeds."""
+        if self.membership is not None:
+            listed = [vm.control_address for vm in self.listed]
+            self.membership.propose(
+                [*filter(None, listed), *self.settings.seeds]
+            )
+
+    def leaving_addresses(self) -> frozenset[str]:
+        """Return the control addresses that the VM list shows as leaving."""
+        return frozenset(
+            vm.control_address
+            for vm in self.listed
+            if vm.state is VmState.LEAVING
+        )
 
     def live(self) -> tuple[Peer, ...]:
-        """Return the peers that are taken for live and are not leaving."""
+        """Return the peers that are taken for live and are not leaving.
+
+        Without membership these are the VMs of the list.
+        """
+        if self.membership is None:
+            return tuple(
+                Peer(vm.name, vm.control_address, vm.failure_domain)
+                for vm in self.listed
+                if vm.state is VmState.LIVE
+            )
+        leaving = self.leaving_addresses()
         return tuple(
-            Peer(vm.name, vm.control_address, vm.failure_domain)
-            for vm in self.listed
-            if vm.state is VmState.LIVE
+            Peer(member.vm, member.address, member.failure_domain)
+            for member in self.membership.usable()
+            if member.address not in leaving
         )
 
     def call(
@@ -77,22 +112,42 @@
         Returns:
           What the handler returned, or why there is no reply.
         """
+        purpose = name.encode()
+        message = seal.seal(self.keys, msgpack.packb(document), purpose)
+        answer = self.send(peer, name, message)
+        if isinstance(answer, Err):
+            return answer
+        reply = self._open(answer.ok_value, purpose + REPLY)
+        if isinstance(reply, Err):
+            return Err(CallFailure(sent=True, detail=reply.err_value))
+        return reply
+
+    def send(
+        self, peer: Peer, name: str, message: bytes
+    ) -> Result[bytes, CallFailure]:
+        """Send a sealed message to a peer's handler.
+
+        Args:
+          peer: whom to send it to.
+          name: name of the handler.
+          message: sealed argument.
+
+        Returns:
+          The sealed reply, or why there is none.
+        """
         answer = transport.call(
             self.pool,
             'POST',
             f'http://{peer.control_address}{PEER_PREFIX}{name}',
             self.settings.table_timeout,
-            seal.seal(self.keys, msgpack.packb(document)),
+            message,
         )
         if isinstance(answer, Err):
             return answer
         if answer.ok_value.status != _HTTP_OK:
             status = answer.ok_value.status
             return Err(CallFailure(sent=True, detail=f'status {status}'))
-        payload = seal.unseal(self.keys, answer.ok_value.body)
-        if isinstance(payload, Err):
-            return Err(CallFailure(sent=True, detail=payload.err_value))
-        return Ok(msgpack.unpackb(payload.ok_value))
+        return Ok(answer.ok_value.body)
 
     def receive(self, name: str, message: bytes) -> Result[bytes, str]:
         """Run a handler for a peer.
@@ -102,38 +157,29 @@
           message: sealed argument.
 
         Returns:
-          The sealed reply, or why the message is refused.
+          The sealed reply, or why the message is refused. A message that
+          is malformed is refused like one that is not authentic.
         """
-        payload = seal.unseal(self.keys, message)
-        if isinstance(payload, Err):
-            return payload
+        purpose = name.encode()
+        document = self._open(message, purpose)
+        if isinstance(document, Err):
+            return document
         handler = self.handlers.get(name)
         if handler is None:
             return Err(f'there is no handler {name!r}')
-        reply = handler(msgpack.unpackb(payload.ok_value))
-        return Ok(seal.seal(self.keys, msgpack.packb(reply)))
-
-
-class Gossip:
-    """Small documents that every node tells all others, by topic.
-
-    Each node owns one document for each topic; the newest one wins. The
-    document of a dead node disappears.
-    """
-
-    def __init__(self, origin: str) -> None:
-        """Know only this node.
-
-        Args:
-          origin: unique name of this process.
-        """
-        self.origin = origin
-        self.documents: dict[str, dict[str, Any]] = {}
-
-    def publish(self, topic: str, document: Any) -> None:
-        """Replace this node's document of a topic."""
-        self.documents.setdefault(topic, {})[self.origin] = document
-
-    def read(self, topic: str) -> Mapping[str, Any]:
-        """Return the documents of a topic by the origin that owns them."""
-        return self.documents.get(topic, {})
+        try:
+            reply = handler(document.ok_value)
+        except MALFORMED as error:
+            log_message('peer:malformed', name=name, error=repr(error))
+            return Err(f'malformed argument: {error!r}')
+        packed = msgpack.packb(reply)
+        return Ok(seal.seal(self.keys, packed, purpose + REPLY))
+
+    def _open(self, message: bytes, purpose: bytes) -> Result[Any, str]:
+        payload = seal.unseal(self.keys, message, purpose)
+        if isinstance(payload, Err):
+            return payload
+        try:
+            return Ok(msgpack.unpackb(payload.ok_value))
+        except MALFORMED as error:
+            return Err(f'malformed message: {error!r}')
--- a/bronzeglade/entry/process.py
+++ b/bronzeglade/entry/process.py
@@ -6,15 +6,17 @@
 from typing import Any
 
 import eventlet
+from eliot import write_traceback
 from eventlet import wsgi
 
-from bronzeglade.entry import callers, control, http
+from bronzeglade.entry import callers, control, http, protocol, status
 from bronzeglade.entry.http import Body, Environ, Request, Response
 from bronzeglade.entry.node import Node
 from bronzeglade.settings import EntrySettings
 
 BACKLOG = 512
 MAX_CONNECTIONS = 4096
+SOCKET_TIMEOUT = dt.timedelta(seconds=60)  # idle connections and each write
 POLL_INTERVAL = dt.timedelta(milliseconds=50)
 
 
@@ -35,19 +37,20 @@
       The exit code.
     """
     node = Node(settings)
-    node.start()
+    status.register(node)
     stopped = eventlet.event.Event()
-    _serve(settings.host, settings.port, _counted(node))
+    _serve(settings, settings.port, _counted(node))
     _serve(
-        settings.host,
+        settings,
         settings.control_port,
         http.wsgi(lambda request: control.handle(node, request)),
     )
+    node.start()
 
     def stop(_signal: int, _frame: Any) -> None:
         if not node.draining:
             node.draining = True
-            eventlet.spawn(_drain, node, stopped)
+            eventlet.spawn(drain, node, stopped)
 
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
@@ -55,8 +58,10 @@
     return 0
 
 
-def _serve(host: str, port: int, application: Callable[..., Body]) -> None:
-    listener = eventlet.listen((host, port), backlog=BACKLOG)
+def _serve(
+    settings: EntrySettings, port: int, application: Callable[..., Body]
+) -> None:
+    listener = eventlet.listen((settings.host, port), backlog=BACKLOG)
     eventlet.spawn(
         wsgi.server,
         listener,
@@ -64,7 +69,11 @@
         log=_NoLog(),
         log_output=False,
         max_size=MAX_CONNECTIONS,
-        socket_timeout=60,
+        protocol=protocol.bounded(settings.receive_timeout),
+        # Each part of a stream is written when it is there; the default
+        # gathers 4,096 bytes first, which delays tokens.
+        minimum_chunk_size=1,
+        socket_timeout=SOCKET_TIMEOUT.total_seconds(),
         debug=False,
     )
 
@@ -104,9 +113,29 @@
             close()
 
 
-def _drain(node: Node, stopped: Any) -> None:
+def drain(node: Node, stopped: Any) -> None:
+    """Stop gracefully.
+
+    New requests are served while callers may still use a list of addresses
+    with this node, and refused after that; requests in flight are finished.
+
+    Args:
+      node: state of this process, already marked as draining.
+      stopped: event that is sent at the end.
+    """
+    node.heartbeats.leave()
+    node.clock.sleep(node.settings.entries_max_age)
+    node.refusing = True
     deadline = node.clock.monotonic() + node.settings.drain_limit
-    eventlet.sleep(node.settings.entries_max_age.total_seconds())
+    # At least one pause, for requests that are on their way.
+    node.clock.sleep(POLL_INTERVAL)
     while node.open_requests and node.clock.monotonic() < deadline:
-        eventlet.sleep(POLL_INTERVAL.total_seconds())
+        node.clock.sleep(POLL_INTERVAL)
+    for action in (*node.on_drain, node.billing.flush):
+        try:
+            action()
+        except Exception:
+            # What remains is still handed over by the other actions.
+            write_traceback()
+    node.heartbeats.leave(gone=True)
     stopped.send()
