--- a/bronzeglade/entry/configuration.py
+++ b/bronzeglade/entry/configuration.py
@@ -122,6 +122,7 @@
         asked_at = self.services.clock.monotonic()
         outcome = heads.publish(self.services.table, published)
         if not isinstance(outcome, Err):
+            self.publication.table_answered = True
             self.adopt(outcome.ok_value, asked_at)
         return outcome
 
--- a/bronzeglade/entry/control.py
+++ b/bronzeglade/entry/control.py
@@ -141,4 +141,6 @@
     ):
         refusal = Refusal(401, 'invalid_operator_key', 'the key is not valid')
         return http.refuse(refusal, request.request_id)
+    if request.query == 'scope=node':
+        return http.json_response({'nodes': [status.of_node(node)]})
     return http.json_response({'nodes': status.of_all(node)})
