Replay pushed configurations in the cluster test

A node that adopts a lower generation was not seen by the test: the only late deliveries were datagrams, which carry no configuration. With both guards of adoption removed the test now fails. Each other invariant was broken once as well and the test failed: commit without checks (two winners), read-back by the head row only (a committed publication told it was refused), no suspicion period (a live node taken for dead), no refutation and no probes of dead nodes (no convergence of members), no adoption from the table (no convergence of generations).

--- a/bronzeglade/coordination/cluster_test.py
+++ b/bronzeglade/coordination/cluster_test.py
@@ -152,9 +152,9 @@
         table.after_lost_reply = None
 
     @rule(number=strategies.integers(0, 1000))
-    def repeat_call(self, number: int) -> None:
-        """Deliver an old call between nodes again."""
-        self.simulation.repeat_call(number)
+    def repeat_push(self, number: int) -> None:
+        """Deliver an old configuration again."""
+        self.simulation.repeat_push(number)
 
     @rule(index=INDEXES, number=strategies.integers(0, 20))
     def repeat(self, index: int, number: int) -> None:
--- a/bronzeglade/coordination/simulation.py
+++ b/bronzeglade/coordination/simulation.py
@@ -23,6 +23,7 @@
 from bronzeglade.settings import EntrySettings
 
 STEP = dt.timedelta(milliseconds=50)
+PUSH = 'configuration/push'
 STEPS_PER_TICK = 5
 STEPS_PER_POLL = 100
 STEPS_PER_COMPARISON = 100
@@ -153,7 +154,7 @@
         self.conditions = Conditions()
         self.numbers = itertools.count()
         self.queue: list[tuple[dt.timedelta, int, str, bytes]] = []
-        self.calls: list[tuple[str, str, bytes]] = []
+        self.pushes: list[tuple[str, bytes]] = []
         self.tasks: list[tuple[Callable[..., Any], tuple[Any, ...]]] = []
         self.nodes: dict[str, SimulatedNode] = {}
         self.sent_bytes = 0
@@ -206,7 +207,8 @@
         linked = self.conditions.linked(source, target)
         if node is None or node.paused or not linked:
             return Err(CallFailure(sent=False, detail='not reachable'))
-        self.calls.append((target, name, message))
+        if name == PUSH:
+            self.pushes.append((target, message))
         reply = node.peers.receive(name, message)
         if isinstance(reply, Err):
             return Err(CallFailure(sent=True, detail=reply.err_value))
@@ -215,13 +217,13 @@
             return Err(CallFailure(sent=True, detail='lost reply'))
         return Ok(reply.ok_value)
 
-    def repeat_call(self, number: int) -> None:
-        """Deliver a call a second time, late; its reply is lost."""
-        if self.calls:
-            target, name, message = self.calls[number % len(self.calls)]
+    def repeat_push(self, number: int) -> None:
+        """Deliver the push of a configuration a second time, late."""
+        if self.pushes:
+            target, message = self.pushes[number % len(self.pushes)]
             node = self.nodes.get(target)
             if node is not None:
-                node.peers.receive(name, message)
+                node.peers.receive(PUSH, message)
 
     def run(self, duration: dt.timedelta) -> None:
         """Let time pass."""
