Admit requests by rank and team within a share of the fleet's slots

Cause: every request was admitted, so a flood of one rank or team filled the engines' queues for all others.

Checks seen failing on purpose: no floors, least urgent rank first, equal weights, slot not freed, no refusal by expected wait, unbounded queue, no shedding, teams in order of name, no floors or weights in the division, nodes without a slot, no rotation, killed waiter kept, caller that left kept, silent node without a share. Two of these survived at first and got a test of their own.

--- /dev/null
+++ b/bronzeglade/decisions/shares_test.py
@@ -0,0 +1,57 @@
+"""Guards against more work than slots, and against nodes without slots."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bronzeglade.decisions.shares import capacities
+
+FLOORS = {0: 0.2, 1: 0.1, 2: 0.05}
+
+demand = st.dictionaries(
+    st.tuples(st.integers(0, 2), st.sampled_from(['a', 'b', 'c'])),
+    st.floats(0, 500),
+    max_size=6,
+)
+
+
+@given(
+    st.integers(0, 200),
+    st.dictionaries(st.sampled_from('nopqrst'), demand, min_size=1),
+    st.integers(0, 9),
+)
+def test_shares_add_up_to_the_slots(
+    slots: int, demands: dict[str, dict[tuple[int, str], float]], epoch: int
+) -> None:
+    """Nodes that together take more than the fleet overload the engines."""
+    shares = capacities(slots, demands, FLOORS, {'a': 4}, epoch)
+    assert sum(shares.values()) == slots
+    assert all(share >= 0 for share in shares.values())
+    if slots >= len(demands):
+        assert min(shares.values()) >= 1
+
+
+def test_small_team_on_its_own_node_keeps_its_slots() -> None:
+    """In proportion to plain demand a flood elsewhere takes all slots."""
+    demands = {'n1': {(1, 'large'): 900.0}, 'n2': {(1, 'small'): 8.0}}
+    shares = capacities(100, demands, FLOORS, {'large': 4})
+    assert shares['n2'] >= 8
+
+
+def test_teams_share_by_weight() -> None:
+    """Demand alone would give a flood what belongs to others."""
+    demands = {'n1': {(1, 'large'): 900.0}, 'n2': {(1, 'other'): 90.0}}
+    shares = capacities(100, demands, FLOORS, {'large': 4})
+    assert shares == {'n1': 80, 'n2': 20}
+
+
+def test_floor_reaches_the_node_of_the_lower_rank() -> None:
+    """A floor is no use on a node that has no slots for it."""
+    demands = {'n1': {(0, 'a'): 900.0}, 'n2': {(2, 'b'): 50.0}}
+    assert capacities(100, demands, FLOORS, {})['n2'] >= 5
+
+
+def test_single_slots_rotate() -> None:
+    """With fewer slots than nodes each node must have its turn."""
+    demands = {f'n{number}': {(1, 'a'): 1.0} for number in range(6)}
+    turns = [capacities(2, demands, FLOORS, {}, epoch) for epoch in range(60)]
+    assert all(sum(turn[node] for turn in turns) > 5 for node in demands)
--- a/bronzeglade/entry/admission.py
+++ b/bronzeglade/entry/admission.py
@@ -1,32 +1,72 @@
-"""Admission of requests to the fleet's capacity."""
+"""Admission of requests to this node's part of the fleet's capacity."""
 
-import dataclasses
+import collections
 import datetime as dt
+import random
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
 
-from result import Ok, Result
+import eventlet
+from eventlet.event import Event
+from result import Err, Ok, Result
 
+from bronzeglade.catalog import Catalog
+from bronzeglade.clock import Clock
+from bronzeglade.decisions import admission as decisions
+from bronzeglade.decisions.admission import (
+    Admitted,
+    AdmissionSettings,
+    Decision,
+    Ticket,
+    Work,
+)
+from bronzeglade.decisions.shares import capacities
+from bronzeglade.entry.peers import Gossip
+from bronzeglade.entry.workers import Worker
 from bronzeglade.manifest import Rank, Team
 from bronzeglade.outcome import Refusal
 
+TOPIC = 'demand'
+GONE_CHECK_S = 0.25  # time between looks whether a waiting caller has left
+TICK_S = 0.1
+PUBLISH_TICKS = 5
+SETTLE_TICKS = 20  # a higher share is used when it has lasted for 2 s
+EPOCH_S = 5
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ticket:
-    """Leave to run one request of a model; released exactly once."""
-
-    team: str
-    rank: str
-    model: str
+GONE = Refusal(503, 'caller_gone', 'the caller disconnected while queued')
 
 
 class Admission:
-    """Admits every request."""
+    """Lets requests wait for their turn; one green thread for each."""
+
+    def __init__(
+        self, gossip: Gossip, clock: Clock, source: random.Random
+    ) -> None:
+        """Create an admission that knows no workers.
 
-    def __init__(self) -> None:
-        """Start with no open tickets."""
+        Args:
+          gossip: carries the demand of all nodes.
+          clock: monotonic time.
+          source: random numbers.
+        """
+        self.gossip = gossip
+        self.clock = clock
+        self.queue = decisions.Admission(AdmissionSettings(), clock, source)
+        self.events: dict[int, Event] = {}
         self.open = 0
+        self.slots: dict[str, int] = {}
+        self.weights: dict[str, float] = {}
+        self.others: tuple[str, ...] = ()
+        self.recent: dict[str, collections.deque[int]] = {}
+        self.ticks = 0
 
     def enter(
-        self, team: Team, rank: Rank, model: str, deadline: dt.timedelta
+        self,
+        team: Team,
+        rank: Rank,
+        model: str,
+        deadline: dt.timedelta,
+        is_gone: Callable[[], bool] = bool,
     ) -> Result[Ticket, Refusal]:
         """Wait for leave to run a request.
 
@@ -35,13 +75,146 @@
           rank: rank of the request.
           model: model that is to answer.
           deadline: monotonic time by which the answer is needed.
+          is_gone: whether the caller has disconnected.
 
         Returns:
-          A ticket, or a refusal at once; nothing has run.
+          A ticket, or a refusal as soon as it is certain; nothing has run.
         """
+        ticket, decided = self.queue.submit(
+            Work(
+                team=team.name,
+                weight=team.weight,
+                rank=rank.name,
+                priority=rank.priority,
+                model=model,
+                deadline=deadline,
+                patience=dt.timedelta(milliseconds=rank.first_token_ms),
+            )
+        )
+        event = Event()
+        self.events[ticket.number] = event
+        self._announce(decided)
+        decision = self._wait(ticket, event, is_gone)
+        if isinstance(decision, Refusal):
+            return Err(decision)
         self.open += 1
-        return Ok(Ticket(team.name, rank.name, model))
+        return Ok(ticket)
 
     def leave(self, ticket: Ticket) -> None:
         """Return a ticket when its request has ended."""
         self.open -= 1
+        self._announce(self.queue.release(ticket))
+
+    def update(
+        self, catalog: Catalog, workers: Iterable[Worker], others: Iterable[str]
+    ) -> None:
+        """Take the configuration and the workers in force.
+
+        Args:
+          catalog: ranks and teams.
+          workers: endpoints that may receive work.
+          others: VMs of the other live nodes.
+        """
+        slots: collections.Counter[str] = collections.Counter()
+        for worker in workers:
+            if worker.model is not None:
+                slots[worker.model] += worker.slots
+        self.slots = {model: slots[model] for model in catalog.models}
+        self.others = tuple(others)
+        self.weights = {one.name: one.weight for one in catalog.manifest.teams}
+        self.queue.set_floors(
+            {one.priority: one.floor for one in catalog.manifest.ranks}
+        )
+        self._divide()
+
+    def tick(self) -> None:
+        """Refuse who waited too long; now and then divide the slots anew."""
+        self._announce(self.queue.due())
+        self.ticks += 1
+        if self.ticks % PUBLISH_TICKS == 0:
+            self.gossip.publish(TOPIC, self._demand())
+        self._divide()
+
+    def _wait(
+        self, ticket: Ticket, event: Event, is_gone: Callable[[], bool]
+    ) -> Refusal | None:
+        try:
+            refusal = self._decision(event, is_gone)
+        except BaseException:
+            self._abandon(ticket, event)
+            raise
+        self.events.pop(ticket.number)
+        if refusal is GONE:
+            self._announce(self.queue.release(ticket))
+        return refusal
+
+    def _decision(
+        self, event: Event, is_gone: Callable[[], bool]
+    ) -> Refusal | None:
+        while not event.ready():
+            with eventlet.Timeout(GONE_CHECK_S, False):
+                event.wait()
+            if not event.ready() and is_gone():
+                return GONE
+        refusal: Refusal | None = event.wait()
+        return refusal
+
+    def _abandon(self, ticket: Ticket, event: Event) -> None:
+        self.events.pop(ticket.number, None)
+        if not event.ready() or event.wait() is None:
+            self._announce(self.queue.release(ticket))
+
+    def _announce(self, decided: Iterable[Decision]) -> None:
+        for decision in decided:
+            event = self.events.get(decision.ticket.number)
+            if event is None:
+                continue
+            if isinstance(decision, Admitted):
+                event.send(None)
+            else:
+                event.send(decision.refusal)
+
+    def _demand(self) -> dict[str, list[list[Any]]]:
+        demand: dict[str, list[list[Any]]] = {}
+        for model in self.slots:
+            entries = [
+                [priority, team, round(amount, 1)]
+                for (priority, team), amount in self.queue.demand(model).items()
+            ]
+            if entries:
+                demand[model] = entries
+        return demand
+
+    def _divide(self) -> None:
+        if self.ticks % PUBLISH_TICKS:
+            return
+        known = dict(self.gossip.read(TOPIC))
+        known[self.gossip.origin] = self._demand()
+        # A node that is live but has not told its demand has a share too.
+        told = {origin.rpartition('-')[0] for origin in known}
+        silent = [vm for vm in self.others if vm not in told]
+        nodes = {**known, **{vm: {} for vm in silent}}
+        for model, slots in self.slots.items():
+            self._set(model, slots, nodes)
+
+    def _set(self, model: str, slots: int, nodes: Mapping[str, Any]) -> None:
+        share = capacities(
+            slots,
+            {
+                node: {
+                    (int(priority), str(team)): float(amount)
+                    for priority, team, amount in document.get(model, ())
+                }
+                for node, document in nodes.items()
+            },
+            self.queue.floors,
+            self.weights,
+            int(self.clock.now().timestamp() // EPOCH_S),
+        )[self.gossip.origin]
+        # A lower share counts at once and a higher one only when it has
+        # lasted, so that nodes that give and nodes that take do not overlap.
+        recent = self.recent.setdefault(
+            model, collections.deque(maxlen=SETTLE_TICKS // PUBLISH_TICKS)
+        )
+        recent.append(share)
+        self._announce(self.queue.set_capacity(model, min(recent)))
--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -33,7 +33,11 @@
 def _run(node: Node, work: Work) -> Response:
     request_id = work.request.request_id
     ticket = node.admission.enter(
-        work.caller.team, work.caller.rank, work.choice.model, work.deadline
+        work.caller.team,
+        work.caller.rank,
+        work.choice.model,
+        work.deadline,
+        work.request.has_caller_left,
     )
     if isinstance(ticket, Err):
         return http.refuse(ticket.err_value, request_id)
--- a/bronzeglade/entry/dispatch.py
+++ b/bronzeglade/entry/dispatch.py
@@ -9,11 +9,11 @@
 from bronzeglade.adapters import engine as engines
 from bronzeglade.adapters.engine import EngineRefusal, EngineStream
 from bronzeglade.adapters.transport import CallFailure
+from bronzeglade.decisions.admission import Ticket
 from bronzeglade.decisions.prefix import prompt_blocks
 from bronzeglade.decisions.retry import Failure, failure_of_status
 from bronzeglade.decisions.routing import NoWorker, RoutedRequest
 from bronzeglade.entry.access import Caller
-from bronzeglade.entry.admission import Ticket
 from bronzeglade.entry.answer import Answer
 from bronzeglade.entry.completion import ChatRequest
 from bronzeglade.entry.http import Request
--- a/bronzeglade/entry/dispatch_test.py
+++ b/bronzeglade/entry/dispatch_test.py
@@ -52,10 +52,12 @@
         server.server_close()
 
 
-def catalog_of(document: Any) -> catalogs.Catalog | None:
+def catalog_of(document: Any) -> catalogs.Catalog:
     """Return the catalog of a manifest."""
     text = json.dumps(document).encode()
-    return catalogs.build(Configuration(1, 'd', text))[0]
+    catalog, errors = catalogs.build(Configuration(1, 'd', text))
+    assert catalog is not None, errors
+    return catalog
 
 
 def node_with(addresses: list[str]) -> Node:
@@ -73,7 +75,8 @@
         }
     )
     node = Node(settings)
-    node.catalog = catalog_of(deployments.manifest(deployments.BROLGA))
+    catalog = catalog_of(deployments.manifest(deployments.BROLGA))
+    node.catalog = catalog
     node.workers = tuple(
         Worker(
             vm=f'w{index}',
@@ -87,6 +90,7 @@
         )
         for index, address in enumerate(addresses)
     )
+    node.admission.update(catalog, node.workers, ())
     return node
 
 
--- a/bronzeglade/entry/http.py
+++ b/bronzeglade/entry/http.py
@@ -4,6 +4,7 @@
 import datetime as dt
 import json
 import math
+import socket
 import uuid
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
@@ -72,6 +73,19 @@
         found = self.environ.get(key)
         return None if found is None else str(found)
 
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed its connection."""
+        body = self.environ.get('wsgi.input')
+        connection = getattr(body, 'get_socket', lambda: None)()
+        if connection is None:
+            return False
+        try:
+            return not connection.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def bearer_key(self) -> str:
         """Return the key of the Authorization header, or an empty string."""
         scheme, _, key = (self.header('Authorization') or '').partition(' ')
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -17,7 +17,7 @@
 from bronzeglade.coordination.head import Published, read_published
 from bronzeglade.decisions.retry import RetryBudget, RetrySettings
 from bronzeglade.decisions.routing import Routing, RoutingSettings
-from bronzeglade.entry.admission import Admission
+from bronzeglade.entry.admission import TICK_S, Admission
 from bronzeglade.entry.billing import Billing
 from bronzeglade.entry.feeds import Feeds
 from bronzeglade.entry.peers import Gossip, Peers
@@ -61,7 +61,7 @@
         self.gossip = Gossip(self.origin)
         self.sessions = Sessions()
         self.versions = Versions(self.gossip)
-        self.admission = Admission()
+        self.admission = Admission(self.gossip, self.clock, self.random)
         self.routing = Routing(RoutingSettings(), self.clock, self.random)
         self.feeds = Feeds(settings, self.pool, self.routing)
         self.retries = RetryBudget(RetrySettings())
@@ -78,6 +78,7 @@
         )
         eventlet.spawn(self.billing.run)
         self._every(0, self.feeds.read_next)
+        self._every(TICK_S, self.admission.tick)
 
     def read_vms(self) -> None:
         """Read the VM list; the last list stays when that fails."""
@@ -127,6 +128,11 @@
         if self.catalog is not None:
             self.workers = live_workers(self.catalog, self.vms)
             self.feeds.update(self.workers)
+            self.admission.update(
+                self.catalog,
+                self.workers,
+                [peer.vm for peer in self.peers.live()],
+            )
             self.routing.delays = failure_domain_delays(
                 self.catalog, self.settings.failure_domain
             )
