--- a/bronzeglade/entry/dispatch_test.py
+++ b/bronzeglade/entry/dispatch_test.py
@@ -11,6 +11,7 @@
 
 from bronzeglade import catalog as catalogs
 from bronzeglade.catalog import Configuration
+from bronzeglade.coordination.head import Published
 from bronzeglade.entry import chat
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
@@ -52,10 +53,12 @@
         server.server_close()
 
 
-def catalog_of(document: Any) -> catalogs.Catalog | None:
+def catalog_of(document: Any) -> catalogs.Catalog:
     """Return the catalog of a manifest."""
     text = json.dumps(document).encode()
-    return catalogs.build(Configuration(1, 'd', text))[0]
+    catalog, errors = catalogs.build(Configuration(1, 'd', text))
+    assert catalog is not None, errors
+    return catalog
 
 
 def node_with(addresses: list[str]) -> Node:
@@ -73,7 +76,8 @@
         }
     )
     node = Node(settings)
-    node.catalog = catalog_of(deployments.manifest(deployments.BROLGA))
+    catalog = catalog_of(deployments.manifest(deployments.BROLGA))
+    node.adopt(Published(catalog.configuration, 'first', 'operator'))
     node.workers = tuple(
         Worker(
             vm=f'w{index}',
@@ -87,6 +91,9 @@
         )
         for index, address in enumerate(addresses)
     )
+    # The share of the moment without workers would count for two seconds.
+    node.admission.recent.clear()
+    node.admission.update(catalog, node.workers, ())
     return node
 
 
--- a/bronzeglade/entry/http.py
+++ b/bronzeglade/entry/http.py
@@ -4,6 +4,7 @@
 import datetime as dt
 import json
 import math
+import socket
 import uuid
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
@@ -11,6 +12,7 @@
 import eventlet
 from result import Err, Ok, Result
 
+from bronzeglade.entry import protocol
 from bronzeglade.outcome import Refusal
 
 Environ = dict[str, Any]
@@ -44,6 +46,7 @@
     429: 'rate_limit_error',
 }
 _FIRST_SERVER_ERROR = 500
+CLOSE = 'Connection'  # a response with this header ends its connection
 _READ_SIZE = 65536  # bytes
 
 
@@ -72,6 +75,19 @@
         found = self.environ.get(key)
         return None if found is None else str(found)
 
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed its connection."""
+        body = self.environ.get('wsgi.input')
+        connection = getattr(body, 'get_socket', lambda: None)()
+        if connection is None:
+            return False
+        try:
+            return not connection.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def bearer_key(self) -> str:
         """Return the key of the Authorization header, or an empty string."""
         scheme, _, key = (self.header('Authorization') or '').partition(' ')
@@ -101,14 +117,50 @@
     """
 
     def application(environ: Environ, start: StartResponse) -> Body:
-        response = handler(read_head(environ))
+        request = read_head(environ)
+        refusal = head_refusal(request)
+        if refusal is None:
+            response = handler(request)
+        else:
+            response = refuse(refusal, request.request_id)
         reason = _REASONS.get(response.status, 'Unknown')
-        start(f'{response.status} {reason}', list(response.headers.items()))
+        headers = dict(response.headers)
+        if headers.pop(CLOSE, '') or _has_rest(environ):
+            environ[protocol.KEY].close_after_response()
+        start(f'{response.status} {reason}', list(headers.items()))
         return response.body
 
     return application
 
 
+def head_refusal(request: Request) -> Refusal | None:
+    """Return the refusal of a head that is not UTF-8, or None.
+
+    The server hands over each byte as one character.
+
+    Args:
+      request: as the server read it.
+    """
+    parts = {'path': request.path, 'query': request.query}
+    parts.update(request.environ.get('headers_raw', ()))
+    for name, text in parts.items():
+        try:
+            text.encode('latin-1').decode()
+        except UnicodeError:
+            message = f'{ascii(name)} is not valid UTF-8'
+            return Refusal(400, 'invalid_encoding', message)
+    return None
+
+
+def _has_rest(environ: Environ) -> bool:
+    # The server would read the rest of a refused body before the next
+    # request, however long it is.
+    body = environ.get('eventlet.input')
+    if body is None or protocol.KEY not in environ:
+        return False
+    return bool(body.chunked_input) or body.position < body.content_length
+
+
 def read_head(environ: Environ) -> Request:
     """Build the request of a WSGI environment, under a new identity."""
     return Request(
--- a/bronzeglade/entry/rollouts_test.py
+++ b/bronzeglade/entry/rollouts_test.py
@@ -63,10 +63,10 @@
         self.clock = builders.ManualClock()
         self.table = FakeTable()
         self.catalog = builders.catalog(ROLLOUT)
-        shared = Gossip('shared')
+        shared = Gossip('shared', self.clock)
         self.nodes: list[Rollouts] = []
         for index in range(4):
-            gossip = Gossip(f'n{index}')
+            gossip = Gossip(f'n{index}', self.clock)
             gossip.documents = shared.documents
             self.nodes.append(self.node(index, gossip))
 
@@ -140,7 +140,7 @@
     world.nodes[2].view.halt(rows.run_id(ROLLOUT), 'errors')
     for _ in range(3):
         world.turn()
-    fresh = world.node(9, Gossip('n9'))
+    fresh = world.node(9, Gossip('n9', world.clock))
     fresh.poll()
     assert fresh.view.halt_reason(ROLLOUT) == 'errors'
     assert fresh.view.share(ROLLOUT) == 0
--- a/bronzeglade/entry/versions_test.py
+++ b/bronzeglade/entry/versions_test.py
@@ -22,7 +22,7 @@
 
 def running(confirmation: Confirmation | None = None) -> Versions:
     """Return versions whose roll-out is at its last step."""
-    versions = Versions(Gossip('node'), confirmation)
+    versions = Versions(Gossip('node', builders.ManualClock()), confirmation)
     progress = Progress(run_id(ROLLOUT), 2, 1, RolloutState.RUNNING, 1, 3)
     versions.view.learn(ROLLOUT.name, progress)
     versions.track([ROLLOUT])
@@ -31,7 +31,7 @@
 
 def test_unknown_step_gives_the_candidate_nothing() -> None:
     """A node that starts in an outage knows no step and maybe no halt."""
-    versions = Versions(Gossip('node'))
+    versions = Versions(Gossip('node', builders.ManualClock()))
     assert versions.offered(CATALOG, 'm', BOTH).unbound == ('v1',)
     assert versions.preferred(CATALOG, 'm', BOTH, 'unit') == 'v1'
     assert not versions.permits(CATALOG, 'm', 'v2', bound=False)
--- a/fleet/operator.py
+++ b/fleet/operator.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+import msgpack
 import urllib3
 from urllib3.exceptions import HTTPError
 
@@ -122,9 +123,9 @@
 
     def _read_manifest(self, generation: int) -> None:
         # Another operator's document is in the table under its generation.
-        text = self.fleet.table_row(f'config/generation/{generation:010d}')
-        if text is not None:
-            self.document = json.loads(text)
+        row = self.fleet.table_row(f'config/generation/{generation:010d}')
+        if row is not None:
+            self.document = json.loads(msgpack.unpackb(row)['text'])
             self.generation = generation
 
     def _send(
@@ -166,7 +167,7 @@
         try:
             reply = self.http.request(
                 'GET',
-                f'http://{entry.control_address}/operator/status',
+                f'http://{entry.control_address}/operator/status?scope=node',
                 headers=operator_headers(),
                 timeout=STATUS_S,
             )
--- a/fleet/rollout_parts.py
+++ b/fleet/rollout_parts.py
@@ -89,7 +89,7 @@
           clock: tells when a document was published.
           network: documents of all nodes.
         """
-        super().__init__(origin)
+        super().__init__(origin, clock)
         self.clock = clock
         self.network = network
 
