Add the publish and status commands and limit the rate of gossip

Cause: operators had no command; a wrong call showed its errors one by one. Documents that change each second displaced each other in the datagrams of 120 and more nodes, so most versions reached nobody.

Change: manifest publish and status, with every flag as a variable, all errors at once and documented exit codes. A node passes on a new version of its own document at most once in a period that grows with the bytes of all documents. Facts about nodes take at most half of a datagram.

--- a/bronzeglade/coordination/exchange.py
+++ b/bronzeglade/coordination/exchange.py
@@ -1,8 +1,7 @@
 """Composition of datagrams from membership, gossip and the heartbeat."""
 
 import dataclasses
-from collections.abc import Callable, Iterator, Sequence
-from typing import Any
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from result import Err
 
@@ -21,10 +20,12 @@
 from bronzeglade.coordination.seal import SharedKey
 
 TICKS_PER_INTERVAL = 4  # one probe and up to three messages of gossip only
-SMALLEST_PART = 32  # bytes; with less room nothing more fits
+# A datagram is full when this many items did not fit into the rest of it.
+MISSES = 3
 PURPOSE = b'datagram'
 
 Packed = tuple[str, bytes]  # control address, sealed datagram
+Part = tuple[bytes, Callable[[], None]]  # packed item, counts its sending
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +73,8 @@
             self.periods = self.membership.periods
             self.limit = repeat_limit(self.membership.size())
             self.gossip.expire(*self._origins())
+            self.gossip.limit_rate()
+        self.gossip.release()
         if not outgoing and (
             self.gossip.news.counts or self.membership.news.counts
         ):
@@ -129,16 +132,16 @@
         )
         parts = [datagrams.pack_head(message)]
         room = PAYLOAD_LIMIT - len(parts[0])
-        for part, sent in self._parts(outgoing.address):
-            if len(part) <= room:
-                parts.append(part)
-                room -= len(part)
-                sent()
-            elif room < SMALLEST_PART:
-                break
-        return seal.seal(self.keys, b''.join(parts), PURPOSE)
-
-    def _parts(self, address: str) -> Iterator[tuple[bytes, Callable[[], Any]]]:
+        # Facts about nodes leave room for documents: when a whole fleet
+        # starts, its facts would displace every document for minutes.
+        share = room // 2 if self.gossip.news.counts else room
+        members = _fill(self._members(outgoing.address), share)
+        room -= sum(map(len, members))
+        documents = _fill(self._documents(), room)
+        packed = b''.join((*parts, *members, *documents))
+        return seal.seal(self.keys, packed, PURPOSE)
+
+    def _members(self, address: str) -> Iterator[Part]:
         urgent = self.membership.urgent(address)
         if urgent is not None:
             yield datagrams.pack_member(urgent), _nothing
@@ -146,6 +149,8 @@
             member = self._member(name)
             if member is not None and (name != address or urgent is None):
                 yield datagrams.pack_member(member), self._member_sent(name)
+
+    def _documents(self) -> Iterator[Part]:
         for key in self.gossip.news.keys():
             document = self.gossip.inline(key)
             if document is not None:
@@ -165,5 +170,20 @@
         return lambda: self.gossip.news.sent(key, self.limit)
 
 
+def _fill(parts: Iterable[Part], room: int) -> list[bytes]:
+    filled: list[bytes] = []
+    misses = 0
+    for part, sent in parts:
+        if len(part) <= room:
+            filled.append(part)
+            room -= len(part)
+            sent()
+        else:
+            misses += 1
+        if misses == MISSES:
+            break
+    return filled
+
+
 def _nothing() -> None:
     """Count nothing: urgent facts are repeated for as long as they hold."""
--- a/bronzeglade/coordination/gossip.py
+++ b/bronzeglade/coordination/gossip.py
@@ -19,6 +19,10 @@
 # Documents of an origin that membership does not name are kept this long:
 # the fact about a new node may arrive after its documents.
 UNKNOWN_ORIGIN_GRACE = dt.timedelta(seconds=30)
+# Bytes a second of changed documents that reach every node through the
+# messages; more would make newer versions displace others half-way.
+DOCUMENT_RATE = 3000
+DOCUMENT_OVERHEAD = 30  # bytes of names and version
 DIFFERENCE_LIMIT = 262_144  # bytes of documents in one anti-entropy reply
 FINGERPRINT_BYTES = 6
 
@@ -48,12 +52,15 @@
         self.dead: set[str] = set()
         self.news: News[Key] = News()
         self.wanted: set[Key] = set()
+        self.waiting: dict[Key, bytes] = {}
+        self.refresh = dt.timedelta()
         self.refused = 0
 
     def publish(self, topic: str, document: Any) -> None:
         """Replace this node's document of a topic.
 
         A document above DOCUMENT_LIMIT is refused: the earlier one stays.
+        Others see a document that changes often at most once each `refresh`.
 
         Args:
           topic: name of at most 64 characters.
@@ -64,11 +71,31 @@
             self.refused += 1
             log_message('gossip:refused', topic=topic, size=len(body))
             return
-        before = self.stored.get((self.origin, topic))
-        if before is not None and before.body == body:
+        key = (self.origin, topic)
+        self.documents.setdefault(topic, {})[self.origin] = document
+        if key in self.stored and self.stored[key].body == body:
+            self.waiting.pop(key, None)
             return
-        version = 1 if before is None else before.version + 1
-        self._store(Document(self.origin, topic, version, body), document)
+        self.waiting[key] = body
+        self.release()
+
+    def release(self) -> None:
+        """Pass on the documents of this node that waited for `refresh`."""
+        now = self.clock.monotonic()
+        for key, body in tuple(self.waiting.items()):
+            before = self.stored.get(key)
+            if before is None or now - self.received[key] >= self.refresh:
+                version = 1 if before is None else before.version + 1
+                self._store(Document(*key, version, body))
+                self.waiting.pop(key)
+
+    def limit_rate(self) -> None:
+        """Set `refresh` so that changes of all documents fit the messages."""
+        size = sum(
+            DOCUMENT_OVERHEAD + len(document.body or b'')
+            for document in self.stored.values()
+        )
+        self.refresh = dt.timedelta(seconds=size / DOCUMENT_RATE)
 
     def read(self, topic: str) -> Mapping[str, Any]:
         """Return the documents of a topic by the origin that owns them."""
@@ -94,7 +121,8 @@
             return True
         decoded = _decode(document.body)
         if decoded is not None:
-            self._store(document, decoded[0])
+            self.documents.setdefault(key[1], {})[key[0]] = decoded[0]
+            self._store(document)
         return False
 
     def expire(self, live: Iterable[str], dead: Iterable[str]) -> None:
@@ -161,11 +189,10 @@
             if fingerprint(key) in wanted
         ]
 
-    def _store(self, document: Document, decoded: Any) -> None:
+    def _store(self, document: Document) -> None:
         key = (document.origin, document.topic)
         self.stored[key] = document
         self.received[key] = self.clock.monotonic()
-        self.documents.setdefault(document.topic, {})[document.origin] = decoded
         self.wanted.discard(key)
         self.news.add(key)
 
--- a/bronzeglade/coordination/membership.py
+++ b/bronzeglade/coordination/membership.py
@@ -136,7 +136,9 @@
 
     def size(self) -> int:
         """Return the number of nodes that are not dead, with this one."""
-        return len(self.members()) + 1
+        dead = MemberState.DEAD
+        live = [one for one in self.known.values() if one.state is not dead]
+        return len(live) + 1
 
     def suspicion(self) -> dt.timedelta:
         """Return how long a suspect may refute."""
@@ -165,7 +167,6 @@
             outgoing.extend(self._period(now))
         else:
             outgoing.extend(self._indirect(now))
-        self._expire(now)
         return outgoing
 
     def receive(self, message: Message) -> list[Outgoing]:
@@ -260,6 +261,7 @@
         self.next_period = now + self.interval
         self.periods += 1
         self._judge()
+        self._expire(now)
         self.relays = {
             number: relay
             for number, relay in self.relays.items()
--- a/bronzeglade/coordination/simulation.py
+++ b/bronzeglade/coordination/simulation.py
@@ -26,7 +26,6 @@
 PUSH = 'configuration/push'
 STEPS_PER_TICK = 5
 STEPS_PER_POLL = 100
-STEPS_PER_COMPARISON = 100
 
 
 @dataclasses.dataclass(slots=True)
@@ -116,6 +115,9 @@
         )
         self.heartbeats.socket = SimulatedSocket(self.address, simulation)
         self.paused = False
+        # Nodes do not compare at the same moment.
+        first = STEPS_PER_POLL * source.random()
+        self.next_comparison = clock.monotonic() + STEP * first
 
     def step(self, number: int) -> None:
         """Do what is due in a step."""
@@ -125,8 +127,15 @@
             self.heartbeats.tick()
         if number % STEPS_PER_POLL == 0:
             self.distribution.poll()
-        if number % STEPS_PER_COMPARISON == 0 and self.peers.live():
-            peers = self.peers.live()
+        self._compare()
+
+    def _compare(self) -> None:
+        now = self.simulation.clock.monotonic()
+        if now < self.next_comparison:
+            return
+        self.next_comparison = now + self.heartbeats.comparison_interval()
+        peers = self.peers.live()
+        if peers:
             self.heartbeats.compare_with(self.membership.random.choice(peers))
 
     def taken_for_dead(self) -> set[str]:
@@ -158,6 +167,8 @@
         self.tasks: list[tuple[Callable[..., Any], tuple[Any, ...]]] = []
         self.nodes: dict[str, SimulatedNode] = {}
         self.sent_bytes = 0
+        self.sent_datagrams = 0
+        self.called = 0
         self.largest = 0
         self.called_bytes = 0
         self.steps = 0
@@ -184,6 +195,7 @@
     def send(self, source: str, target: str, packed: bytes) -> None:
         """Send a datagram under the conditions of the network."""
         self.sent_bytes += len(packed)
+        self.sent_datagrams += 1
         self.largest = max(self.largest, len(packed))
         conditions = self.conditions
         copies = 1 + (self.random.random() < conditions.duplicates)
@@ -212,6 +224,7 @@
         reply = node.peers.receive(name, message)
         if isinstance(reply, Err):
             return Err(CallFailure(sent=True, detail=reply.err_value))
+        self.called += 1
         self.called_bytes += len(message) + len(reply.ok_value)
         if self.random.random() < self.conditions.loss:
             return Err(CallFailure(sent=True, detail='lost reply'))
--- a/bronzeglade/entry/heartbeats.py
+++ b/bronzeglade/entry/heartbeats.py
@@ -68,6 +68,7 @@
         )
         self.socket: Any = None
         self.joined = False
+        self.periods = 0
         self.fetching: set[Key] = set()
         links.peers.membership = links.membership
         links.peers.handlers['gossip/compare'] = self.compare
@@ -133,8 +134,10 @@
             self.joined = True
             self._send_all(self.exchange.join())
         self._send_all(self.exchange.tick())
-        live = {one.address for one in self.links.membership.members()}
-        self.publication.forget(live)
+        if self.links.membership.periods != self.periods:
+            self.periods = self.links.membership.periods
+            members = self.links.membership.members()
+            self.publication.forget({one.address for one in members})
 
     def _spawn(self, action: Callable[..., None], *arguments: Any) -> None:
         self.links.distribution.services.spawn(action, *arguments)
@@ -181,13 +184,17 @@
 
     def _anti_entropy_loop(self) -> None:
         while True:
-            nodes = self.links.membership.size()
-            grown = dt.timedelta(seconds=nodes / NODES_PER_INTERVAL_SECOND)
-            self.links.clock.sleep(max(ANTI_ENTROPY_INTERVAL, grown))
+            self.links.clock.sleep(self.comparison_interval())
             peers = self.links.peers.live()
             if peers:
                 self.compare_with(self.links.membership.random.choice(peers))
 
+    def comparison_interval(self) -> dt.timedelta:
+        """Return the time between two anti-entropy exchanges."""
+        nodes = self.links.membership.size()
+        grown = dt.timedelta(seconds=nodes / NODES_PER_INTERVAL_SECOND)
+        return max(ANTI_ENTROPY_INTERVAL, grown)
+
     def compare_with(self, peer: Peer) -> None:
         """Exchange with a peer what either of the two lacks."""
         gossip = self.links.gossip
--- a/bronzeglade/main.py
+++ b/bronzeglade/main.py
@@ -9,8 +9,14 @@
 green.patch()
 
 from bronzeglade import manifest as manifests  # noqa: E402
+from bronzeglade import operations  # noqa: E402
 from bronzeglade import settings as all_settings  # noqa: E402
 from bronzeglade.entry import process  # noqa: E402
+from bronzeglade.operations import (  # noqa: E402
+    OperatorSettings,
+    PublishSettings,
+    StatusSettings,
+)
 from bronzeglade.settings import EntrySettings  # noqa: E402
 
 EXIT_USAGE = 2
@@ -35,8 +41,13 @@
         if command is not None:
             return command(words[length:])
     names = '\n'.join(f'  {name}' for name in COMMANDS)
-    sys.stderr.write(f'usage: bronzeglade COMMAND\n{names}\n')
-    return 0 if '--help' in words else EXIT_USAGE
+    wanted = '--help' in words
+    stream = sys.stdout if wanted else sys.stderr
+    stream.write(
+        f'usage: bronzeglade COMMAND\n{names}\n'
+        'Each command explains its flags with --help.\n'
+    )
+    return 0 if wanted else EXIT_USAGE
 
 
 def _fail(errors: Sequence[str]) -> int:
@@ -57,7 +68,11 @@
 
 def _check(words: Sequence[str]) -> int:
     if len(words) != 1 or words[0] == '--help':
-        sys.stdout.write('usage: bronzeglade manifest check FILE\n')
+        sys.stdout.write(
+            'usage: bronzeglade manifest check FILE\n'
+            'Prints every error of a manifest. Exit codes: 0 valid, '
+            '1 invalid, 2 wrong call.\n'
+        )
         return 0 if '--help' in words else EXIT_USAGE
     try:
         text = Path(words[0]).read_bytes()
@@ -71,7 +86,48 @@
     return 0
 
 
-def _schema(_words: Sequence[str]) -> int:
+def _publish(words: Sequence[str]) -> int:
+    usage = 'usage: bronzeglade manifest publish FILE FLAGS'
+    if '--help' in words:
+        return _help(usage, PublishSettings)
+    files = [word for word in words if not word.startswith('--')]
+    given = [word for word in words if word.startswith('--')]
+    settings, errors = all_settings.parse(PublishSettings, given, 'publish')
+    if len(files) == 1:
+        text, file_errors = operations.read_file(files[0])
+        errors = [*errors, *file_errors]
+    else:
+        errors = [*errors, 'name one FILE; write flags as --name=value']
+    if settings is None or errors:
+        return _fail(errors)
+    return operations.show(operations.publish(settings, text))
+
+
+def _status(words: Sequence[str]) -> int:
+    if '--help' in words:
+        return _help('usage: bronzeglade status FLAGS', StatusSettings)
+    given = [
+        '--json_output=true' if word == '--json' else word for word in words
+    ]
+    settings, errors = all_settings.parse(StatusSettings, given, 'status')
+    if settings is None:
+        return _fail(errors)
+    return operations.show(operations.status(settings))
+
+
+def _help(usage: str, model: type[OperatorSettings]) -> int:
+    flags = all_settings.help_text(model)
+    sys.stdout.write(f'{usage}\n{flags}\n{operations.EXIT_CODES}\n')
+    return 0
+
+
+def _schema(words: Sequence[str]) -> int:
+    if words:
+        sys.stdout.write(
+            'usage: bronzeglade manifest schema\n'
+            'Prints the JSON Schema of the manifest.\n'
+        )
+        return 0 if '--help' in words else EXIT_USAGE
     sys.stdout.write(manifests.schema() + '\n')
     return 0
 
@@ -79,7 +135,9 @@
 COMMANDS: dict[str, Callable[[Sequence[str]], int]] = {
     'entry': _entry,
     'manifest check': _check,
+    'manifest publish': _publish,
     'manifest schema': _schema,
+    'status': _status,
 }
 
 if __name__ == '__main__':
--- a/bronzeglade/settings.py
+++ b/bronzeglade/settings.py
@@ -203,13 +203,32 @@
     """
     values = flags.FlagValues()
     define_flags(model, values)
+    known, errors = _split_unknown(model, arguments)
     try:
-        rest = values([program, *arguments])
+        rest = values([program, *known])
     except flags.Error as error:
-        return None, [str(error)]
-    if len(rest) > 1:
-        return None, [f'unexpected argument {word!r}' for word in rest[1:]]
-    return load(model, values)
+        return None, [*errors, str(error)]
+    errors.extend(f'unexpected argument {word!r}' for word in rest[1:])
+    settings, invalid = load(model, values)
+    errors.extend(invalid)
+    return (None if errors else settings), errors
+
+
+def _split_unknown(
+    model: type[pd.BaseModel], arguments: Sequence[str]
+) -> tuple[list[str], list[str]]:
+    # The parser stops at the first flag that it does not know, and would
+    # hide the other errors.
+    names = {*model.model_fields, 'flagfile', 'undefok'}  # of absl itself
+    known: list[str] = []
+    errors: list[str] = []
+    for word in arguments:
+        name = word.lstrip('-').partition('=')[0].replace('-', '_')
+        if word.startswith('-') and name not in names:
+            errors.append(f'--{name}: no such flag')
+        else:
+            known.append(word)
+    return known, errors
 
 
 def help_text(model: type[pd.BaseModel]) -> str:
