--- a/bronzeglade/coordination/datagram.py
+++ b/bronzeglade/coordination/datagram.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime as dt
 import enum
+import re
 from collections.abc import Iterator
 from typing import Any
 
@@ -17,6 +18,7 @@
 PAYLOAD_LIMIT = DATAGRAM_LIMIT - HEADER_BYTES
 NAME_LIMIT = 64  # characters of a name or address
 INCARNATION_LIMIT = 2**62
+ADDRESS = re.compile(r'\d{1,3}(\.\d{1,3}){3}:\d{1,5}')
 DIGEST_BYTES = 8  # of the configuration's digest; tells generations apart
 
 # What unpacking raises: msgpack's errors that are not ValueErrors included.
@@ -186,11 +188,11 @@
     names, incarnation, state, leaving = fields
     address, origin, vm, domain, callers = names
     return Member(
-        address=_name(address),
+        address=_address(address),
         origin=_name(origin),
         vm=_name(vm),
         failure_domain=_name(domain),
-        caller_address=_name(callers),
+        caller_address=_address(callers),
         incarnation=_number(incarnation),
         state=MemberState(state),
         leaving=bool(leaving),
@@ -247,7 +249,7 @@
         sequence=_number(sequence),
         sender=read_member(sender),
         heartbeat=Heartbeat(_number(generation), digest, since),
-        target=target if target == '' else _name(target),
+        target=target if target == '' else _address(target),
         members=tuple(members),
         documents=tuple(documents),
     )
@@ -261,6 +263,13 @@
     return field
 
 
+def _address(field: Any) -> str:
+    # A name in its place would be looked up, which blocks the sender.
+    if ADDRESS.fullmatch(_name(field)) is None:
+        raise ValueError('an address is an IP address with a port')
+    return str(field)
+
+
 def _number(field: Any) -> int:
     if not isinstance(field, int) or isinstance(field, bool):
         raise TypeError('a number is an integer')
--- a/bronzeglade/entry/control.py
+++ b/bronzeglade/entry/control.py
@@ -9,6 +9,7 @@
 from bronzeglade import catalog as catalogs
 from bronzeglade import manifest as manifests
 from bronzeglade.catalog import Configuration
+from bronzeglade.coordination.datagram import NAME_LIMIT
 from bronzeglade.coordination.head import (
     Published,
     Reused,
@@ -69,10 +70,16 @@
         message = 'X-Replaces-Generation: the generation that is replaced'
         refusal = Refusal(422, 'no_generation', message)
         return http.refuse(refusal, request.request_id)
+    publication_id = request.header('X-Publication-Id') or uuid.uuid4().hex
+    operator = request.header('X-Operator') or 'unnamed'
+    if max(len(publication_id), len(operator)) > NAME_LIMIT:
+        message = f'X-Publication-Id, X-Operator: at most {NAME_LIMIT} letters'
+        refusal = Refusal(422, 'name_too_long', message)
+        return http.refuse(refusal, request.request_id)
     published = Published(
         Configuration(int(replaces) + 1, catalogs.digest_of(text), text),
-        request.header('X-Publication-Id') or uuid.uuid4().hex,
-        request.header('X-Operator') or 'unnamed',
+        publication_id,
+        operator,
     )
     if node.catalog is None and published.configuration.generation > 1:
         # Only the first manifest may name its own operators.
--- a/bronzeglade/entry/heartbeats.py
+++ b/bronzeglade/entry/heartbeats.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import eventlet
 from eventlet.green import socket
 from result import Err
 
@@ -27,6 +26,7 @@
 )
 from bronzeglade.coordination.gossip import Gossip, Key, fingerprint
 from bronzeglade.coordination.membership import Membership
+from bronzeglade.entry import loops
 from bronzeglade.entry.configuration import Distribution
 from bronzeglade.entry.peers import Peer, Peers
 from bronzeglade.settings import EntrySettings
@@ -80,9 +80,9 @@
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.bind((host, port))
         self.links.peers.propose()
-        eventlet.spawn(self._receive_loop)
-        eventlet.spawn(self._tick_loop)
-        eventlet.spawn(self._anti_entropy_loop)
+        loops.spawn_loop(self._receive_next)
+        loops.spawn_loop(self._tick_next)
+        loops.spawn_loop(self._compare_next)
 
     def leave(self, gone: bool = False) -> None:
         """Tell every node that this one leaves, or is gone."""
@@ -142,14 +142,13 @@
     def _spawn(self, action: Callable[..., None], *arguments: Any) -> None:
         self.links.distribution.services.spawn(action, *arguments)
 
-    def _receive_loop(self) -> None:
-        while True:
-            try:
-                packed, _sender = self.socket.recvfrom(DATAGRAM_LIMIT + 1)
-            except OSError:
-                # A port unreachable message for an earlier datagram.
-                continue
-            self.receive(packed)
+    def _receive_next(self) -> None:
+        try:
+            packed, _sender = self.socket.recvfrom(DATAGRAM_LIMIT + 1)
+        except ConnectionError:
+            # A port unreachable message for an earlier datagram.
+            return
+        self.receive(packed)
 
     def _fetch_from(self, peer: Peer, keys: set[Key]) -> None:
         prints = [fingerprint(key) for key in keys]
@@ -164,11 +163,10 @@
         for fields in documents:
             self.links.gossip.merge(read_document(fields))
 
-    def _tick_loop(self) -> None:
-        pause = self.links.membership.interval / TICKS_PER_INTERVAL
-        while True:
-            self.links.clock.sleep(pause)
-            self.tick()
+    def _tick_next(self) -> None:
+        interval = self.links.membership.interval
+        self.links.clock.sleep(interval / TICKS_PER_INTERVAL)
+        self.tick()
 
     def _send_all(self, outgoing: Any) -> None:
         for address, packed in outgoing:
@@ -182,12 +180,11 @@
             # An address that cannot be reached counts as a lost datagram.
             return
 
-    def _anti_entropy_loop(self) -> None:
-        while True:
-            self.links.clock.sleep(self.comparison_interval())
-            peers = self.links.peers.live()
-            if peers:
-                self.compare_with(self.links.membership.random.choice(peers))
+    def _compare_next(self) -> None:
+        self.links.clock.sleep(self.comparison_interval())
+        peers = self.links.peers.live()
+        if peers:
+            self.compare_with(self.links.membership.random.choice(peers))
 
     def comparison_interval(self) -> dt.timedelta:
         """Return the time between two anti-entropy exchanges."""
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -6,7 +6,6 @@
 
 import eventlet
 import urllib3
-from eliot import write_traceback
 from result import Err
 
 from bronzeglade.adapters import transport
@@ -24,6 +23,7 @@
 from bronzeglade.entry.configuration import Distribution, Services
 from bronzeglade.entry.feeds import Feeds
 from bronzeglade.entry.heartbeats import Heartbeats, Links, new_member
+from bronzeglade.entry.loops import spawn_loop
 from bronzeglade.entry.peers import Gossip, Peers
 from bronzeglade.entry.sessions import Sessions
 from bronzeglade.entry.versions import Versions
@@ -147,14 +147,9 @@
             )
 
     def _every(self, seconds: float, action: Callable[[], None]) -> None:
-        def loop() -> None:
-            while True:
-                try:
-                    action()
-                except Exception:
-                    # A loop that ended would leave the node out of date.
-                    write_traceback()
-                spread = 1 + JITTER * (self.random.random() - 0.5)
-                eventlet.sleep(seconds * spread)
-
-        eventlet.spawn(loop)
+        def turn() -> None:
+            action()
+            spread = 1 + JITTER * (self.random.random() - 0.5)
+            eventlet.sleep(seconds * spread)
+
+        spawn_loop(turn)
