--- a/bronzeglade/coordination/exchange.py
+++ b/bronzeglade/coordination/exchange.py
@@ -1,8 +1,7 @@
 """Composition of datagrams from membership, gossip and the heartbeat."""
 
 import dataclasses
-from collections.abc import Callable, Iterator, Sequence
-from typing import Any
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from result import Err
 
@@ -20,11 +19,17 @@
 from bronzeglade.coordination.membership import Membership, Outgoing
 from bronzeglade.coordination.seal import SharedKey
 
-TICKS_PER_INTERVAL = 4  # one probe and up to three messages of gossip only
-SMALLEST_PART = 32  # bytes; with less room nothing more fits
+PUSHES = 3  # messages of gossip only in an interval
+TICKS_PER_INTERVAL = PUSHES + 1  # and one probe
+# In larger fleets one message of gossip less is sent in each interval: with
+# anti-entropy, sent and received bytes together stay under 16 KB/s.
+SMALL_FLEET = 64  # nodes
+# A datagram is full when this many items did not fit into the rest of it.
+MISSES = 3
 PURPOSE = b'datagram'
 
 Packed = tuple[str, bytes]  # control address, sealed datagram
+Part = tuple[bytes, Callable[[], None]]  # packed item, counts its sending
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +65,7 @@
         self.heartbeat = heartbeat
         self.limit = repeat_limit(1)
         self.periods = 0
+        self.pushes = 0
 
     def join(self) -> list[Packed]:
         """Return probes of all candidates; used once at start."""
@@ -70,8 +76,11 @@
         outgoing = self.membership.tick()
         if self.membership.periods != self.periods:
             self.periods = self.membership.periods
+            self.pushes = 0
             self.limit = repeat_limit(self.membership.size())
             self.gossip.expire(*self._origins())
+            self.gossip.limit_rate()
+        self.gossip.release()
         if not outgoing and (
             self.gossip.news.counts or self.membership.news.counts
         ):
@@ -115,7 +124,9 @@
 
     def _push(self) -> list[Outgoing]:
         members = self.membership.members()
-        if not members:
+        self.pushes += 1
+        spared = len(members) > SMALL_FLEET and self.pushes >= PUSHES
+        if not members or spared:
             return []
         member = self.membership.random.choice(members)
         return [self.membership.facts_to(member.address)]
@@ -129,16 +140,16 @@
         )
         parts = [datagrams.pack_head(message)]
         room = PAYLOAD_LIMIT - len(parts[0])
-        for part, sent in self._parts(outgoing.address):
-            if len(part) <= room:
-                parts.append(part)
-                room -= len(part)
-                sent()
-            elif room < SMALLEST_PART:
-                break
-        return seal.seal(self.keys, b''.join(parts), PURPOSE)
-
-    def _parts(self, address: str) -> Iterator[tuple[bytes, Callable[[], Any]]]:
+        # Facts about nodes leave room for documents: when a whole fleet
+        # starts, its facts would displace every document for minutes.
+        share = room // 2 if self.gossip.news.counts else room
+        members = _fill(self._members(outgoing.address), share)
+        room -= sum(map(len, members))
+        documents = _fill(self._documents(), room)
+        packed = b''.join((*parts, *members, *documents))
+        return seal.seal(self.keys, packed, PURPOSE)
+
+    def _members(self, address: str) -> Iterator[Part]:
         urgent = self.membership.urgent(address)
         if urgent is not None:
             yield datagrams.pack_member(urgent), _nothing
@@ -146,6 +157,8 @@
             member = self._member(name)
             if member is not None and (name != address or urgent is None):
                 yield datagrams.pack_member(member), self._member_sent(name)
+
+    def _documents(self) -> Iterator[Part]:
         for key in self.gossip.news.keys():
             document = self.gossip.inline(key)
             if document is not None:
@@ -165,5 +178,20 @@
         return lambda: self.gossip.news.sent(key, self.limit)
 
 
+def _fill(parts: Iterable[Part], room: int) -> list[bytes]:
+    filled: list[bytes] = []
+    misses = 0
+    for part, sent in parts:
+        if len(part) <= room:
+            filled.append(part)
+            room -= len(part)
+            sent()
+        else:
+            misses += 1
+        if misses == MISSES:
+            break
+    return filled
+
+
 def _nothing() -> None:
     """Count nothing: urgent facts are repeated for as long as they hold."""
