Count and log every request of an entry process

Cause: nodes had no metrics of requests and no log, so no report could say who misses targets and why. Change: a trace goes with each request; its stages note team, rank, version, tries, bill and outcome, and the end of the response counts and logs it once. The log is one eliot action for each request, with the request id as task id; prompts, answers and keys are never passed to it.

--- a/bronzeglade/entry/access.py
+++ b/bronzeglade/entry/access.py
@@ -53,6 +53,7 @@
     rank = _rank(catalog, team, request.header('X-Rank'))
     if isinstance(rank, Err):
         return rank
+    request.trace.identified(rank.ok_value, team.name)
     return Ok(Caller(catalog, team, rank.ok_value))
 
 
--- a/bronzeglade/entry/callers.py
+++ b/bronzeglade/entry/callers.py
@@ -33,7 +33,7 @@
     if request.path.startswith(services.PREFIX):
         return services.handle(node, request)
     route = (request.method, request.path)
-    if route == ('POST', '/v1/chat/completions'):
+    if route == ('POST', chat.PATH):
         return chat.handle(node, request)
     if route == ('GET', '/v1/models'):
         return _models(node, request)
--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -21,6 +21,9 @@
 from bronzeglade.outcome import Refusal, RunState
 
 
+PATH = '/v1/chat/completions'
+
+
 def handle(node: Node, request: Request) -> Response:
     """Answer a chat completion.
 
@@ -53,6 +56,7 @@
     if isinstance(started, Err):
         return http.refuse(started.err_value, request_id)
     evidence.first_token(node, started.ok_value, began)
+    work.request.trace.first_token = node.clock.monotonic()
     if work.chat.stream:
         return _streamed(node, started.ok_value)
     return _whole(node, started.ok_value)
@@ -86,6 +90,14 @@
     choice = selection.choose(node, caller.ok_value, request, steps.ok_value[0])
     if isinstance(choice, Err):
         return choice
+    request.trace.chosen(choice.ok_value.model, choice.ok_value.version)
+    request.trace.event(
+        'choice',
+        model=choice.ok_value.model,
+        version=choice.ok_value.version,
+        generation=caller.ok_value.catalog.configuration.generation,
+        vm=node.settings.vm,
+    )
     return Ok(
         Work(
             request=request,
@@ -136,13 +148,26 @@
         whole=whole,
         finished_at=node.clock.now(),
     )
-    return node.billing.record(record, node.settings.request_timeout)
+    billed = node.billing.record(record, node.settings.request_timeout)
+    trace = work.request.trace
+    trace.event(
+        'bill',
+        whole=whole,
+        cost_nanodollars=cost,
+        prompt_tokens=usage.prompt_tokens,
+        completion_tokens=usage.completion_tokens,
+        error=billed.err(),
+    )
+    if isinstance(billed, Ok):
+        trace.answered = whole
+        node.telemetry.billed(trace.labels, cost, usage.completion_tokens)
+    return billed
 
 
 def _whole(node: Node, started: Started) -> Response:
     request_id = started.work.request.request_id
     try:
-        for _chunk in started.answer.body():
+        for _block in _timed(node, started):
             continue
     finally:
         dispatch.finish(node, started)
@@ -203,7 +228,7 @@
     answer = started.answer
     whole = False
     try:
-        yield from answer.body()
+        yield from _timed(node, started)
         whole = answer.complete
         evidence.ended(node, started)
     finally:
@@ -220,6 +245,17 @@
         yield _error_event(refusal, started)
 
 
+def _timed(node: Node, started: Started) -> Iterator[bytes]:
+    """Yield the body of an answer and count the times between its blocks."""
+    count = started.work.request.trace.gap_counter(node.telemetry)
+    last = node.clock.monotonic()
+    for block in started.answer.body():
+        now = node.clock.monotonic()
+        count((now - last).total_seconds())
+        yield block
+        last = now
+
+
 def _ending(node: Node, started: Started) -> Iterator[bytes]:
     # The last part leaves only after the request is billed.
     billed = _bill(node, started, whole=True)
@@ -232,5 +268,6 @@
 
 
 def _error_event(refusal: Refusal, started: Started) -> bytes:
+    started.work.request.trace.refusal = refusal
     document = http.error_document(refusal, started.work.request.request_id)
     return b'data: ' + json.dumps(document).encode() + b'\n\n'
--- a/bronzeglade/entry/control.py
+++ b/bronzeglade/entry/control.py
@@ -29,7 +29,9 @@
     route = (request.method, request.path)
     if route == ('GET', '/metrics'):
         return Response(
-            200, (generate_latest(),), {'Content-Type': CONTENT_TYPE_LATEST}
+            200,
+            (generate_latest(node.telemetry.registry),),
+            {'Content-Type': CONTENT_TYPE_LATEST},
         )
     if route == ('POST', '/operator/manifest'):
         return _publish(node, request)
--- a/bronzeglade/entry/dispatch.py
+++ b/bronzeglade/entry/dispatch.py
@@ -103,6 +103,12 @@
         if worker is None:
             return None
         outcome = _try_worker(node, work, tries, worker)
+        work.request.trace.event(
+            'try',
+            worker=worker.vm,
+            attempt=len(tries.vms),
+            failure=_failure_name(outcome),
+        )
         if isinstance(outcome, Ok):
             return outcome.ok_value
         failed = outcome.err_value
@@ -118,6 +124,10 @@
     return None
 
 
+def _failure_name(outcome: Result[Answer, _Failed]) -> str | None:
+    return outcome.err_value.failure.name if isinstance(outcome, Err) else None
+
+
 def _expired(node: Node, work: Work) -> bool:
     return node.clock.monotonic() >= work.deadline
 
--- a/bronzeglade/entry/http.py
+++ b/bronzeglade/entry/http.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from bronzeglade.entry import protocol
+from bronzeglade.entry.trace import Trace
 from bronzeglade.outcome import Refusal
 
 Environ = dict[str, Any]
@@ -66,6 +67,7 @@
     query: str
     environ: Environ
     request_id: str
+    trace: Trace = dataclasses.field(default_factory=lambda: Trace(''))
 
     def header(self, name: str) -> str | None:
         """Return a header, or None when the caller did not send it."""
@@ -101,6 +103,7 @@
     status: int
     body: Body = ()
     headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    refusal: Refusal | None = None
 
 
 Handler = Callable[[Request], Response]
@@ -163,12 +166,14 @@
 
 def read_head(environ: Environ) -> Request:
     """Build the request of a WSGI environment, under a new identity."""
+    request_id = uuid.uuid4().hex
     return Request(
         method=environ['REQUEST_METHOD'],
         path=environ['PATH_INFO'],
         query=environ.get('QUERY_STRING', ''),
         environ=environ,
-        request_id=uuid.uuid4().hex,
+        request_id=request_id,
+        trace=Trace(request_id),
     )
 
 
@@ -268,4 +273,5 @@
     retry = refusal.retry_after is not None
     extra['X-Should-Retry'] = 'true' if retry else 'false'
     document = error_document(refusal, request_id)
-    return json_response(document, refusal.status, extra)
+    response = json_response(document, refusal.status, extra)
+    return dataclasses.replace(response, refusal=refusal)
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -6,6 +6,7 @@
 
 import eventlet
 import urllib3
+from prometheus_client import CollectorRegistry
 from result import Err
 
 from bronzeglade.adapters import transport
@@ -32,6 +33,7 @@
 from bronzeglade.entry.ratings import RATE_INTERVAL, RatingSampler
 from bronzeglade.entry.rollouts import Identity, Rollouts, Surroundings
 from bronzeglade.entry.sessions import Sessions
+from bronzeglade.entry.telemetry import Telemetry
 from bronzeglade.entry.versions import Versions
 from bronzeglade.entry.workers import (
     Worker,
@@ -64,6 +66,7 @@
         self.vm_list = HttpVmList(
             settings.vm_list_url, self.pool, settings.table_timeout
         )
+        self.telemetry = Telemetry(self.clock, CollectorRegistry())
         self.catalog: Catalog | None = None
         self.vms: tuple[Vm, ...] = ()
         self.workers: tuple[Worker, ...] = ()
@@ -175,6 +178,7 @@
 
     def _use(self, catalog: Catalog) -> None:
         self.catalog = catalog
+        self.telemetry.generation.set(catalog.configuration.generation)
         self._refresh_workers()
 
     def live_nodes(self) -> list[tuple[str, str]]:
--- a/bronzeglade/entry/process.py
+++ b/bronzeglade/entry/process.py
@@ -9,7 +9,16 @@
 from eliot import write_traceback
 from eventlet import wsgi
 
-from bronzeglade.entry import callers, control, http, protocol, status
+from bronzeglade.entry import (
+    callers,
+    chat,
+    control,
+    http,
+    logs,
+    protocol,
+    status,
+    trace,
+)
 from bronzeglade.entry.http import Body, Environ, Request, Response
 from bronzeglade.entry.node import Node
 from bronzeglade.settings import EntrySettings
@@ -36,6 +45,7 @@
     Returns:
       The exit code.
     """
+    logs.configure(settings.log_file)
     node = Node(settings)
     status.register(node)
     stopped = eventlet.event.Event()
@@ -81,13 +91,19 @@
 def _counted(node: Node) -> Callable[[Environ, http.StartResponse], Body]:
     def handler(request: Request) -> Response:
         node.open_requests += 1
+        trace.begin(node.telemetry, request.trace, request.path)
         try:
             response = callers.handle(node, request)
         except BaseException:
             node.open_requests -= 1
             raise
+        request.trace.refusal = response.refusal
+        if request.path != chat.PATH:
+            request.trace.answered = True
         return Response(
-            response.status, _Counted(node, response.body), response.headers
+            response.status,
+            _Counted(node, response.body, request.trace),
+            response.headers,
         )
 
     return http.wsgi(handler)
@@ -96,9 +112,10 @@
 class _Counted:
     """A body whose end closes the count of its request."""
 
-    def __init__(self, node: Node, body: Body) -> None:
+    def __init__(self, node: Node, body: Body, traced: trace.Trace) -> None:
         """Wrap a body."""
         self.node = node
+        self.trace = traced
         self.body = body
 
     def __iter__(self) -> Iterator[bytes]:
@@ -109,8 +126,11 @@
         """Close the body; called once by the server in every case."""
         self.node.open_requests -= 1
         close = getattr(self.body, 'close', None)
-        if close is not None:
-            close()
+        try:
+            if close is not None:
+                close()
+        finally:
+            trace.end(self.node.telemetry, self.trace)
 
 
 def drain(node: Node, stopped: Any) -> None:
--- a/bronzeglade/entry/telemetry.py
+++ b/bronzeglade/entry/telemetry.py
@@ -127,6 +127,7 @@
           clock: time of the windows.
           registry: where they are registered.
         """
+        self.clock = clock
         self.registry = registry
         self.windows: WindowedCounts[Labels] = WindowedCounts(clock)
         self.requests = Counter(
