--- /dev/null
+++ b/bronzeglade/entry/entries_test.py
@@ -0,0 +1,128 @@
+"""Guards which addresses callers get and when a node refuses."""
+
+import datetime as dt
+from typing import Any
+
+import pytest
+from eventlet.event import Event
+from result import Err
+
+from bronzeglade.builders import ManualClock, entry_settings, manifest_text
+from bronzeglade.catalog import Configuration, digest_of
+from bronzeglade.coordination.datagram import Member, MemberState
+from bronzeglade.coordination.head import Published
+from bronzeglade.entry import access, entries, process
+from bronzeglade.entry.heartbeats import new_member
+from bronzeglade.entry.http import Request
+from bronzeglade.entry.node import Node
+
+SECOND = dt.timedelta(seconds=1)
+
+
+@pytest.fixture(name='node')
+def node_under_clock(monkeypatch: pytest.MonkeyPatch) -> Node:
+    """Return a node of failure domain a whose clock is moved by hand."""
+    monkeypatch.setattr('bronzeglade.entry.node.SystemClock', ManualClock)
+    return Node(entry_settings())
+
+
+def peer(node: Node, index: int, **changes: Any) -> Member:
+    """Let a node know its n-th peer."""
+    settings = entry_settings(index)
+    member = new_member(settings, f'origin-{index}', node.clock.now())
+    fields = {name: getattr(member, name) for name in Member.__slots__}
+    member = Member(**{**fields, **changes})
+    node.membership.merge(member)
+    return member
+
+
+def addresses(node: Node, failure_domain: str | None = None) -> list[str]:
+    """Return the addresses in the order in which a caller gets them."""
+    return [entry.address for entry in entries.ordered(node, failure_domain)]
+
+
+def test_leaving_dead_and_long_suspect_nodes_are_left_out(node: Node) -> None:
+    """A caller keeps the list for a while and would find nobody there."""
+    peer(node, 1, leaving=True)
+    peer(node, 2, state=MemberState.SUSPECT)
+    alive = peer(node, 3)
+    peer(node, 4)
+    peer(node, 4, state=MemberState.DEAD)
+    suspected = entry_settings(2)
+    suspect = f'{suspected.host}:{suspected.port}'
+    mine = node.membership.myself.caller_address
+    assert set(addresses(node)) == {mine, alive.caller_address, suspect}
+    node.clock.sleep(node.membership.suspicion() / 2)
+    assert set(addresses(node)) == {mine, alive.caller_address}
+    node.draining = True
+    assert addresses(node) == [alive.caller_address]
+
+
+def test_nearest_domain_comes_first_and_callers_spread(node: Node) -> None:
+    """Callers that all choose one node would overload it."""
+    members = [peer(node, index) for index in range(1, 10)]
+    near = {
+        member.caller_address
+        for member in members
+        if member.failure_domain == 'b'
+    }
+    firsts = set()
+    for _caller in range(100):
+        found = addresses(node, 'b')
+        assert set(found[: len(near)]) == near
+        firsts.add(found[0])
+    assert firsts == near
+
+
+def test_unconfirmed_configuration_is_refused_in_the_end(node: Node) -> None:
+    """Work on a manifest of unknown age may break a withdrawal."""
+    text = manifest_text()
+    configuration = Configuration(1, digest_of(text), text)
+    request = Request('GET', '/', '', {}, 'r1')
+    node.adopt(Published(configuration, 'id', 'operator'))
+    node.clock.sleep(SECOND * 61)
+    assert node.publication.candidates_suspended()
+    assert access.identify(node, request).unwrap_err().status == 401
+    node.clock.sleep(node.settings.staleness_limit)
+    outcome = access.identify(node, request)
+    assert isinstance(outcome, Err)
+    assert outcome.err_value.code == 'stale_configuration'
+    assert outcome.err_value.retry_after is not None
+
+
+def test_drain_serves_then_refuses_then_hands_over(node: Node) -> None:
+    """What is in flight at the end of the notice must be finished."""
+    seen: list[Any] = []
+    node.draining = True
+    node.open_requests = 1
+
+    def sleep(duration: dt.timedelta) -> None:
+        seen.append((duration, node.refusing))
+        if len(seen) == 4:
+            node.open_requests = 0
+
+    def fail() -> None:
+        raise ValueError('one action fails')
+
+    node.clock.sleep = sleep  # type: ignore[method-assign]
+    node.on_drain.extend([fail, lambda: seen.append('handed over')])
+    stopped = Event()
+    process.drain(node, stopped)
+    assert stopped.ready()
+    assert seen[0] == (node.settings.entries_max_age, False)
+    assert set(seen[1:4]) == {(process.POLL_INTERVAL, True)}
+    assert seen[4:] == ['handed over']
+
+
+def test_commit_without_other_holders_is_not_accepted(node: Node) -> None:
+    """The loss of this node's failure domain would lose the change."""
+    text = manifest_text()
+    configuration = Configuration(1, digest_of(text), text)
+    node.adopt(Published(configuration, 'id', 'operator'))
+    assert not node.distribution.wait_accepted(1)
+    document = node.distribution.give({})
+    other = Node(entry_settings(1))
+    assert other.distribution.pushed(document) == {'generation': 1}
+    sender = other.membership.myself
+    node.publication.hear(sender, other.publication.heartbeat())
+    assert node.distribution.wait_accepted(1)
