--- a/bronzeglade/builders.py
+++ b/bronzeglade/builders.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from bronzeglade import catalog as catalogs
 from bronzeglade.adapters.table import (
     CommitError,
     Conflict,
@@ -17,6 +18,8 @@
     Unavailable,
     Unknown,
 )
+from bronzeglade.catalog import Catalog, Configuration
+from bronzeglade.manifest import Rollout
 from bronzeglade.settings import EntrySettings
 
 PEER_KEY = '1:000102030405060708090a0b0c0d0e0f'
@@ -229,3 +232,53 @@
 def manifest_text(deployment: str = 'test') -> bytes:
     """Return the text of `manifest_document`."""
     return json.dumps(manifest_document(deployment)).encode()
+
+
+def rollout(**changes: Any) -> Rollout:
+    """Return a roll-out of `m` from `v1` to `v2` in three steps."""
+    document: dict[str, Any] = {
+        'name': 'r',
+        'model': 'm',
+        'from_version': 'v1',
+        'to_version': 'v2',
+        'steps': [
+            {'share': share, 'min_requests': 10, 'min_seconds': 5}
+            for share in (0.1, 0.5, 1)
+        ],
+    }
+    return Rollout.model_validate({**document, **changes})
+
+
+def catalog(*rollouts: Rollout) -> Catalog:
+    """Return a catalog of model `m` with `v1` serving and two allowed."""
+    states = {'v1': 'serving', 'v2': 'allowed', 'v3': 'allowed'}
+    document = {
+        'deployment': 'test',
+        'failure_domains': [{'name': 'd0', 'region': 'r0'}],
+        'ranks': [
+            {
+                'name': 'standard',
+                'priority': 1,
+                'first_token_ms': 800,
+                'inter_token_ms': 26,
+            }
+        ],
+        'models': [
+            {
+                'name': 'm',
+                'prompt_cost': 1,
+                'completion_cost': 4,
+                'versions': [
+                    {'name': name, 'state': state}
+                    for name, state in states.items()
+                ],
+            }
+        ],
+        'rollouts': [one.model_dump(mode='json') for one in rollouts],
+        'operators': [{'name': 'o', 'key_hashes': ['0' * 64]}],
+    }
+    text = json.dumps(document).encode()
+    built, errors = catalogs.build(Configuration(1, 'digest', text))
+    if built is None:
+        raise ValueError(errors)
+    return built
--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -7,7 +7,14 @@
 from result import Err, Ok, Result
 
 from bronzeglade.coordination.bill import Bill, cost_of
-from bronzeglade.entry import access, completion, dispatch, http, selection
+from bronzeglade.entry import (
+    access,
+    completion,
+    dispatch,
+    evidence,
+    http,
+    selection,
+)
 from bronzeglade.entry.dispatch import Started, Work
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
@@ -41,9 +48,11 @@
     )
     if isinstance(ticket, Err):
         return http.refuse(ticket.err_value, request_id)
+    began = node.clock.monotonic()
     started = dispatch.start(node, work, ticket.ok_value)
     if isinstance(started, Err):
         return http.refuse(started.err_value, request_id)
+    evidence.first_token(node, started.ok_value, began)
     if work.chat.stream:
         return _streamed(node, started.ok_value)
     return _whole(node, started.ok_value)
@@ -137,6 +146,7 @@
             continue
     finally:
         dispatch.finish(node, started)
+    evidence.ended(node, started)
     if not started.answer.complete:
         message = 'the worker stopped before the answer was complete'
         return http.refuse(
@@ -195,6 +205,7 @@
     try:
         yield from answer.body()
         whole = answer.complete
+        evidence.ended(node, started)
     finally:
         dispatch.finish(node, started)
         if not whole and answer.tokens:
--- a/bronzeglade/entry/dispatch.py
+++ b/bronzeglade/entry/dispatch.py
@@ -10,6 +10,7 @@
 from bronzeglade.adapters.engine import EngineRefusal, EngineStream
 from bronzeglade.adapters.transport import CallFailure
 from bronzeglade.decisions.admission import Ticket
+from bronzeglade.decisions.evidence import FAILED
 from bronzeglade.decisions.prefix import prompt_blocks
 from bronzeglade.decisions.retry import Failure, failure_of_status
 from bronzeglade.decisions.routing import NoWorker, RoutedRequest
@@ -105,6 +106,7 @@
         if isinstance(outcome, Ok):
             return outcome.ok_value
         failed = outcome.err_value
+        _count_lost(node, work, failed.failure)
         if failed.failure.run_state is not RunState.NOT_RUN:
             tries.run_state = failed.failure.run_state
         if failed.failure is Failure.REJECTED:
@@ -220,6 +222,7 @@
     node: Node, work: Work, tries: Tries, tokens: int
 ) -> EngineStream | None:
     _end_failed(node, tries, _Failed(Failure.LOST))
+    _count_lost(node, work, Failure.LOST)
     if _expired(node, work):
         return None
     worker = _next_worker(node, work, tries)
@@ -229,6 +232,12 @@
     return _open(node, work, tries, worker, tokens).ok()
 
 
+def _count_lost(node: Node, work: Work, failure: Failure) -> None:
+    # A retry hides the failure from the caller, not from the roll-out.
+    if failure is Failure.LOST:
+        node.versions.observe(work.choice.model, work.choice.version, FAILED)
+
+
 def is_permitted(node: Node, work: Work) -> bool:
     """Return whether the version may still receive the work."""
     if node.catalog is None:
@@ -236,7 +245,14 @@
     state = catalogs.version_state(
         node.catalog, work.choice.model, work.choice.version
     )
-    return state is not VersionState.WITHDRAWN
+    if state is VersionState.WITHDRAWN:
+        return False
+    return node.versions.permits(
+        node.catalog,
+        work.choice.model,
+        work.choice.version,
+        work.request.header('X-Session-Id') is not None,
+    )
 
 
 def check_choice(work: Work) -> None:
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -9,6 +9,8 @@
 from result import Err
 
 from bronzeglade.adapters import transport
+from bronzeglade.adapters.orders import HttpOrders
+from bronzeglade.adapters.rating import HttpRatings, NoRatings, RatingService
 from bronzeglade.adapters.table import HttpTable
 from bronzeglade.adapters.vms import HttpVmList, Vm
 from bronzeglade.catalog import Catalog
@@ -18,13 +20,17 @@
 from bronzeglade.coordination.publication import Publication
 from bronzeglade.decisions.retry import RetryBudget, RetrySettings
 from bronzeglade.decisions.routing import Routing, RoutingSettings
+from bronzeglade.entry import rollouts
 from bronzeglade.entry.admission import TICK_S, Admission
 from bronzeglade.entry.billing import Billing
 from bronzeglade.entry.configuration import Distribution, Services
 from bronzeglade.entry.feeds import Feeds
 from bronzeglade.entry.heartbeats import Heartbeats, Links, new_member
+from bronzeglade.entry.loading import Loading
 from bronzeglade.entry.loops import spawn_loop
 from bronzeglade.entry.peers import Gossip, Peers
+from bronzeglade.entry.ratings import RATE_INTERVAL, RatingSampler
+from bronzeglade.entry.rollouts import Identity, Rollouts, Surroundings
 from bronzeglade.entry.sessions import Sessions
 from bronzeglade.entry.versions import Versions
 from bronzeglade.entry.workers import (
@@ -32,6 +38,7 @@
     failure_domain_delays,
     live_workers,
 )
+from bronzeglade.manifest import Rollout
 from bronzeglade.settings import EntrySettings
 
 JITTER = 0.2  # part of an interval by which loops of nodes are spread
@@ -83,12 +90,36 @@
             )
         )
         self.sessions = Sessions()
-        self.versions = Versions(self.gossip)
+        self.versions = Versions(self.gossip, self.publication)
+        self.rollouts = Rollouts(
+            Identity(settings.vm, self.origin, settings.failure_domain),
+            self.clock,
+            self.table,
+            self.versions,
+            Surroundings(
+                lambda: self.catalog, self.live_nodes, self._load_candidate
+            ),
+        )
+        self.loading = Loading(
+            HttpOrders(self.pool, settings.table_timeout),
+            self.rollouts.lease,
+            self.clock,
+            eventlet.spawn,
+        )
+        self.rating_service: RatingService = NoRatings()
+        if settings.rating_url is not None:
+            self.rating_service = HttpRatings(settings.rating_url, self.pool)
+        self.rating_sampler = RatingSampler(
+            self.rating_service,
+            self.clock,
+            self.versions,
+            lambda: len(self.peers.live()) + 1,
+        )
         self.admission = Admission(self.gossip, self.clock, self.random)
         self.routing = Routing(RoutingSettings(), self.clock, self.random)
         self.feeds = Feeds(settings, self.pool, self.routing)
         self.retries = RetryBudget(RetrySettings())
-        self.on_drain: list[Callable[[], None]] = []
+        self.on_drain: list[Callable[[], None]] = [self.rollouts.resign]
         self.draining = False
         self.refusing = False
         self.open_requests = 0
@@ -105,6 +136,13 @@
         self.heartbeats.start(self.settings.host, self.settings.control_port)
         eventlet.spawn(self.billing.run)
         self._every(0, self.feeds.read_next)
+        for interval, action in (
+            (rollouts.JUDGE_INTERVAL, self.rollouts.judge),
+            (rollouts.COORDINATE_INTERVAL, self.rollouts.coordinate),
+            (rollouts.POLL_INTERVAL, self.rollouts.poll),
+            (RATE_INTERVAL, self.rating_sampler.rate_next),
+        ):
+            self._every(interval.total_seconds(), action)
         self._every(TICK_S, self.admission.tick)
 
     def read_vms(self) -> None:
@@ -139,6 +177,16 @@
         self.catalog = catalog
         self._refresh_workers()
 
+    def live_nodes(self) -> list[tuple[str, str]]:
+        """Return name and failure domain of the other live nodes."""
+        return [(peer.vm, peer.failure_domain) for peer in self.peers.live()]
+
+    def _load_candidate(self, rollout: Rollout) -> bool:
+        groups = self.catalog.groups if self.catalog else {}
+        return self.loading.advance(
+            rollout, self.workers, lambda name: groups[name].checks_fencing
+        )
+
     def _refresh_workers(self) -> None:
         if self.catalog is not None:
             self.workers = live_workers(self.catalog, self.vms)
--- a/bronzeglade/entry/selection.py
+++ b/bronzeglade/entry/selection.py
@@ -10,6 +10,7 @@
 from bronzeglade.entry.http import Request
 from bronzeglade.entry.node import Node
 from bronzeglade.entry.sessions import SessionRequest
+from bronzeglade.entry.versions import HALTED
 from bronzeglade.manifest import VersionState
 from bronzeglade.outcome import Refusal
 
@@ -57,10 +58,16 @@
     """
     usable = _versions(caller, step)
     session_id = request.header('X-Session-Id')
+    offered = node.versions.offered(caller.catalog, step.model, usable)
+    if not offered.unbound:
+        return Err(HALTED)
     if step.version is not None:
         return Ok(Choice(step.model, step.version))
     preferred = node.versions.preferred(
-        caller.catalog, step.model, usable, session_id or request.request_id
+        caller.catalog,
+        step.model,
+        offered.unbound,
+        session_id or request.request_id,
     )
     if session_id is None:
         return Ok(Choice(step.model, preferred))
@@ -70,7 +77,7 @@
         request.header('X-Session-Token'),
         step.model,
     )
-    binding = node.sessions.bind(session, usable, preferred)
+    binding = node.sessions.bind(session, offered.bound, preferred)
     if isinstance(binding, Err):
         return binding
     return Ok(
