Add the burn report and the request log commands

bronzeglade report reads status and metrics of every node and prints text, JSON or one HTML page; nodes that cannot be read are named, so that a quiet node is told from an unreachable one. report request prints the log of one request.

--- a/bronzeglade/entry/control.py
+++ b/bronzeglade/entry/control.py
@@ -35,6 +35,8 @@
         )
     if route == ('POST', '/operator/manifest'):
         return _publish(node, request)
+    if route == ('GET', '/operator/manifest'):
+        return _manifest(node, request)
     if route == ('GET', '/operator/status'):
         return _status(node, request)
     if request.method == 'POST' and request.path.startswith(PEER_PREFIX):
@@ -56,6 +58,26 @@
     return Response(200, (reply.ok_value,), {'Content-Length': length})
 
 
+def _manifest(node: Node, request: Request) -> Response:
+    """Return the manifest that is active; 404 before the first one."""
+    if node.catalog is None:
+        refusal = Refusal(404, 'no_configuration', 'no manifest is active')
+        return http.refuse(refusal, request.request_id)
+    refused = _operator_refusal(node, request, node.catalog.manifest)
+    if refused is not None:
+        return http.refuse(refused, request.request_id)
+    configuration = node.catalog.configuration
+    return Response(
+        200,
+        (configuration.text,),
+        {
+            'Content-Type': 'application/json',
+            'Content-Length': str(len(configuration.text)),
+            'X-Generation': str(configuration.generation),
+        },
+    )
+
+
 def _publish(node: Node, request: Request) -> Response:
     body = http.read_body(request, node.settings)
     if isinstance(body, Err):
--- a/bronzeglade/main.py
+++ b/bronzeglade/main.py
@@ -17,6 +17,8 @@
     PublishSettings,
     StatusSettings,
 )
+from bronzeglade.report import command as report  # noqa: E402
+from bronzeglade.report.command import ReportSettings  # noqa: E402
 from bronzeglade.settings import EntrySettings  # noqa: E402
 
 EXIT_USAGE = 2
@@ -115,6 +117,25 @@
     return operations.show(operations.status(settings))
 
 
+def _report(words: Sequence[str]) -> int:
+    if '--help' in words:
+        return _help('usage: bronzeglade report FLAGS', ReportSettings)
+    settings, errors = all_settings.parse(ReportSettings, words, 'report')
+    if settings is None:
+        return _fail(errors)
+    return operations.show(report.run(settings))
+
+
+def _request(words: Sequence[str]) -> int:
+    if len(words) != 2 or '--help' in words:
+        sys.stdout.write(
+            'usage: bronzeglade report request ID LOGFILE\n'
+            'Prints the log of one request; LOGFILE - is standard input.\n'
+        )
+        return 0 if '--help' in words else EXIT_USAGE
+    return operations.show(report.request(words[0], words[1]))
+
+
 def _help(usage: str, model: type[OperatorSettings]) -> int:
     flags = all_settings.help_text(model)
     sys.stdout.write(f'{usage}\n{flags}\n{operations.EXIT_CODES}\n')
@@ -137,6 +158,8 @@
     'manifest check': _check,
     'manifest publish': _publish,
     'manifest schema': _schema,
+    'report': _report,
+    'report request': _request,
     'status': _status,
 }
 
--- a/bronzeglade/operations.py
+++ b/bronzeglade/operations.py
@@ -12,7 +12,7 @@
 import pydantic as pd
 import urllib3
 from pydantic import Field
-from result import Err
+from result import Err, Ok, Result
 
 from bronzeglade import manifest as manifests
 from bronzeglade.adapters import transport
@@ -172,6 +172,27 @@
     return verdict.code
 
 
+def fetch(
+    settings: OperatorSettings, address: str, path: str
+) -> Result[bytes, str]:
+    """Read a page of a node's control port.
+
+    Args:
+      settings: key and time limit.
+      address: control address of the node.
+      path: such as `/metrics`.
+
+    Returns:
+      The body, or why there is none.
+    """
+    reply = _call(
+        transport.new_pool(), settings, ('GET', f'http://{address}{path}')
+    )
+    if isinstance(reply, Reply) and reply.status == _ACCEPTED:
+        return Ok(reply.body)
+    return Err(_describe(reply))
+
+
 def _id(settings: PublishSettings) -> str:
     return settings.publication_id
 
