Count the first slots of a model at once in admission

Cause: a new node kept its share of no slots for the two seconds that a higher share must last, and refused 65 requests at the start of the demo fleet with a Retry-After of up to 40 s. Change: the history of shares starts anew when a model gets its first slots. After: dispatch_test passes without clearing that history by hand.

--- a/bronzeglade/entry/admission.py
+++ b/bronzeglade/entry/admission.py
@@ -119,6 +119,12 @@
         for worker in workers:
             if worker.model is not None:
                 slots[worker.model] += worker.slots
+        for model in catalog.models:
+            # A share of no slots is no share that others could still use, so
+            # the first slots of a model count at once. Nodes refused work
+            # for two seconds after their start before this rule.
+            if not self.slots.get(model):
+                self.recent.pop(model, None)
         self.slots = {model: slots[model] for model in catalog.models}
         self.others = tuple(others)
         self.weights = {one.name: one.weight for one in catalog.manifest.teams}
--- a/bronzeglade/entry/dispatch_test.py
+++ b/bronzeglade/entry/dispatch_test.py
@@ -91,8 +91,6 @@
         )
         for index, address in enumerate(addresses)
     )
-    # The share of the moment without workers would count for two seconds.
-    node.admission.recent.clear()
     node.admission.update(catalog, node.workers, ())
     return node
 
