--- a/bronzeglade/coordination/dissemination.py
+++ b/bronzeglade/coordination/dissemination.py
@@ -11,6 +11,9 @@
 # with 3 the chance that a node misses it is below 1 in 1,000, and
 # anti-entropy repairs the rest.
 REPEAT_FACTOR = 3
+# Documents are many and are replaced soon, so each node repeats a version
+# only this often; anti-entropy brings it to the few nodes that it missed.
+DOCUMENT_REPEATS = 4
 
 
 def repeat_limit(nodes: int) -> int:
@@ -29,9 +32,14 @@
         """Hold no news."""
         self.counts: OrderedDict[KeyT, int] = OrderedDict()
 
-    def add(self, key: KeyT) -> None:
-        """Put a key first, as never sent."""
-        self.counts[key] = 0
+    def add(self, key: KeyT, count: int = 0) -> None:
+        """Put a key first.
+
+        Args:
+          key: what changed.
+          count: how often it counts as sent.
+        """
+        self.counts[key] = count
         self.counts.move_to_end(key, last=False)
 
     def drop(self, key: KeyT) -> None:
--- a/bronzeglade/coordination/exchange.py
+++ b/bronzeglade/coordination/exchange.py
@@ -14,7 +14,10 @@
     MemberState,
     Message,
 )
-from bronzeglade.coordination.dissemination import repeat_limit
+from bronzeglade.coordination.dissemination import (
+    DOCUMENT_REPEATS,
+    repeat_limit,
+)
 from bronzeglade.coordination.gossip import Gossip, Key
 from bronzeglade.coordination.membership import Membership, Outgoing
 from bronzeglade.coordination.seal import SharedKey
@@ -175,7 +178,7 @@
         return lambda: self.membership.news.sent(address, self.limit)
 
     def _document_sent(self, key: Key) -> Callable[[], None]:
-        return lambda: self.gossip.news.sent(key, self.limit)
+        return lambda: self.gossip.news.sent(key, DOCUMENT_REPEATS)
 
 
 def _fill(parts: Iterable[Part], room: int) -> list[bytes]:
--- a/bronzeglade/coordination/gossip.py
+++ b/bronzeglade/coordination/gossip.py
@@ -22,7 +22,7 @@
 UNKNOWN_ORIGIN_GRACE = dt.timedelta(seconds=30)
 # Bytes a second of changed documents that reach every node through the
 # messages; more would make newer versions displace others half-way.
-DOCUMENT_RATE = 3000
+DOCUMENT_RATE = 2000
 DOCUMENT_OVERHEAD = 30  # bytes of names and version
 # Bytes of documents in one anti-entropy exchange, each way. At 330 nodes,
 # with one exchange in 33 s, this and the versions come to about 2 KB/s.
--- a/bronzeglade/coordination/membership.py
+++ b/bronzeglade/coordination/membership.py
@@ -16,9 +16,10 @@
     MemberState,
     Message,
 )
-from bronzeglade.coordination.dissemination import News
+from bronzeglade.coordination.dissemination import News, repeat_limit
 
 INDIRECT_PROBES = 3
+INTRODUCTION_REPEATS = 2  # of a node that was first heard from itself
 # Own candidates that do not answer are probed in this many intervals again:
 # often enough that a healed partition is noticed in seconds.
 RETRY_INTERVALS = 4
@@ -175,8 +176,14 @@
         if sender.address == self.myself.address:
             return []
         self.heard[sender.address] = self.clock.monotonic()
+        introduced = sender.address not in self.known
         for member in (sender, *message.members):
             self.merge(member)
+        if introduced and sender.address in self.known:
+            # A node that starts tells all candidates itself; full news of
+            # every node would fill the datagrams when a fleet starts.
+            count = repeat_limit(self.size()) - INTRODUCTION_REPEATS
+            self.news.add(sender.address, count)
         known = self.known.get(sender.address)
         if known is not None and known.origin != sender.origin:
             # A new process whose incarnation is below its predecessor's: the
