Stop fleets on signals that the shell ignores; log faults when they begin

Cause: a fleet started in the background of a script ignored SIGINT, its graceful stop took the 30 s for which callers keep addresses, and the fault log gave the time at which an entry fault began to wait for its turn.

Change: the scripts handle SIGINT and SIGTERM themselves, stand-in fleets let callers keep addresses for 3 s, and entry faults are logged when they begin.

--- a/fleet/faults.py
+++ b/fleet/faults.py
@@ -1,5 +1,6 @@
 """Faults that a randomised run causes, and their schedule."""
 
+import contextlib
 import dataclasses
 import random
 import signal
@@ -19,6 +20,10 @@
 RECOVERY_S = 5.0
 WITHDRAW_TRIES = 8
 WITHDRAWAL = 'version withdrawn'
+KILL = 'kill entry'
+PAUSE = 'pause entry'
+REPLACE = 'replace entry VM'
+ENTRY_KINDS = frozenset((KILL, PAUSE, REPLACE))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,9 +91,9 @@
         self.drained: set[str] = set()
         self.count = 0
         self.kinds: Mapping[str, Callable[[float], str]] = {
-            'kill entry': self._kill,
-            'pause entry': self._pause,
-            'replace entry VM': self._replace,
+            KILL: self._kill,
+            PAUSE: self._pause,
+            REPLACE: self._replace,
             'table outage': self._table(outage=1),
             'table slow': self._table(slow_s=0.4),
             'table loses replies': self._table(lost_replies=0.3),
@@ -126,38 +131,41 @@
                 self.fleet.cause(program, {'reset': True})
 
     def _cause(self, fault: Fault) -> None:
-        self.count += 1
-        self.say(f'begin {fault.kind}')
-        detail = self.kinds[fault.kind](fault.lasts)
-        self.say(f'end   {fault.kind}: {detail}')
+        one_at_a_time: contextlib.AbstractContextManager[Any] = (
+            contextlib.nullcontext()
+        )
+        if fault.kind in ENTRY_KINDS:
+            one_at_a_time = self.entry_lock
+        with one_at_a_time:
+            self.count += 1
+            self.say(f'begin {fault.kind}')
+            detail = self.kinds[fault.kind](fault.lasts)
+            self.say(f'end   {fault.kind}: {detail}')
 
     def _kill(self, _seconds: float) -> str:
-        with self.entry_lock:
-            victim = self.draw.choice(self.fleet.entries())
-            self.disturbed.add(victim.address)
-            self.fleet.kill(victim)
-            added = self.fleet.add_entry(victim.failure_domain)
-            time.sleep(RECOVERY_S)
-            # The list shows a dead VM for a while.
-            self.fleet.register([victim], 'gone')
+        victim = self.draw.choice(self.fleet.entries())
+        self.disturbed.add(victim.address)
+        self.fleet.kill(victim)
+        added = self.fleet.add_entry(victim.failure_domain)
+        time.sleep(RECOVERY_S)
+        # The list shows a dead VM for a while.
+        self.fleet.register([victim], 'gone')
         return f'{victim.name} killed, {added.name} started'
 
     def _pause(self, seconds: float) -> str:
-        with self.entry_lock:
-            victim = self.draw.choice(self.fleet.entries())
-            self.disturbed.add(victim.address)
-            victim.process.send_signal(signal.SIGSTOP)
-            time.sleep(seconds)
-            victim.process.send_signal(signal.SIGCONT)
-            time.sleep(RECOVERY_S)
+        victim = self.draw.choice(self.fleet.entries())
+        self.disturbed.add(victim.address)
+        victim.process.send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        victim.process.send_signal(signal.SIGCONT)
+        time.sleep(RECOVERY_S)
         return f'{victim.name} paused for {seconds:.1f} s'
 
     def _replace(self, _seconds: float) -> str:
-        with self.entry_lock:
-            old = self.draw.choice(self.fleet.entries())
-            added = self.fleet.add_entry(old.failure_domain)
-            self.drained.add(old.address)
-            self.fleet.drain(old)
+        old = self.draw.choice(self.fleet.entries())
+        added = self.fleet.add_entry(old.failure_domain)
+        self.drained.add(old.address)
+        self.fleet.drain(old)
         code = old.process.returncode
         return f'{old.name} stopped with code {code}, {added.name} started'
 
--- a/fleet/launch.py
+++ b/fleet/launch.py
@@ -58,6 +58,20 @@
         return f'{HOST}:{self.control_port}'
 
 
+# Callers of a stand-in fleet ask again for entry addresses after this time, so
+# that a graceful stop takes seconds.
+SHORT_MAX_AGE = {'entries_max_age': '3s'}
+
+
+def interrupt_on_signals() -> None:
+    """Raise KeyboardInterrupt on SIGINT and SIGTERM.
+
+    A shell starts background commands with SIGINT ignored.
+    """
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+
+
 class Ports:
     """Ports for the processes of one fleet."""
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,7 +1,6 @@
 """A fleet serves, rolls a version out, is flooded and loses a process."""
 
 import collections
-import signal
 import sys
 import tempfile
 import threading
@@ -14,7 +13,7 @@
 from fleet.checker import Evidence
 from fleet.deployments import BROLGA
 from fleet.history import Call, Kind, Outcome
-from fleet.launch import Fleet
+from fleet.launch import SHORT_MAX_AGE, Fleet, interrupt_on_signals
 from fleet.load import Source, callers, plan, run_calls
 from fleet.operator import Operator, add_rollout
 
@@ -27,7 +26,6 @@
 KILL_AT_S = 18.0
 SETTLE_S = 12.0
 PROGRESS_S = 2.0
-SETTINGS = (('entries_max_age', '3s'),)
 
 
 def sources() -> list[Source]:
@@ -169,11 +167,11 @@
 
 def main(_words: list[str]) -> None:
     """Run the demonstration; exit with 1 when a promise was broken."""
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    interrupt_on_signals()
     progress = Progress()
     progress.say(f'starting the fleet of {BROLGA.name}, seed {SEED.value}')
     with tempfile.TemporaryDirectory() as directory:
-        with Fleet(BROLGA, Path(directory), dict(SETTINGS)) as fleet:
+        with Fleet(BROLGA, Path(directory), SHORT_MAX_AGE) as fleet:
             found = run(fleet, progress)
         verdicts = checker.judge(found)
         show(found, verdicts)
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -8,7 +8,7 @@
 from absl import app, flags
 
 from fleet.deployments import DEPLOYMENTS
-from fleet.launch import Fleet
+from fleet.launch import SHORT_MAX_AGE, Fleet, interrupt_on_signals
 
 DEPLOYMENT = flags.DEFINE_enum(
     'deployment', 'brolga', sorted(DEPLOYMENTS), 'Which deployment to start.'
@@ -17,9 +17,11 @@
 
 def main(_words: list[str]) -> None:
     """Run the fleet until an interrupt."""
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    interrupt_on_signals()
     with tempfile.TemporaryDirectory() as directory:
-        fleet = Fleet(DEPLOYMENTS[DEPLOYMENT.value], Path(directory))
+        fleet = Fleet(
+            DEPLOYMENTS[DEPLOYMENT.value], Path(directory), SHORT_MAX_AGE
+        )
         with fleet:
             entry = fleet.entries()[0]
             sys.stdout.write(
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -3,7 +3,6 @@
 import collections
 import dataclasses
 import random
-import signal
 import sys
 import tempfile
 import threading
@@ -16,7 +15,7 @@
 from fleet.deployments import BROLGA, Deployment
 from fleet.faults import Injector, schedule
 from fleet.history import Call, Kind
-from fleet.launch import Fleet
+from fleet.launch import SHORT_MAX_AGE, Fleet, interrupt_on_signals
 from fleet.load import Source, callers, plan, run_calls
 from fleet.operator import Document, Operator, add_rollout
 
@@ -26,7 +25,6 @@
 LOGS = flags.DEFINE_string('logs', '', 'Directory that keeps the logs.')
 
 SETTLE_S = 60.0
-SETTINGS = (('entries_max_age', '3s'),)
 ORDER_PATH = '/services/sightings/sightings'
 PINNED = 'guide-large@v2'
 
@@ -185,12 +183,12 @@
 
 def main(_words: list[str]) -> None:
     """Run the soak; exit with 1 when a promise was broken."""
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    interrupt_on_signals()
     log = Log()
     log.say(f'soak with seed {SEED.value} for {SECONDS.value:.0f} s')
     with tempfile.TemporaryDirectory() as directory:
         fleet = Fleet(
-            soak_deployment(), Path(LOGS.value or directory), dict(SETTINGS)
+            soak_deployment(), Path(LOGS.value or directory), SHORT_MAX_AGE
         )
         restrict(fleet.document)
         with fleet:
