Report resumed streams and activation times of a soak

Cause: a process that did not answer at the end of a soak was left out of the verdict on its configuration, and the soak did not show whether streams were resumed or how long a publication took to be active.

Change: a silent process counts as one without a configuration; the soak prints resumed streams and the last report of an older generation.

--- a/fleet/operator.py
+++ b/fleet/operator.py
@@ -101,14 +101,17 @@
           seconds: limit.
 
         Returns:
-          The last reports.
+          The last reports; generation 0 of a process that does not answer.
         """
         limit = time.monotonic() + seconds
         while True:
-            last = self.read_all()
+            last = [
+                self._status(entry)
+                or StatusSeen(entry.name, time.time(), 0, '')
+                for entry in self.fleet.entries()
+            ]
             current = all(one.generation >= self.generation for one in last)
-            complete = len(last) == len(self.fleet.entries())
-            if (current and complete) or time.monotonic() > limit:
+            if current or time.monotonic() > limit:
                 return last
             time.sleep(POLL_S)
 
--- a/fleet/report.py
+++ b/fleet/report.py
@@ -6,7 +6,7 @@
 from bronzeglade.coordination.bill import Bill, cost_of
 from fleet.checker import Evidence, Verdict
 from fleet.deployments import RANKS
-from fleet.history import Call, Kind, Outcome
+from fleet.history import Call, Kind, Outcome, Publication
 from fleet.load import summarise
 
 NANO_PER_CENT = 10_000_000
@@ -72,6 +72,40 @@
     ]
 
 
+def resumed(evidence: Evidence) -> str:
+    """Return one line on streams that went on with another worker."""
+    count = sum(1 for run in evidence.engine_runs if run.resumed_from)
+    return f'streams resumed on another worker: {count}'
+
+
+def activation(evidence: Evidence) -> str:
+    """Return one line on the time until publications were active everywhere.
+
+    Processes report twice a second; one that did not report at the time, such
+    as a paused one, counts when it reports again.
+    """
+    delays = [
+        _activation_s(evidence, publication)
+        for publication in evidence.publications
+        if publication.accepted
+    ]
+    longest = max(delays, default=0)
+    return (
+        f'{len(delays)} publications accepted, last report of an older '
+        f'generation {longest:.1f} s after (reports every 0.5 s)'
+    )
+
+
+def _activation_s(evidence: Evidence, publication: Publication) -> float:
+    behind = [
+        seen.at
+        for seen in evidence.statuses
+        if seen.at > publication.at
+        and 0 < seen.generation < publication.generation
+    ]
+    return max(behind, default=publication.at) - publication.at
+
+
 def verdicts(found: Iterable[Verdict]) -> list[str]:
     """Return a line for each promise, and its first violations."""
     lines: list[str] = []
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -172,6 +172,8 @@
         report.orders(found.calls),
         'attempts without an answer',
         *(f'{count:>6}  {code}' for code, count in codes.most_common()),
+        report.resumed(found),
+        report.activation(found),
         'executed by version',
         *report.shares(found),
         '',
