Compare few samples exactly and drop evidence when a share changes; add cascades

One cause is a window with two shares: a fault of the platform weighs more for the version that got more requests while it lasted. Windows now restart with each step. Latency and ratings are compared with the likelihood ratio for an unknown variance, as a normal distribution takes chance for harm with few samples.

Seen to fail with the code broken on purpose: any rating accepted, no exploration, no target for unrated answers, escalation without time, first step without time, threshold fixed, memory unbounded, longer pause.

--- /dev/null
+++ b/bronzeglade/decisions/cascade_test.py
@@ -0,0 +1,117 @@
+"""Guards which model answers and whether a cheap answer is kept."""
+
+import datetime as dt
+
+from bronzeglade import builders
+from bronzeglade.decisions.cascade import (
+    Cascade,
+    CascadeSettings,
+    Features,
+    Reason,
+    RoutePlan,
+    RouteStep,
+)
+
+CHEAP = RouteStep('cheap', 1, 0.8)
+LAST = RouteStep('last', 10)
+ROUTE = RoutePlan('route', 0.97, (CHEAP, LAST))
+FEATURES = Features(100, 100, 1)
+LONG = dt.timedelta(minutes=1)
+SETTINGS = CascadeSettings()
+
+
+def learned(cheap: float, count: int = 40) -> Cascade:
+    """Return a cascade that knows the ratings of both models."""
+    cascade = Cascade(SETTINGS, builders.ManualClock())
+    for index in range(count):
+        noise = 0.05 if index % 2 else -0.05
+        cascade.rated(ROUTE, CHEAP, FEATURES, cheap + noise)
+        cascade.rated(ROUTE, LAST, FEATURES, 0.9 + noise)
+    return cascade
+
+
+def lose_ratings(cascade: Cascade) -> None:
+    """Let ratings fail until the service is left alone."""
+    for _ in range(SETTINGS.failures):
+        cascade.rating_failed()
+
+
+def test_unknown_route_tries_the_cheap_model() -> None:
+    """A cascade that never tries its cheap model saves nothing."""
+    cascade = Cascade(SETTINGS, builders.ManualClock())
+    first = cascade.first_step(ROUTE, FEATURES, LONG)
+    assert (first.index, first.rate) == (0, True)
+    low = cascade.next_step(ROUTE, 0, 0.7, FEATURES, LONG)
+    high = cascade.next_step(ROUTE, 0, 0.9, FEATURES, LONG)
+    assert (low.accept, high.accept) == (False, True)
+
+
+def test_hopeless_try_is_skipped_but_not_for_ever() -> None:
+    """A model that has become better must be found again."""
+    cascade = learned(cheap=0.3)
+    indexes = [
+        cascade.first_step(ROUTE, FEATURES, LONG).index for _ in range(40)
+    ]
+    assert indexes.count(0) == 40 // SETTINGS.exploration
+
+
+def test_without_ratings_quality_comes_first() -> None:
+    """An unrated answer of a weak model must not reach the caller."""
+    unknown = Cascade(SETTINGS, builders.ManualClock())
+    weak, good = learned(cheap=0.83), learned(cheap=0.92)
+    for cascade in (unknown, weak, good):
+        lose_ratings(cascade)
+    first = [
+        one.first_step(ROUTE, FEATURES, LONG) for one in (unknown, weak, good)
+    ]
+    assert [one.index for one in first] == [1, 1, 0]
+    assert first[1].reason is Reason.NO_RATING
+    assert not weak.next_step(ROUTE, 0, None, FEATURES, LONG).accept
+    assert good.next_step(ROUTE, 0, None, FEATURES, LONG).accept
+
+
+def test_rating_service_is_asked_again_after_a_pause() -> None:
+    """An outage that has ended must not cost for ever."""
+    clock = builders.ManualClock()
+    cascade = Cascade(SETTINGS, clock)
+    lose_ratings(cascade)
+    assert not cascade.rating_available()
+    clock.advance(SETTINGS.pause)
+    assert cascade.rating_available()
+
+
+def test_no_escalation_that_cannot_finish() -> None:
+    """A late answer is worth less than a cheap one in time."""
+    cascade = learned(cheap=0.85)
+    for _ in range(20):
+        cascade.took('cheap', dt.timedelta(seconds=1))
+        cascade.took('last', dt.timedelta(seconds=5))
+    short = dt.timedelta(seconds=4)
+    decision = cascade.next_step(ROUTE, 0, 0.1, FEATURES, short)
+    assert (decision.accept, decision.reason) == (True, Reason.NO_TIME)
+    first = cascade.first_step(ROUTE, FEATURES, short)
+    assert (first.index, first.reason) == (0, Reason.NO_TIME)
+    # Time for the last model, but not for both.
+    assert cascade.first_step(ROUTE, FEATURES, short * 1.4).index == 1
+    assert cascade.first_step(ROUTE, FEATURES, LONG).rate
+
+
+def test_threshold_rises_while_quality_is_missed() -> None:
+    """Accepted answers just above the limit may miss the target."""
+    cascade = learned(cheap=0.85)
+    for _ in range(10):
+        cascade.delivered_answer(ROUTE, 0.82)
+    assert cascade.threshold(ROUTE, CHEAP) > CHEAP.accept_rating
+    for _ in range(300):
+        cascade.delivered_answer(ROUTE, None)
+    assert cascade.threshold(ROUTE, CHEAP) <= CHEAP.accept_rating
+
+
+def test_memory_is_bounded() -> None:
+    """Callers choose the features and must not fill the memory."""
+    settings = CascadeSettings(buckets=8)
+    cascade = Cascade(settings, builders.ManualClock())
+    for power in range(20):
+        features = Features(1 << power, 1, 1)
+        cascade.rated(ROUTE, CHEAP, features, 0.9)
+    assert len(cascade.ratings) == 8
--- a/bronzeglade/decisions/rollout.py
+++ b/bronzeglade/decisions/rollout.py
@@ -131,8 +131,7 @@
         self.settings = settings
         self.limits = limits
         self.recent: collections.deque[Pair] = collections.deque()
-        self.sums = [Pair() for _ in settings.windows]
-        self.statistics = {measure: float(0) for measure in Measure}
+        self.restart()
 
     def feed(self, candidate: Evidence, control: Evidence) -> None:
         """Take in what was counted since the last call.
@@ -152,6 +151,16 @@
             self.recent.popleft()
         self._compare()
 
+    def restart(self) -> None:
+        """Drop all evidence: the shares of both versions have changed.
+
+        In a window with two shares, a fault of the platform weighs more for
+        the version that got more requests while it lasted.
+        """
+        self.recent.clear()
+        self.sums = [Pair() for _ in self.settings.windows]
+        self.statistics = {measure: float(0) for measure in Measure}
+
     def verdict(self) -> Verdict:
         """Return what the evidence says now."""
         measure = max(Measure, key=lambda one: self.statistics[one])
@@ -202,10 +211,14 @@
         excess = candidate.mean() - control.mean() - tolerated
         if excess <= 0:
             return 0
-        lowest = self.settings.lowest_deviation**2
-        spread = max(lowest, candidate.variance()) / candidate.count
-        spread += max(lowest, control.variance()) / control.count
-        return excess * excess / (2 * spread)
+        both = candidate.count + control.count
+        within = candidate.variance() * candidate.count
+        within += control.variance() * control.count
+        variance = max(self.settings.lowest_deviation**2, within / both)
+        # The variance is estimated from the same values: with few of them a
+        # normal distribution would take chance for harm.
+        weight = candidate.count * control.count / both
+        return both / 2 * math.log1p(excess * excess * weight / variance / both)
 
 
 def negated(values: Moments) -> Moments:
--- a/bronzeglade/entry/rollouts.py
+++ b/bronzeglade/entry/rollouts.py
@@ -37,6 +37,8 @@
 CANDIDATE_COUNT = 3
 # Every node reads the rows in case gossip fails: 11 reads/s at 330 nodes.
 POLL_INTERVAL = dt.timedelta(seconds=30)
+# Time in which a new share reaches the nodes and its evidence comes back.
+STEP_SPREAD = dt.timedelta(seconds=4)
 # Origins whose counters are remembered, twice the largest fleet and more.
 KEPT_ORIGINS = 1000
 
@@ -73,13 +75,23 @@
         self.step = -1
         self.since = now
         self.requests: float = 0
+        self.mixed_until: dt.timedelta | None = None
 
     def enter(self, step: int, now: dt.timedelta) -> None:
-        """Count from anew when the step is another one."""
+        """Count from anew when the step is another one.
+
+        The evidence is dropped twice, as other nodes change the share a
+        little later.
+        """
         if step != self.step:
             self.step = step
             self.since = now
             self.requests = 0
+            self.mixed_until = now + STEP_SPREAD
+            self.judge.restart()
+        elif self.mixed_until is not None and now >= self.mixed_until:
+            self.mixed_until = None
+            self.judge.restart()
 
     def take(self, origin: str, packed: Any) -> tuple[Evidence, Evidence]:
         """Return what an origin counted since its last document."""
