--- a/bronzeglade/entry/control.py
+++ b/bronzeglade/entry/control.py
@@ -9,6 +9,7 @@
 from bronzeglade import catalog as catalogs
 from bronzeglade import manifest as manifests
 from bronzeglade.catalog import Configuration
+from bronzeglade.coordination.datagram import NAME_LIMIT
 from bronzeglade.coordination.head import (
     Published,
     Reused,
@@ -28,10 +29,14 @@
     route = (request.method, request.path)
     if route == ('GET', '/metrics'):
         return Response(
-            200, (generate_latest(),), {'Content-Type': CONTENT_TYPE_LATEST}
+            200,
+            (generate_latest(node.telemetry.registry),),
+            {'Content-Type': CONTENT_TYPE_LATEST},
         )
     if route == ('POST', '/operator/manifest'):
         return _publish(node, request)
+    if route == ('GET', '/operator/manifest'):
+        return _manifest(node, request)
     if route == ('GET', '/operator/status'):
         return _status(node, request)
     if request.method == 'POST' and request.path.startswith(PEER_PREFIX):
@@ -53,6 +58,26 @@
     return Response(200, (reply.ok_value,), {'Content-Length': length})
 
 
+def _manifest(node: Node, request: Request) -> Response:
+    """Return the manifest that is active; 404 before the first one."""
+    if node.catalog is None:
+        refusal = Refusal(404, 'no_configuration', 'no manifest is active')
+        return http.refuse(refusal, request.request_id)
+    refused = _operator_refusal(node, request, node.catalog.manifest)
+    if refused is not None:
+        return http.refuse(refused, request.request_id)
+    configuration = node.catalog.configuration
+    return Response(
+        200,
+        (configuration.text,),
+        {
+            'Content-Type': 'application/json',
+            'Content-Length': str(len(configuration.text)),
+            'X-Generation': str(configuration.generation),
+        },
+    )
+
+
 def _publish(node: Node, request: Request) -> Response:
     body = http.read_body(request, node.settings)
     if isinstance(body, Err):
@@ -69,10 +94,16 @@
         message = 'X-Replaces-Generation: the generation that is replaced'
         refusal = Refusal(422, 'no_generation', message)
         return http.refuse(refusal, request.request_id)
+    publication_id = request.header('X-Publication-Id') or uuid.uuid4().hex
+    operator = request.header('X-Operator') or 'unnamed'
+    if max(len(publication_id), len(operator)) > NAME_LIMIT:
+        message = f'X-Publication-Id, X-Operator: at most {NAME_LIMIT} letters'
+        refusal = Refusal(422, 'name_too_long', message)
+        return http.refuse(refusal, request.request_id)
     published = Published(
         Configuration(int(replaces) + 1, catalogs.digest_of(text), text),
-        request.header('X-Publication-Id') or uuid.uuid4().hex,
-        request.header('X-Operator') or 'unnamed',
+        publication_id,
+        operator,
     )
     if node.catalog is None and published.configuration.generation > 1:
         # Only the first manifest may name its own operators.
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -6,7 +6,7 @@
 
 import eventlet
 import urllib3
-from eliot import write_traceback
+from prometheus_client import CollectorRegistry
 from result import Err
 
 from bronzeglade.adapters import transport
@@ -28,10 +28,12 @@
 from bronzeglade.entry.feeds import Feeds
 from bronzeglade.entry.heartbeats import Heartbeats, Links, new_member
 from bronzeglade.entry.loading import Loading
+from bronzeglade.entry.loops import spawn_loop
 from bronzeglade.entry.peers import Gossip, Peers
 from bronzeglade.entry.ratings import RATE_INTERVAL, RatingSampler
 from bronzeglade.entry.rollouts import Identity, Rollouts, Surroundings
 from bronzeglade.entry.sessions import Sessions
+from bronzeglade.entry.telemetry import Telemetry
 from bronzeglade.entry.versions import Versions
 from bronzeglade.entry.workers import (
     Worker,
@@ -64,6 +66,7 @@
         self.vm_list = HttpVmList(
             settings.vm_list_url, self.pool, settings.table_timeout
         )
+        self.telemetry = Telemetry(self.clock, CollectorRegistry())
         self.catalog: Catalog | None = None
         self.vms: tuple[Vm, ...] = ()
         self.workers: tuple[Worker, ...] = ()
@@ -175,6 +178,7 @@
 
     def _use(self, catalog: Catalog) -> None:
         self.catalog = catalog
+        self.telemetry.generation.set(catalog.configuration.generation)
         self._refresh_workers()
 
     def live_nodes(self) -> list[tuple[str, str]]:
@@ -201,14 +205,9 @@
             )
 
     def _every(self, seconds: float, action: Callable[[], None]) -> None:
-        def loop() -> None:
-            while True:
-                try:
-                    action()
-                except Exception:
-                    # A loop that ended would leave the node out of date.
-                    write_traceback()
-                spread = 1 + JITTER * (self.random.random() - 0.5)
-                eventlet.sleep(seconds * spread)
-
-        eventlet.spawn(loop)
+        def turn() -> None:
+            action()
+            spread = 1 + JITTER * (self.random.random() - 0.5)
+            eventlet.sleep(seconds * spread)
+
+        spawn_loop(turn)
