--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -7,7 +7,14 @@
 from result import Err, Ok, Result
 
 from bronzeglade.coordination.bill import Bill, cost_of
-from bronzeglade.entry import access, completion, dispatch, http, selection
+from bronzeglade.entry import (
+    access,
+    completion,
+    dispatch,
+    evidence,
+    http,
+    selection,
+)
 from bronzeglade.entry.dispatch import Started, Work
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
@@ -31,7 +38,28 @@
 
 
 def _run(node: Node, work: Work) -> Response:
-    request_id = work.request.request_id
+    began = _start(node, work)
+    if isinstance(began, Err):
+        return http.refuse(began.err_value, work.request.request_id)
+    started = began.ok_value
+    if work.chat.stream:
+        return _streamed(node, started)
+    return _whole(node, started)
+
+
+def _start(node: Node, work: Work) -> Result[Started, Refusal]:
+    taken = node.allowances.take(work.caller.team.name, work.chat)
+    if isinstance(taken, Refusal):
+        return Err(taken)
+    started = _admitted(node, work)
+    if isinstance(started, Ok):
+        started.ok_value.taken = taken
+    elif started.err_value.run_state is RunState.NOT_RUN:
+        node.allowances.give_back(taken)
+    return started
+
+
+def _admitted(node: Node, work: Work) -> Result[Started, Refusal]:
     ticket = node.admission.enter(
         work.caller.team,
         work.caller.rank,
@@ -40,13 +68,12 @@
         work.request.has_caller_left,
     )
     if isinstance(ticket, Err):
-        return http.refuse(ticket.err_value, request_id)
+        return ticket
+    began = node.clock.monotonic()
     started = dispatch.start(node, work, ticket.ok_value)
-    if isinstance(started, Err):
-        return http.refuse(started.err_value, request_id)
-    if work.chat.stream:
-        return _streamed(node, started.ok_value)
-    return _whole(node, started.ok_value)
+    if isinstance(started, Ok):
+        evidence.first_token(node, started.ok_value, began)
+    return started
 
 
 def prepare(node: Node, request: Request) -> Result[Work, Refusal]:
@@ -137,6 +164,7 @@
             continue
     finally:
         dispatch.finish(node, started)
+    evidence.ended(node, started)
     if not started.answer.complete:
         message = 'the worker stopped before the answer was complete'
         return http.refuse(
@@ -195,6 +223,7 @@
     try:
         yield from answer.body()
         whole = answer.complete
+        evidence.ended(node, started)
     finally:
         dispatch.finish(node, started)
         if not whole and answer.tokens:
--- a/bronzeglade/entry/dispatch_test.py
+++ b/bronzeglade/entry/dispatch_test.py
@@ -11,6 +11,7 @@
 
 from bronzeglade import catalog as catalogs
 from bronzeglade.catalog import Configuration
+from bronzeglade.coordination.head import Published
 from bronzeglade.entry import chat
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
@@ -76,7 +77,7 @@
     )
     node = Node(settings)
     catalog = catalog_of(deployments.manifest(deployments.BROLGA))
-    node.catalog = catalog
+    node.adopt(Published(catalog.configuration, 'first', 'operator'))
     node.workers = tuple(
         Worker(
             vm=f'w{index}',
@@ -90,6 +91,8 @@
         )
         for index, address in enumerate(addresses)
     )
+    # The share of the moment without workers would count for two seconds.
+    node.admission.recent.clear()
     node.admission.update(catalog, node.workers, ())
     return node
 
