Refuse cheaply when a node has too many open requests

Cause: a flood that outruns the queues was read and checked request by request.

Behaviour at twice a node's load is not measured yet.

--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -20,6 +20,17 @@
 from bronzeglade.entry.node import Node
 from bronzeglade.outcome import Refusal, RunState
 
+# Each open request holds a connection and about 50 KB; admission admits far
+# fewer, so only a flood that outruns the queues reaches this.
+MAX_OPEN_REQUESTS = 1500
+NODE_OVERLOADED = Refusal(
+    503,
+    'node_overloaded',
+    'this node has too many open requests',
+    RunState.NOT_RUN,
+    dt.timedelta(seconds=2),
+)
+
 
 def handle(node: Node, request: Request) -> Response:
     """Answer a chat completion.
@@ -31,6 +42,9 @@
     Returns:
       The whole answer, its stream, or an error in the OpenAI shape.
     """
+    if node.open_requests > MAX_OPEN_REQUESTS:
+        # Before anything is read or checked, so that a refusal stays cheap.
+        return http.refuse(NODE_OVERLOADED, request.request_id)
     work = prepare(node, request)
     if isinstance(work, Err):
         return http.refuse(work.err_value, request.request_id)
--- a/bronzeglade/entry/dispatch_test.py
+++ b/bronzeglade/entry/dispatch_test.py
@@ -180,3 +180,14 @@
     response = respond(node)
     assert response.status == 503
     assert run_state(response) == 'not_run'
+
+
+def test_node_with_too_many_requests_refuses_before_reading() -> None:
+    """A flood that is read and checked first takes the whole processor."""
+    node = node_with([CLOSED])
+    node.open_requests = chat.MAX_OPEN_REQUESTS + 1
+    request = Request('POST', '/v1/chat/completions', '', {}, 'r1')
+    response = chat.handle(node, request)
+    assert response.status == 503
+    assert run_state(response) == 'not_run'
+    assert response.headers['Retry-After'] == '2'
