--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -20,6 +20,7 @@
 from bronzeglade.entry.node import Node
 from bronzeglade.outcome import Refusal, RunState
 
+PATH = '/v1/chat/completions'
 # Each open request holds a connection and about 50 KB; admission admits far
 # fewer, so only a flood that outruns the queues reaches this.
 MAX_OPEN_REQUESTS = 1500
@@ -87,6 +88,7 @@
     started = dispatch.start(node, work, ticket.ok_value)
     if isinstance(started, Ok):
         evidence.first_token(node, started.ok_value, began)
+        work.request.trace.first_token = node.clock.monotonic()
     return started
 
 
@@ -118,6 +120,14 @@
     choice = selection.choose(node, caller.ok_value, request, steps.ok_value[0])
     if isinstance(choice, Err):
         return choice
+    request.trace.chosen(choice.ok_value.model, choice.ok_value.version)
+    request.trace.event(
+        'choice',
+        model=choice.ok_value.model,
+        version=choice.ok_value.version,
+        generation=caller.ok_value.catalog.configuration.generation,
+        vm=node.settings.vm,
+    )
     return Ok(
         Work(
             request=request,
@@ -168,13 +178,26 @@
         whole=whole,
         finished_at=node.clock.now(),
     )
-    return node.billing.record(record, node.settings.request_timeout)
+    billed = node.billing.record(record, node.settings.request_timeout)
+    trace = work.request.trace
+    trace.event(
+        'bill',
+        whole=whole,
+        cost_nanodollars=cost,
+        prompt_tokens=usage.prompt_tokens,
+        completion_tokens=usage.completion_tokens,
+        error=billed.err(),
+    )
+    if isinstance(billed, Ok):
+        trace.answered = whole
+        node.telemetry.billed(trace.labels, cost, usage.completion_tokens)
+    return billed
 
 
 def _whole(node: Node, started: Started) -> Response:
     request_id = started.work.request.request_id
     try:
-        for _chunk in started.answer.body():
+        for _block in _timed(node, started):
             continue
     finally:
         dispatch.finish(node, started)
@@ -235,7 +258,7 @@
     answer = started.answer
     whole = False
     try:
-        yield from answer.body()
+        yield from _timed(node, started)
         whole = answer.complete
         evidence.ended(node, started)
     finally:
@@ -252,6 +275,17 @@
         yield _error_event(refusal, started)
 
 
+def _timed(node: Node, started: Started) -> Iterator[bytes]:
+    """Yield the body of an answer and count the times between its blocks."""
+    count = started.work.request.trace.gap_counter(node.telemetry)
+    last = node.clock.monotonic()
+    for block in started.answer.body():
+        now = node.clock.monotonic()
+        count((now - last).total_seconds())
+        yield block
+        last = now
+
+
 def _ending(node: Node, started: Started) -> Iterator[bytes]:
     # The last part leaves only after the request is billed.
     billed = _bill(node, started, whole=True)
@@ -264,5 +298,6 @@
 
 
 def _error_event(refusal: Refusal, started: Started) -> bytes:
+    started.work.request.trace.refusal = refusal
     document = http.error_document(refusal, started.work.request.request_id)
     return b'data: ' + json.dumps(document).encode() + b'\n\n'
