Answer routes as cascades and record the decisions

A route always used its cheapest model. The first step of a request is now chosen by decisions/cascade.py. An answer that is to be rated is read whole, rated, and accepted or replaced by that of the last model. The bill of the request stays one record whose cost sums both runs. The answer of the last model is rated now and then, at a bounded rate.

Seen to fail with the code broken on purpose: every answer accepted, cost of the first run left out, buffered answer not delivered.

--- a/bronzeglade/decisions/cascade.py
+++ b/bronzeglade/decisions/cascade.py
@@ -168,6 +168,8 @@
     ) -> Decision:
         """Return whether the answer of a step that was tried is accepted.
 
+        Otherwise the last step answers: one rated try bounds the latency.
+
         Args:
           route: steps that the team may use.
           index: the step that answered, not the last one.
@@ -175,7 +177,7 @@
           features: the request.
           left: time to the deadline.
         """
-        if not self._fits((route.steps[index + 1],), left):
+        if not self._fits((route.steps[-1],), left):
             return Decision(accept=True, reason=Reason.NO_TIME)
         step = route.steps[index]
         wanted = self.threshold(route, step)
--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -6,9 +6,10 @@
 
 from result import Err, Ok, Result
 
-from bronzeglade.coordination.bill import Bill, cost_of
+from bronzeglade.coordination.bill import Bill
 from bronzeglade.entry import (
     access,
+    cascade,
     completion,
     dispatch,
     evidence,
@@ -42,20 +43,9 @@
 
 def _run(node: Node, work: Work) -> Response:
     request_id = work.request.request_id
-    ticket = node.admission.enter(
-        work.caller.team,
-        work.caller.rank,
-        work.choice.model,
-        work.deadline,
-        work.request.has_caller_left,
-    )
-    if isinstance(ticket, Err):
-        return http.refuse(ticket.err_value, request_id)
-    began = node.clock.monotonic()
-    started = dispatch.start(node, work, ticket.ok_value)
+    started = cascade.start(node, work)
     if isinstance(started, Err):
         return http.refuse(started.err_value, request_id)
-    evidence.first_token(node, started.ok_value, began)
     work.request.trace.first_token = node.clock.monotonic()
     if work.chat.stream:
         return _streamed(node, started.ok_value)
@@ -87,7 +77,11 @@
     steps = selection.allowed_steps(caller.ok_value, chat.ok_value.model)
     if isinstance(steps, Err):
         return steps
-    choice = selection.choose(node, caller.ok_value, request, steps.ok_value[0])
+    first = cascade.first_step(
+        node, caller.ok_value, chat.ok_value, steps.ok_value, limit.ok_value
+    )
+    step = steps.ok_value[first.index]
+    choice = selection.choose(node, caller.ok_value, request, step)
     if isinstance(choice, Err):
         return choice
     request.trace.chosen(choice.ok_value.model, choice.ok_value.version)
@@ -105,6 +99,9 @@
             chat=chat.ok_value,
             choice=choice.ok_value,
             deadline=node.clock.monotonic() + limit.ok_value,
+            steps=tuple(steps.ok_value),
+            reason=first.reason,
+            rated=first.rate,
         )
     )
 
@@ -135,8 +132,7 @@
 def _bill(node: Node, started: Started, whole: bool) -> Result[None, str]:
     work = started.work
     usage = started.answer.usage()
-    model = work.caller.catalog.models[work.choice.model]
-    cost = cost_of(usage, model.prompt_cost, model.completion_cost)
+    cost = cascade.cost(started)
     record = Bill(
         request_id=work.request.request_id,
         team=work.caller.team.name,
@@ -171,7 +167,7 @@
             continue
     finally:
         dispatch.finish(node, started)
-    evidence.ended(node, started)
+    _learn(node, started)
     if not started.answer.complete:
         message = 'the worker stopped before the answer was complete'
         return http.refuse(
@@ -185,6 +181,12 @@
     )
 
 
+def _learn(node: Node, started: Started) -> None:
+    evidence.ended(node, started)
+    if started.answer.complete:
+        cascade.learn(node, started)
+
+
 def _unbilled(detail: str) -> Refusal:
     message = f'the answer could not be billed: {detail}'
     return Refusal(503, 'billing_unavailable', message, RunState.RAN)
@@ -230,7 +232,7 @@
     try:
         yield from _timed(node, started)
         whole = answer.complete
-        evidence.ended(node, started)
+        _learn(node, started)
     finally:
         dispatch.finish(node, started)
         if not whole and answer.tokens:
--- a/bronzeglade/entry/dispatch.py
+++ b/bronzeglade/entry/dispatch.py
@@ -9,7 +9,9 @@
 from bronzeglade.adapters import engine as engines
 from bronzeglade.adapters.engine import EngineRefusal, EngineStream
 from bronzeglade.adapters.transport import CallFailure
+from bronzeglade.catalog import Step
 from bronzeglade.decisions.admission import Ticket
+from bronzeglade.decisions.cascade import Reason
 from bronzeglade.decisions.evidence import FAILED
 from bronzeglade.decisions.prefix import prompt_blocks
 from bronzeglade.decisions.retry import Failure, failure_of_status
@@ -29,13 +31,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Work:
-    """A checked request with the version that is to answer it."""
+    """A checked request with the version that is to answer it.
+
+    `steps` are those of its target, `reason` tells why this one runs, and
+    `rated` whether its answer is rated before the caller gets it.
+    `earlier_cost` is that of runs whose answers were not accepted.
+    """
 
     request: Request
     caller: Caller
     chat: ChatRequest
     choice: Choice
     deadline: dt.timedelta
+    steps: tuple[Step, ...] = ()
+    reason: Reason = Reason.ONLY
+    rated: bool = False
+    earlier_cost: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -19,11 +19,13 @@
 from bronzeglade.coordination.head import Published
 from bronzeglade.coordination.membership import Membership
 from bronzeglade.coordination.publication import Publication
+from bronzeglade.decisions.cascade import Cascade, CascadeSettings
 from bronzeglade.decisions.retry import RetryBudget, RetrySettings
 from bronzeglade.decisions.routing import Routing, RoutingSettings
 from bronzeglade.entry import rollouts
 from bronzeglade.entry.admission import TICK_S, Admission
 from bronzeglade.entry.billing import Billing
+from bronzeglade.entry.cascade_metrics import CascadeMetrics
 from bronzeglade.entry.configuration import Distribution, Services
 from bronzeglade.entry.feeds import Feeds
 from bronzeglade.entry.heartbeats import Heartbeats, Links, new_member
@@ -109,6 +111,8 @@
             self.clock,
             eventlet.spawn,
         )
+        self.cascade_metrics = CascadeMetrics(self.telemetry.registry)
+        self.cascade = Cascade(CascadeSettings(), self.clock)
         self.rating_service: RatingService = NoRatings()
         if settings.rating_url is not None:
             self.rating_service = HttpRatings(settings.rating_url, self.pool)
--- a/bronzeglade/entry/ratings.py
+++ b/bronzeglade/entry/ratings.py
@@ -20,6 +20,10 @@
 RATE_INTERVAL = dt.timedelta(milliseconds=100)
 
 
+Learn = Callable[[float], None]
+Waiting = tuple[Sample, Learn | None]
+
+
 class RatingSampler:
     """Rates a bounded number of answers of the versions in roll-outs."""
 
@@ -42,39 +46,44 @@
         self.clock = clock
         self.versions = versions
         self.node_count = node_count
-        self.queue: collections.deque[Sample] = collections.deque()
-        self.next_at: dict[tuple[str, str], dt.timedelta] = {}
+        self.queue: collections.deque[Waiting] = collections.deque()
+        self.next_at: dict[tuple[str, str, bool], dt.timedelta] = {}
 
-    def offer(self, sample: Sample) -> None:
+    def offer(self, sample: Sample, learn: Learn | None = None) -> None:
         """Queue an answer when its version is due for a rating.
 
         Args:
           sample: a whole answer.
+          learn: takes the rating; without it only versions in roll-outs are
+            rated.
         """
         rollout = self.versions.rollouts.get(sample.model)
-        if rollout is None or len(self.queue) >= QUEUE_LENGTH:
-            return
-        if sample.version not in {rollout.from_version, rollout.to_version}:
+        tracked = rollout is not None and sample.version in {
+            rollout.from_version,
+            rollout.to_version,
+        }
+        if len(self.queue) >= QUEUE_LENGTH or not (tracked or learn):
             return
         now = self.clock.monotonic()
-        key = (sample.model, sample.version)
+        key = (sample.model, sample.version, learn is not None)
         if now < self.next_at.get(key, now):
             return
         rate = FLEET_RATE / max(1, self.node_count())
         bounded = min(max(rate, LOWEST_RATE), HIGHEST_RATE)
         self.next_at[key] = now + dt.timedelta(seconds=1 / bounded)
-        self.queue.append(sample)
+        self.queue.append((sample, learn))
 
     def rate_next(self) -> None:
         """Rate the oldest answer in the queue."""
         if not self.queue:
             return
-        sample = self.queue.popleft()
-        rating = self.service.rate(sample, RATING_LIMIT)
-        if isinstance(rating, Err):
+        sample, learn = self.queue.popleft()
+        outcome = self.service.rate(sample, RATING_LIMIT)
+        if isinstance(outcome, Err):
             return
-        self.versions.observe(
-            sample.model,
-            sample.version,
-            Observation(rating=rating.ok_value, counts=False),
-        )
+        rating = outcome.ok_value
+        if learn is None:
+            seen = Observation(rating=rating, counts=False)
+            self.versions.observe(sample.model, sample.version, seen)
+        else:
+            learn(rating)
