--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -6,9 +6,10 @@
 
 from result import Err, Ok, Result
 
-from bronzeglade.coordination.bill import Bill, cost_of
+from bronzeglade.coordination.bill import Bill
 from bronzeglade.entry import (
     access,
+    cascade,
     completion,
     dispatch,
     evidence,
@@ -57,6 +58,7 @@
     if isinstance(began, Err):
         return http.refuse(began.err_value, work.request.request_id)
     started = began.ok_value
+    work.request.trace.first_token = node.clock.monotonic()
     if work.chat.stream:
         return _streamed(node, started)
     return _whole(node, started)
@@ -66,7 +68,7 @@
     taken = node.allowances.take(work.caller.team.name, work.chat)
     if isinstance(taken, Refusal):
         return Err(taken)
-    started = _admitted(node, work)
+    started = cascade.start(node, work)
     if isinstance(started, Ok):
         started.ok_value.taken = taken
     elif started.err_value.run_state is RunState.NOT_RUN:
@@ -74,24 +76,6 @@
     return started
 
 
-def _admitted(node: Node, work: Work) -> Result[Started, Refusal]:
-    ticket = node.admission.enter(
-        work.caller.team,
-        work.caller.rank,
-        work.choice.model,
-        work.deadline,
-        work.request.has_caller_left,
-    )
-    if isinstance(ticket, Err):
-        return ticket
-    began = node.clock.monotonic()
-    started = dispatch.start(node, work, ticket.ok_value)
-    if isinstance(started, Ok):
-        evidence.first_token(node, started.ok_value, began)
-        work.request.trace.first_token = node.clock.monotonic()
-    return started
-
-
 def prepare(node: Node, request: Request) -> Result[Work, Refusal]:
     """Check a request and choose the version that is to answer it.
 
@@ -117,7 +101,11 @@
     steps = selection.allowed_steps(caller.ok_value, chat.ok_value.model)
     if isinstance(steps, Err):
         return steps
-    choice = selection.choose(node, caller.ok_value, request, steps.ok_value[0])
+    first = cascade.first_step(
+        node, caller.ok_value, chat.ok_value, steps.ok_value, limit.ok_value
+    )
+    step = steps.ok_value[first.index]
+    choice = selection.choose(node, caller.ok_value, request, step)
     if isinstance(choice, Err):
         return choice
     request.trace.chosen(choice.ok_value.model, choice.ok_value.version)
@@ -135,6 +123,9 @@
             chat=chat.ok_value,
             choice=choice.ok_value,
             deadline=node.clock.monotonic() + limit.ok_value,
+            steps=tuple(steps.ok_value),
+            reason=first.reason,
+            rated=first.rate,
         )
     )
 
@@ -165,8 +156,7 @@
 def _bill(node: Node, started: Started, whole: bool) -> Result[None, str]:
     work = started.work
     usage = started.answer.usage()
-    model = work.caller.catalog.models[work.choice.model]
-    cost = cost_of(usage, model.prompt_cost, model.completion_cost)
+    cost = cascade.cost(started)
     record = Bill(
         request_id=work.request.request_id,
         team=work.caller.team.name,
@@ -201,7 +191,7 @@
             continue
     finally:
         dispatch.finish(node, started)
-    evidence.ended(node, started)
+    _learn(node, started)
     if not started.answer.complete:
         message = 'the worker stopped before the answer was complete'
         return http.refuse(
@@ -215,6 +205,12 @@
     )
 
 
+def _learn(node: Node, started: Started) -> None:
+    evidence.ended(node, started)
+    if started.answer.complete:
+        cascade.learn(node, started)
+
+
 def _unbilled(detail: str) -> Refusal:
     message = f'the answer could not be billed: {detail}'
     return Refusal(503, 'billing_unavailable', message, RunState.RAN)
@@ -260,7 +256,7 @@
     try:
         yield from _timed(node, started)
         whole = answer.complete
-        evidence.ended(node, started)
+        _learn(node, started)
     finally:
         dispatch.finish(node, started)
         if not whole and answer.tokens:
