Refuse datagrams that are cut

Cause: the check for a rest after the last item compared the position of the unpacker, which counts bytes of an unfinished item as well: a datagram cut inside an item was taken in part. A test that cuts one at every byte found it. Only an authenticated sender could send one.

Change: the payload is one list that says its length.

--- a/bronzeglade/coordination/datagram.py
+++ b/bronzeglade/coordination/datagram.py
@@ -4,7 +4,7 @@
 import datetime as dt
 import enum
 import re
-from collections.abc import Iterator
+from collections.abc import Sequence
 from typing import Any
 
 import msgpack
@@ -27,9 +27,10 @@
     ValueError,
     LookupError,
     OverflowError,
-    StopIteration,
     msgpack.UnpackException,
 )
+LIST_TYPE = b'\xdc'  # MessagePack's type of a list; two bytes of length follow
+JOIN_BYTES = 3
 _MILLISECOND = dt.timedelta(milliseconds=1)
 
 
@@ -104,6 +105,15 @@
     documents: tuple[Document, ...] = ()
 
 
+def join(parts: Sequence[bytes]) -> bytes:
+    """Return the payload of a head and items that are packed each.
+
+    The payload says how many there are, so one that is cut is malformed.
+    """
+    count = len(parts).to_bytes(2, 'big')
+    return b''.join((LIST_TYPE, count, *parts))
+
+
 def pack_head(message: Message) -> bytes:
     """Return the head of a message without members and documents."""
     beat = message.heartbeat
@@ -167,7 +177,7 @@
     if len(payload) > PAYLOAD_LIMIT:
         return Err('the datagram is too large')
     try:
-        return Ok(_read_message(_objects(payload)))
+        return Ok(_read_message(msgpack.unpackb(payload)))
     except MALFORMED as error:
         return Err(f'malformed datagram: {error!r}')
 
@@ -223,20 +233,12 @@
     return packed
 
 
-def _objects(payload: bytes) -> Iterator[Any]:
-    unpacker = msgpack.Unpacker(max_buffer_size=PAYLOAD_LIMIT)
-    unpacker.feed(payload)
-    yield from unpacker
-    if unpacker.tell() != len(payload):
-        raise ValueError('a part is cut off')
-
-
-def _read_message(objects: Iterator[Any]) -> Message:
-    kind, sequence, target, beat, sender = next(objects)
+def _read_message(parts: list[Any]) -> Message:
+    kind, sequence, target, beat, sender = parts[0]
     generation, digest, age = beat
     members: list[Member] = []
     documents: list[Document] = []
-    for fields in objects:
+    for fields in parts[1:]:
         if isinstance(fields[0], list):
             members.append(read_member(fields))
         else:
--- a/bronzeglade/coordination/exchange.py
+++ b/bronzeglade/coordination/exchange.py
@@ -141,16 +141,16 @@
         message = dataclasses.replace(
             outgoing.message, heartbeat=self.heartbeat()
         )
-        parts = [datagrams.pack_head(message)]
-        room = PAYLOAD_LIMIT - len(parts[0])
+        head = datagrams.pack_head(message)
+        room = PAYLOAD_LIMIT - datagrams.JOIN_BYTES - len(head)
         # Facts about nodes leave room for documents: when a whole fleet
         # starts, its facts would displace every document for minutes.
         share = room // 2 if self.gossip.news.counts else room
         members = _fill(self._members(outgoing.address), share)
         room -= sum(map(len, members))
         documents = _fill(self._documents(), room)
-        packed = b''.join((*parts, *members, *documents))
-        return seal.seal(self.keys, packed, PURPOSE)
+        payload = datagrams.join((head, *members, *documents))
+        return seal.seal(self.keys, payload, PURPOSE)
 
     def _members(self, address: str) -> Iterator[Part]:
         urgent = self.membership.urgent(address)
--- a/bronzeglade/coordination/gossip_test.py
+++ b/bronzeglade/coordination/gossip_test.py
@@ -10,7 +10,6 @@
 from bronzeglade.coordination import datagram as datagrams
 from bronzeglade.coordination import seal
 from bronzeglade.coordination.datagram import DATAGRAM_LIMIT, Document
-from bronzeglade.coordination.exchange import PURPOSE
 from bronzeglade.coordination.gossip import DOCUMENT_LIMIT, Gossip
 from bronzeglade.coordination.simulation import SimulatedNode, Simulation
 
@@ -102,14 +101,21 @@
 
 def test_cut_messages_of_a_peer_are_refused(simulation: Simulation) -> None:
     """A cut list of facts must not be taken in part."""
-    one, other = nodes_of(simulation)[:2]
+    one, third = nodes_of(simulation)[:2]
+    third.membership.leave()
+    one.membership.merge(third.membership.myself)
+    one.gossip.publish('t', 1)
     packed = one.heartbeats.exchange.leave()[0][1]
     payload = packed[seal.HEADER_BYTES :]
-    before = dict(other.membership.known)
-    for length, _byte in enumerate(payload):
-        cut = seal.seal(one.peers.keys, payload[:length], PURPOSE)
-        other.heartbeats.receive(cut)
-    assert other.membership.known == before
+    whole = datagrams.unpack(payload).unwrap()
+    accepted = [
+        length
+        for length, _byte in enumerate(payload)
+        if datagrams.unpack(payload[:length]).is_ok()
+    ]
+    assert whole.members
+    assert whole.documents
+    assert not accepted
 
 
 def test_message_for_one_purpose_is_refused_for_another() -> None:
--- a/bronzeglade/coordination/membership_test.py
+++ b/bronzeglade/coordination/membership_test.py
@@ -29,6 +29,7 @@
     for _pause in range(3):
         paused.paused = True
         simulation.run(SECOND * 5)
+        assert not any(node.taken_for_dead() for node in others)
         paused.paused = False
         simulation.run(SECOND * 10)
     assert not any(node.taken_for_dead() for node in (paused, *others))
