Probe all VMs of the list when it was first read

Cause: a node with seeds probed only these at start; the nodes of the VM list followed one in four seconds.

Change: candidates are probed at once twice, with the seeds and after the first VM list. An unused set of announced documents is gone.

--- a/bronzeglade/coordination/gossip.py
+++ b/bronzeglade/coordination/gossip.py
@@ -55,7 +55,6 @@
         self.received: dict[Key, dt.timedelta] = {}
         self.dead: set[str] = set()
         self.news: News[Key] = News()
-        self.wanted: set[Key] = set()
         self.waiting: dict[Key, bytes] = {}
         self.refresh = dt.timedelta()
         self.refused = 0
@@ -121,7 +120,6 @@
         if known is not None and known.version >= document.version:
             return False
         if document.body is None:
-            self.wanted.add(key)
             return True
         decoded = _decode(document.body)
         if decoded is not None:
@@ -206,7 +204,6 @@
         key = (document.origin, document.topic)
         self.stored[key] = document
         self.received[key] = self.clock.monotonic()
-        self.wanted.discard(key)
         self.news.add(key)
 
     def _drop(self, key: Key) -> None:
--- a/bronzeglade/entry/heartbeats.py
+++ b/bronzeglade/entry/heartbeats.py
@@ -67,7 +67,7 @@
             self.publication.heartbeat,
         )
         self.socket: Any = None
-        self.joined = False
+        self.joined = 0
         self.periods = 0
         self.fetching: set[Key] = set()
         links.peers.membership = links.membership
@@ -130,15 +130,20 @@
 
     def tick(self) -> None:
         """Send what is due; called TICKS_PER_INTERVAL times an interval."""
-        if not self.joined and self.links.membership.candidates:
-            self.joined = True
-            self._send_all(self.exchange.join())
+        self._join()
         self._send_all(self.exchange.tick())
         if self.links.membership.periods != self.periods:
             self.periods = self.links.membership.periods
             members = self.links.membership.members()
             self.publication.forget({one.address for one in members})
 
+    def _join(self) -> None:
+        # Once with the seeds, and once with the VM list when it was read.
+        stage = 2 if self.links.peers.listed else 1
+        if stage > self.joined and self.links.membership.candidates:
+            self.joined = stage
+            self._send_all(self.exchange.join())
+
     def _spawn(self, action: Callable[..., None], *arguments: Any) -> None:
         self.links.distribution.services.spawn(action, *arguments)
 
