--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -20,8 +20,17 @@
 from bronzeglade.entry.node import Node
 from bronzeglade.outcome import Refusal, RunState
 
-
 PATH = '/v1/chat/completions'
+# Each open request holds a connection and about 50 KB; admission admits far
+# fewer, so only a flood that outruns the queues reaches this.
+MAX_OPEN_REQUESTS = 1500
+NODE_OVERLOADED = Refusal(
+    503,
+    'node_overloaded',
+    'this node has too many open requests',
+    RunState.NOT_RUN,
+    dt.timedelta(seconds=2),
+)
 
 
 def handle(node: Node, request: Request) -> Response:
@@ -34,6 +43,9 @@
     Returns:
       The whole answer, its stream, or an error in the OpenAI shape.
     """
+    if node.open_requests > MAX_OPEN_REQUESTS:
+        # Before anything is read or checked, so that a refusal stays cheap.
+        return http.refuse(NODE_OVERLOADED, request.request_id)
     work = prepare(node, request)
     if isinstance(work, Err):
         return http.refuse(work.err_value, request.request_id)
@@ -41,7 +53,28 @@
 
 
 def _run(node: Node, work: Work) -> Response:
-    request_id = work.request.request_id
+    began = _start(node, work)
+    if isinstance(began, Err):
+        return http.refuse(began.err_value, work.request.request_id)
+    started = began.ok_value
+    if work.chat.stream:
+        return _streamed(node, started)
+    return _whole(node, started)
+
+
+def _start(node: Node, work: Work) -> Result[Started, Refusal]:
+    taken = node.allowances.take(work.caller.team.name, work.chat)
+    if isinstance(taken, Refusal):
+        return Err(taken)
+    started = _admitted(node, work)
+    if isinstance(started, Ok):
+        started.ok_value.taken = taken
+    elif started.err_value.run_state is RunState.NOT_RUN:
+        node.allowances.give_back(taken)
+    return started
+
+
+def _admitted(node: Node, work: Work) -> Result[Started, Refusal]:
     ticket = node.admission.enter(
         work.caller.team,
         work.caller.rank,
@@ -50,16 +83,13 @@
         work.request.has_caller_left,
     )
     if isinstance(ticket, Err):
-        return http.refuse(ticket.err_value, request_id)
+        return ticket
     began = node.clock.monotonic()
     started = dispatch.start(node, work, ticket.ok_value)
-    if isinstance(started, Err):
-        return http.refuse(started.err_value, request_id)
-    evidence.first_token(node, started.ok_value, began)
-    work.request.trace.first_token = node.clock.monotonic()
-    if work.chat.stream:
-        return _streamed(node, started.ok_value)
-    return _whole(node, started.ok_value)
+    if isinstance(started, Ok):
+        evidence.first_token(node, started.ok_value, began)
+        work.request.trace.first_token = node.clock.monotonic()
+    return started
 
 
 def prepare(node: Node, request: Request) -> Result[Work, Refusal]:
