Load the candidate of a soak by order; excuse moves off a halted rollout

Cause: engines held every version at start, so no soak exercised orders to load; and a session that leaves a halted candidate, as the roll-out design wants, was reported as a broken promise.

--- a/fleet/checker.py
+++ b/fleet/checker.py
@@ -63,7 +63,8 @@
     `grants` holds the models and versions of each team; `final` names the
     generation that each process reported when all faults had ended;
     `drained` are the addresses of entry processes that were stopped gracefully
-    and neither killed nor paused.
+    and neither killed nor paused; `halts` are versions whose rollout may have
+    been halted, from which sessions may then move.
     """
 
     calls: Sequence[Call] = ()
@@ -76,6 +77,7 @@
     statuses: Sequence[StatusSeen] = ()
     final: Sequence[StatusSeen] = ()
     drained: frozenset[str] = frozenset()
+    halts: Sequence[Withdrawal] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -209,18 +211,21 @@
 
 def _is_withdrawn(evidence: Evidence, model: str, version: str) -> bool:
     return any(
-        (one.model, one.version) == (model, version)
-        for one in evidence.withdrawals
+        (one.model, one.version) == (model, version) for one in _moves(evidence)
     )
 
 
 def _is_withdrawn_yet(evidence: Evidence, run: EngineRun) -> bool:
     return any(
         one.model == run.model and one.since <= run.received_at
-        for one in evidence.withdrawals
+        for one in _moves(evidence)
     )
 
 
+def _moves(evidence: Evidence) -> list[Withdrawal]:
+    return [*evidence.withdrawals, *evidence.halts]
+
+
 def _billed_once(evidence: Evidence, findings: _Findings) -> None:
     missing = set(unbilled(evidence))
     for request_id in _whole_chats(evidence):
--- a/fleet/checker_test.py
+++ b/fleet/checker_test.py
@@ -94,6 +94,14 @@
             ),
         },
     ),
+    (
+        'session keeps its version',  # a move before the rollout's halt
+        {
+            'calls': (CALL, SECOND_CALL),
+            'engine_runs': (RUN, EngineRun('d', 'm', 'v2', 101)),
+            'halts': (Withdrawal('m', 'v2', 500, 900),),
+        },
+    ),
     ('billed exactly once', {'bills': ()}),
     ('billed exactly once', {'bills': (BILL, BILL)}),
     ('billed exactly once', {'engine_runs': ()}),
--- a/fleet/deployments.py
+++ b/fleet/deployments.py
@@ -48,6 +48,8 @@
     first_token_s: float = 0.05
     token_s: float = 0.01
     checks_fencing: bool = True
+    preloaded: tuple[str, ...] = ()  # versions loaded at start; empty for all
+    load_s: float = 0  # time to load a version by order
     quality: float = 0.95
     skill: float = 1  # part of all prompts that the model can handle
 
--- a/fleet/evidence.py
+++ b/fleet/evidence.py
@@ -71,6 +71,7 @@
             statuses=operator.statuses,
             final=final,
             drained=frozenset(drained),
+            halts=operator.halts,
         )
         if not unbilled(evidence) or time.monotonic() > limit:
             return evidence
--- a/fleet/faults.py
+++ b/fleet/faults.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from fleet.history import Withdrawal
 from fleet.launch import Fleet, Program
 from fleet.operator import Document, Operator
 
@@ -23,6 +24,14 @@
 KILL = 'kill entry'
 PAUSE = 'pause entry'
 REPLACE = 'replace entry VM'
+MODEL = 'guide-large'
+CANDIDATE = 'v3'
+# Faults after which the evidence may halt the rollout of the candidate.
+BAD_VERSION = 'bad version'
+ENGINE_FAILS = 'engine fails'
+CUT = 'engines cut streams'
+CROSSED = 'engines cross answers'
+HALTING_KINDS = frozenset((BAD_VERSION, ENGINE_FAILS, CUT, CROSSED))
 ENTRY_KINDS = frozenset((KILL, PAUSE, REPLACE))
 
 
@@ -99,10 +108,10 @@
             'table loses replies': self._table(lost_replies=0.3),
             'table loses requests': self._table(lost_requests=0.3),
             'services drop connections': self._services,
-            'engines cut streams': self._engines(cut_streams=0.3),
-            'engines cross answers': self._engines(crossed=0.3),
-            'engine fails': self._engines(errors=0.5),
-            'bad version': self._engines(bad_version='v3'),
+            CUT: self._engines(cut_streams=0.3),
+            CROSSED: self._engines(crossed=0.3),
+            ENGINE_FAILS: self._engines(errors=0.5),
+            BAD_VERSION: self._engines(bad_version=CANDIDATE),
             'concurrent publications': self._publish_twice,
             'VM list lags': self._vm_list(lag_s=8),
             'VM list outage': self._vm_list(outage=1),
@@ -139,6 +148,10 @@
         with one_at_a_time:
             self.count += 1
             self.say(f'begin {fault.kind}')
+            if fault.kind in HALTING_KINDS:
+                self.operator.halts.append(
+                    Withdrawal(MODEL, CANDIDATE, time.time(), float('inf'))
+                )
             detail = self.kinds[fault.kind](fault.lasts)
             self.say(f'end   {fault.kind}: {detail}')
 
@@ -236,7 +249,7 @@
 
     def _withdraw(self, _seconds: float) -> str:
         for _try in range(WITHDRAW_TRIES):
-            if self.operator.withdraw('guide-large', 'v2'):
+            if self.operator.withdraw(MODEL, 'v2'):
                 return 'guide-large v2, accepted'
             time.sleep(1)
         return 'guide-large v2, not accepted'
--- a/fleet/launch.py
+++ b/fleet/launch.py
@@ -206,9 +206,8 @@
                     f'--quality={plan.quality}',
                     f'--skill={plan.skill}',
                     f'--checks_fencing={plan.checks_fencing}',
-                    '--loaded={0}'.format(
-                        ','.join(f'{plan.model}@{v}' for v in plan.versions)
-                    ),
+                    f'--load={plan.load_s}',
+                    '--loaded={0}'.format(_loaded(plan)),
                 ]
             )
         name = f'{plan.group}-{index}'
@@ -412,6 +411,11 @@
             program.process.wait(STOP_LIMIT.total_seconds())
 
 
+def _loaded(plan: EndpointPlan) -> str:
+    versions = plan.preloaded or plan.versions
+    return ','.join(f'{plan.model}@{version}' for version in versions)
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
         try:
--- a/fleet/operator.py
+++ b/fleet/operator.py
@@ -53,6 +53,7 @@
         self.publications: list[Publication] = []
         self.statuses: list[StatusSeen] = []
         self.withdrawals: list[Withdrawal] = []
+        self.halts: list[Withdrawal] = []  # rollouts that faults may halt
 
     def publish(self, change: Change) -> bool:
         """Publish a change to the manifest; return whether it was accepted.
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -25,12 +25,18 @@
 LOGS = flags.DEFINE_string('logs', '', 'Directory that keeps the logs.')
 
 SETTLE_S = 60.0
+LOAD_S = 1.0  # time in which an engine loads a version
 ORDER_PATH = '/services/sightings/sightings'
 PINNED = 'guide-large@v2'
 
 
 def soak_deployment() -> Deployment:
-    """Return Brolga's deployment with a version to withdraw and one to try."""
+    """Return Brolga's deployment with a version to withdraw and one to try.
+
+    The version to try is loaded by order. With every fourth seed the engines
+    ignore the fencing token of orders; the router then waits for the longest
+    time of an order first, so that such a run has to be longer.
+    """
     versions = [
         {'name': 'v1', 'state': 'serving'},
         {'name': 'v2', 'state': 'serving'},
@@ -46,7 +52,13 @@
             for model in BROLGA.models
         ),
         endpoints=tuple(
-            dataclasses.replace(one, versions=names)
+            dataclasses.replace(
+                one,
+                versions=names,
+                preloaded=names[:2],
+                load_s=LOAD_S,
+                checks_fencing=SEED.value % 4 != 0,
+            )
             if one.model == 'guide-large'
             else one
             for one in BROLGA.endpoints
