Judge sessions in each interval between withdrawals and halts

Cause: after any withdrawal of a model the checker no longer compared the versions of a session at which a later halt allowed a move.

Change: a session may use one version in each interval between withdrawals and halts of its model, but for versions that were already taken away, and one version that is never taken away in the whole run.

--- a/fleet/checker.py
+++ b/fleet/checker.py
@@ -194,17 +194,23 @@
             for run in members
             if not _is_withdrawn(evidence, run.model, run.version)
         }
-        before = {
-            run.version
-            for run in members
-            if not _is_withdrawn_yet(evidence, run)
-        }
+        # Between two withdrawals or halts nothing lets a session move, but
+        # work may still leave what an earlier one took away.
+        epochs: dict[int, set[str]] = {}
+        for run in members:
+            since = _moves_before(evidence, run)
+            if run.version not in {one.version for one in since}:
+                epochs.setdefault(len(since), set()).add(run.version)
         findings.check(
-            len(kept) <= 1 and len(before) <= 1,
-            f'{session} ran on versions {sorted(kept | before)}',
+            len(kept) <= 1 and all(len(one) <= 1 for one in epochs.values()),
+            f'{session} ran on versions {_versions(members)}',
         )
 
 
+def _versions(runs: Iterable[EngineRun]) -> list[str]:
+    return sorted({run.version for run in runs})
+
+
 def _is_unpinned(call: Call) -> bool:
     return '@' not in call.planned.target
 
@@ -215,11 +221,12 @@
     )
 
 
-def _is_withdrawn_yet(evidence: Evidence, run: EngineRun) -> bool:
-    return any(
-        one.model == run.model and one.since <= run.received_at
+def _moves_before(evidence: Evidence, run: EngineRun) -> list[Withdrawal]:
+    return [
+        one
         for one in _moves(evidence)
-    )
+        if one.model == run.model and one.since <= run.received_at
+    ]
 
 
 def _moves(evidence: Evidence) -> list[Withdrawal]:
