--- a/fleet/billing_test.py
+++ b/fleet/billing_test.py
@@ -1,14 +1,11 @@
 """Guards billing across processes: a killed entry's bills appear once."""
 
-import base64
 import collections
 import dataclasses
-import json
 import time
 from pathlib import Path
 
-from bronzeglade.coordination import bill as bills
-from fleet import deployments
+from fleet import deployments, evidence
 from fleet.launch import Fleet, Program
 
 REQUESTS = 12
@@ -35,14 +32,8 @@
 
 def billed(fleet: Fleet) -> collections.Counter[str]:
     """Count the records of the ledger by request."""
-    url = f'{fleet.table_url}/scan'
-    document = {'prefix': 'ledger/', 'limit': 100_000}
-    reply = fleet.http.request('POST', url, json=document, timeout=30)
-    return collections.Counter(
-        bill.request_id
-        for row in json.loads(reply.data)['rows']
-        for bill in bills.decode(base64.b64decode(row['body']))
-    )
+    records = evidence.ledger(fleet, fleet.http)
+    return collections.Counter(bill.request_id for bill in records)
 
 
 def test_bills_of_a_killed_entry_appear_once(tmp_path: Path) -> None:
@@ -53,14 +44,7 @@
         asked = [ask(fleet, victim) for _ in range(REQUESTS)]
         victim.process.kill()
         victim.process.wait()
-        gone = {
-            'name': victim.name,
-            'group': victim.role,
-            'address': victim.address,
-            'failure_domain': victim.failure_domain,
-            'state': 'gone',
-        }
-        fleet.post(f'{fleet.vm_list_url}/vms', {'vms': [gone]})
+        fleet.register([victim], 'gone')
         limit = time.monotonic() + LIMIT_S
         while not billed(fleet).keys() >= set(asked):
             assert time.monotonic() < limit, 'bills are missing'
