Execute keyed orders at most once and bind sessions in the table

A plain-service call with an Idempotency-Key was sent as often as the caller retried. A session's version lived in one node's memory and changed with the node or with the end of a rollout.

Orders: the claim row is written before the request leaves; only the attempt that reads itself back in it sends, once, within deadline and timeout_ms. A retry gets the stored answer (Idempotency-Replayed: true), 422 for another body, 409 while or when the outcome is unknown, or 409 `ran` when the answer exceeded 64 KB. An attempt without a confirmed claim answers 503 not run, and its row is released in the background; the release raises the row's version, so a delayed claim is never applied. Expired rows are found through marks ordered by time. Repeatable calls use the node's retry budget.

A row is read only when the session is unknown or cache and token differ. A binding is left only when the version is withdrawn or no longer granted; X-Session-Rebound tells it.

--- a/bronzeglade/adapters/transport.py
+++ b/bronzeglade/adapters/transport.py
@@ -50,6 +50,7 @@
     timeout: dt.timedelta,
     body: bytes | None = None,
     headers: Mapping[str, str] | None = None,
+    connect_timeout: dt.timedelta | None = None,
 ) -> Result[Reply, CallFailure]:
     """Make one HTTP call and read the whole reply.
 
@@ -60,17 +61,21 @@
       timeout: limit on connecting and on each read.
       body: request body.
       headers: request headers.
+      connect_timeout: shorter limit on connecting; a call that exceeds it
+        surely never left.
 
     Returns:
       The reply of any status, or why there is none.
     """
+    limit = timeout.total_seconds()
+    connect = min(limit, (connect_timeout or timeout).total_seconds())
     try:
         response = pool.request(
             method,
             url,
             body=body,
             headers=dict(headers or {}),
-            timeout=timeout.total_seconds(),
+            timeout=urllib3.Timeout(connect=connect, read=limit),
             preload_content=False,
             redirect=False,
         )
--- a/bronzeglade/builders.py
+++ b/bronzeglade/builders.py
@@ -135,10 +135,10 @@
         self, keys: Sequence[str]
     ) -> Result[Mapping[str, Row], StoreError]:
         """Read rows by key."""
-        fault = _interrupt()
+        fault = interrupt()
         self.reads += 1
         found = {key: self.rows[key] for key in keys if key in self.rows}
-        _interrupt()
+        interrupt()
         return Ok(found) if fault is Fault.NONE else Err(StoreError('fault'))
 
     def scan(self, prefix: str, limit: int) -> Result[list[Row], StoreError]:
@@ -148,7 +148,7 @@
 
     def commit(self, transaction: Transaction) -> Result[None, CommitError]:
         """Apply a transaction, under the fault of the task's step."""
-        fault = _interrupt()
+        fault = interrupt()
         outcome: Result[None, CommitError] = Err(Unknown(fault.value))
         if fault is Fault.REFUSED:
             outcome = Err(Unavailable(fault.value))
@@ -157,7 +157,7 @@
         elif fault is not Fault.LOST_CALL:
             applied = self.apply(transaction)
             outcome = applied if fault is Fault.NONE else outcome
-        _interrupt()
+        interrupt()
         return outcome
 
     def settle(self, index: int) -> None:
@@ -181,6 +181,10 @@
         return self.rows[key].version if key in self.rows else ABSENT
 
 
+class _TaskGreenlet(greenlet):
+    """Tells tasks from the green threads of eventlet."""
+
+
 class Task:
     """Work of a node that stops before and after each call of the table.
 
@@ -190,7 +194,7 @@
     def __init__(self, action: Callable[..., Any], *arguments: Any) -> None:
         """Run up to the first call."""
         self.value: Any = None
-        self.greenlet = greenlet(action)
+        self.greenlet = _TaskGreenlet(action)
         self._resume(*arguments)
 
     @property
@@ -214,7 +218,9 @@
             self.value = value
 
 
-def _interrupt() -> Fault:
-    parent = getcurrent().parent
-    fault = Fault.NONE if parent is None else parent.switch()
-    return Fault(fault)
+def interrupt() -> Fault:
+    """Stop the running task, if there is one, until it is stepped."""
+    running = getcurrent()
+    if not isinstance(running, _TaskGreenlet):
+        return Fault.NONE
+    return Fault(running.parent.switch())
--- a/bronzeglade/catalog.py
+++ b/bronzeglade/catalog.py
@@ -185,3 +185,22 @@
             )
         )
     )
+
+
+def bindable_versions(
+    catalog: Catalog, team: manifests.Team, model: str
+) -> tuple[str, ...]:
+    """Return the versions of a model to which a session may stay bound.
+
+    Beside the usable ones these are allowed versions without a roll-out: the
+    end of a roll-out does not move the sessions that it has bound.
+    """
+    entry = catalog.models.get(model)
+    if entry is None:
+        return ()
+    return tuple(
+        version.name
+        for version in entry.versions
+        if is_granted(team, model, version.name)
+        and version.state is not VersionState.WITHDRAWN
+    )
--- /dev/null
+++ b/bronzeglade/coordination/idempotency_test.py
@@ -0,0 +1,229 @@
+"""Guards at-most-once execution against every order of failures."""
+
+import collections
+import datetime as dt
+import uuid
+from random import Random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from bronzeglade.builders import (
+    Fault,
+    ManualClock,
+    MemoryTable,
+    Task,
+    interrupt,
+)
+from bronzeglade.coordination import idempotency as keys
+from bronzeglade.coordination.idempotency import Answer, Attempt, State
+from bronzeglade.entry.idempotency import Idempotency, kept
+from bronzeglade.outcome import BrokenInvariantError, Refusal, RunState
+
+NODE = st.integers(0, 2)
+MINUTE = dt.timedelta(minutes=1)
+RETRY = st.sampled_from((Fault.NONE, Fault.NONE, *Fault))
+
+
+class OrderMachine(RuleBasedStateMachine):
+    """Nodes that race for two keys, with a table that fails."""
+
+    def __init__(self) -> None:
+        """Start three nodes."""
+        super().__init__()
+        self.clock = ManualClock()
+        self.table = MemoryTable()
+        self.nodes = [self.new_node() for _ in range(3)]
+        self.tasks: list[tuple[int, Task]] = []
+        self.executed: dict[str, list[str]] = collections.defaultdict(list)
+        self.not_run: set[str] = set()
+        self.count = 0
+        self.killed = False
+
+    def new_node(self) -> Idempotency:
+        """Return a node that has claimed nothing."""
+        return Idempotency(
+            self.table, self.clock, Random(1), 2 * MINUTE, lambda: 2
+        )
+
+    def run(
+        self, node: Idempotency, key: str, body: bytes, fate: State
+    ) -> None:
+        """Answer one request; `fate` is what the endpoint does with it."""
+        self.count += 1
+        identity = str(self.count)
+        attempt = Attempt('team', key, body, identity)
+        found = node.claim(attempt)
+        if found is None:
+            interrupt()
+            attempt.leave()
+            if fate is State.NOT_RUN:
+                attempt.returned()
+                self.not_run.add(identity)
+            else:
+                self.executed[key].append(identity)
+            interrupt()
+            answer = Answer(200, 'text/plain', body)
+            node.settle(attempt, fate, answer if fate is State.RAN else None)
+        elif isinstance(found, Answer):
+            assert found.body == body
+        elif found.run_state is RunState.NOT_RUN:
+            self.not_run.add(identity)
+
+    @rule(
+        node=NODE,
+        key=st.sampled_from('kl'),
+        body=st.sampled_from((b'x', b'x', b'y')),
+        fate=st.sampled_from((State.RAN, State.UNKNOWN, State.NOT_RUN)),
+    )
+    def request(self, node: int, key: str, body: bytes, fate: State) -> None:
+        """Start a request."""
+        task = Task(self.run, self.nodes[node], key, body, fate)
+        self.tasks.append((node, task))
+
+    @rule(node=NODE)
+    def finish_some(self, node: int) -> None:
+        """Let a node store outcomes in the background."""
+        self.tasks.append((node, Task(self.nodes[node].finish_some)))
+
+    @rule(index=st.integers(0, 2), fault=RETRY, count=st.integers(0, 7))
+    def step(self, index: int, fault: Fault, count: int) -> None:
+        """Let a task go on, with a fault of its next call."""
+        if index >= len(self.tasks):
+            return
+        task = self.tasks[index][1]
+        task.step(fault)
+        for _ in range(count):
+            if not task.done:
+                task.step()
+        self.tasks = [one for one in self.tasks if not one[1].done]
+
+    @precondition(lambda machine: machine.table.delayed)
+    @rule()
+    def settle(self) -> None:
+        """Apply a commit whose caller has been told that it is unknown."""
+        self.table.settle(0)
+
+    @rule(node=NODE)
+    def kill(self, node: int) -> None:
+        """End a process."""
+        self.tasks = [one for one in self.tasks if one[0] != node]
+        self.nodes[node] = self.new_node()
+        self.killed = True
+
+    @rule(minutes=st.integers(0, 3))
+    def wait(self, minutes: int) -> None:
+        """Let time pass."""
+        self.clock.advance(minutes * MINUTE)
+
+    @invariant()
+    def no_key_runs_twice(self) -> None:
+        """A second execution prints an order or counts a sighting twice."""
+        assert all(len(runs) == 1 for runs in self.executed.values())
+
+    @invariant()
+    def not_run_is_true(self) -> None:
+        """A caller that is told "not run" sends the request again."""
+        for runs in self.executed.values():
+            assert self.not_run.isdisjoint(runs)
+
+    def teardown(self) -> None:
+        """Heal everything; without deaths no key is left claimed."""
+        for _node, task in self.tasks:
+            task.finish()
+        for node in self.nodes:
+            for _ in range(self.count + 1):
+                node.finish_some()
+        while self.table.delayed:
+            self.table.settle(0)
+        self.no_key_runs_twice()
+        self.not_run_is_true()
+        if not self.killed:
+            rows = self.table.scan('idempotency/', 9).unwrap()
+            states = {keys.decode(row).state for row in rows}
+            assert State.CLAIMED not in states
+
+
+OrderMachine.TestCase.settings = settings(
+    max_examples=700, stateful_step_count=40
+)
+TestOrders = OrderMachine.TestCase
+
+
+def claim(node: Idempotency, body: bytes = b'x') -> tuple[Attempt, object]:
+    """Claim the same key again."""
+    attempt = Attempt('team', 'key/1', body, uuid.uuid4().hex)
+    return attempt, node.claim(attempt)
+
+
+def test_retry_is_told_what_is_known() -> None:
+    """Each state of a key has its own answer; none lets a retry run."""
+    machine = OrderMachine()
+    node = machine.nodes[0]
+    attempt, found = claim(node)
+    assert found is None
+    attempt.leave()
+    told = [claim(node)[1], claim(node, b'other')[1]]
+    machine.clock.advance(3 * MINUTE)
+    told.append(claim(node)[1])
+    large = Answer(200, 'text/plain', b'x' * (keys.LARGEST_ANSWER + 1))
+    node.settle(attempt, State.RAN, kept(large))
+    told.append(claim(node)[1])
+    refusals = [one for one in told if isinstance(one, Refusal)]
+    assert [(one.code, one.status) for one in refusals] == [
+        ('attempt_running', 409),
+        ('idempotency_key_reused', 422),
+        ('outcome_unknown', 409),
+        ('answer_not_kept', 409),
+    ]
+    assert refusals[0].retry_after is not None
+    assert refusals[3].run_state is RunState.RAN
+
+
+def test_attempt_that_left_is_neither_sent_again_nor_called_not_run() -> None:
+    """Either mistake in the code that sends must end the process."""
+    attempt = Attempt('team', 'key', b'x', '1')
+    with pytest.raises(BrokenInvariantError, match='at-most-once'):
+        attempt.leave()
+    attempt.claimed_at = ManualClock().now()
+    attempt.leave()
+    with pytest.raises(BrokenInvariantError, match='at-most-once'):
+        attempt.leave()
+    with pytest.raises(BrokenInvariantError, match='not-run-is-true'):
+        attempt.entry(State.NOT_RUN, ManualClock().now())
+
+
+def test_delayed_take_over_is_never_applied_after_its_release() -> None:
+    """It would leave the key claimed by an attempt that never sends."""
+    table, now = MemoryTable(), ManualClock().now()
+    first = Attempt('team', 'key', b'x', '1')
+    assert keys.finish(table, first, first.entry(State.NOT_RUN, now))
+    late = Attempt('team', 'key', b'x', '2')
+    task = Task(keys.claim, table, late, now)
+    for _ in range(4):  # the first commit, which conflicts, and the read
+        task.step()
+    task.step(Fault.DELAYED)
+    found = task.finish()
+    assert isinstance(found, keys.NotStored)
+    assert found.pending
+    assert keys.finish(table, late, late.entry(State.NOT_RUN, now))
+    table.settle(0)
+    assert keys.claim(table, Attempt('team', 'key', b'x', '3'), now) is None
+
+
+def test_rows_are_removed_after_a_day() -> None:
+    """Rows that stay for ever fill the table."""
+    machine = OrderMachine()
+    claim(machine.nodes[0])
+    machine.clock.advance(keys.KEPT - MINUTE)
+    assert keys.sweep(machine.table, machine.clock.now()) == 0
+    machine.clock.advance(3 * MINUTE)
+    assert keys.sweep(machine.table, machine.clock.now()) == 1
+    assert not machine.table.rows
--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -1,13 +1,19 @@
 """POST /v1/chat/completions."""
 
-import datetime as dt
 import json
 from collections.abc import Generator, Iterator
 
 from result import Err, Ok, Result
 
 from bronzeglade.coordination.bill import Bill, cost_of
-from bronzeglade.entry import access, completion, dispatch, http, selection
+from bronzeglade.entry import (
+    access,
+    completion,
+    deadline,
+    dispatch,
+    http,
+    selection,
+)
 from bronzeglade.entry.access import Caller
 from bronzeglade.entry.dispatch import Started, Work
 from bronzeglade.entry.http import Request, Response
@@ -65,7 +71,7 @@
     chat = completion.parse(body.ok_value)
     if isinstance(chat, Err):
         return chat
-    limit = _time_limit(node, request)
+    limit = deadline.time_limit(request, node.settings.request_timeout)
     if isinstance(limit, Err):
         return limit
     steps = selection.allowed_steps(caller.ok_value, chat.ok_value.model)
@@ -93,17 +99,6 @@
     return caller if refusal is None else Err(refusal)
 
 
-def _time_limit(node: Node, request: Request) -> Result[dt.timedelta, Refusal]:
-    wanted = request.header('X-Deadline-Ms')
-    longest = node.settings.request_timeout
-    if wanted is None:
-        return Ok(longest)
-    if not wanted.isdecimal() or not int(wanted):
-        message = 'X-Deadline-Ms: a whole number of milliseconds above 0'
-        return Err(Refusal(422, 'invalid_deadline', message))
-    return Ok(min(longest, dt.timedelta(milliseconds=int(wanted))))
-
-
 def _headers(started: Started) -> dict[str, str]:
     work = started.work
     headers = {
@@ -113,6 +108,10 @@
     }
     if work.choice.session_token is not None:
         headers['X-Session-Token'] = work.choice.session_token
+    if work.choice.session_rebound is not None:
+        headers['X-Session-Rebound'] = (
+            f'{work.choice.session_rebound}->{work.choice.version}'
+        )
     return headers
 
 
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -10,6 +10,7 @@
 
 from bronzeglade import catalog as catalogs
 from bronzeglade.adapters import transport
+from bronzeglade.adapters.breaker import BreakingTable
 from bronzeglade.adapters.table import HttpTable
 from bronzeglade.adapters.vms import ENTRY_GROUP, HttpVmList, Vm, VmState
 from bronzeglade.catalog import Catalog
@@ -18,6 +19,7 @@
 from bronzeglade.decisions.retry import RetryBudget, RetrySettings
 from bronzeglade.entry.admission import Admission
 from bronzeglade.entry.billing import Billing, Place
+from bronzeglade.entry.idempotency import Idempotency
 from bronzeglade.entry.peers import Gossip, Peers
 from bronzeglade.entry.sessions import Sessions
 from bronzeglade.entry.versions import Versions
@@ -58,8 +60,16 @@
             self.clock,
             self.random,
         )
+        self.guarded_table = BreakingTable(self.table, self.clock)
+        self.idempotency = Idempotency(
+            self.guarded_table,
+            self.clock,
+            self.random,
+            settings.request_timeout,
+            lambda: len(self.peers.live()),
+        )
         self.gossip = Gossip(self.origin)
-        self.sessions = Sessions()
+        self.sessions = Sessions(self.guarded_table, self.peers.keys)
         self.versions = Versions(self.gossip)
         self.admission = Admission()
         self.in_flight: dict[str, int] = {}
@@ -76,6 +86,7 @@
             self.settings.head_poll_interval.total_seconds(), self.read_head
         )
         self.billing.start()
+        self.idempotency.start()
 
     def read_vms(self) -> None:
         """Read the VM list; the last list stays when that fails."""
--- a/bronzeglade/entry/selection.py
+++ b/bronzeglade/entry/selection.py
@@ -9,18 +9,23 @@
 from bronzeglade.entry.access import Caller
 from bronzeglade.entry.http import Request
 from bronzeglade.entry.node import Node
-from bronzeglade.entry.sessions import SessionRequest
+from bronzeglade.entry.sessions import ModelVersions, SessionRequest
 from bronzeglade.manifest import VersionState
 from bronzeglade.outcome import Refusal
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
-    """A model and version; `session_token` goes into the response."""
+    """A model and version.
+
+    `session_token` and `session_rebound` go into the response; the latter is
+    the version that the session had to leave.
+    """
 
     model: str
     version: str
     session_token: str | None = None
+    session_rebound: str | None = None
 
 
 def allowed_steps(caller: Caller, name: str) -> Result[list[Step], Refusal]:
@@ -70,11 +75,14 @@
         request.header('X-Session-Token'),
         step.model,
     )
-    binding = node.sessions.bind(session, usable, preferred)
-    if isinstance(binding, Err):
-        return binding
+    kept = catalogs.bindable_versions(caller.catalog, caller.team, step.model)
+    versions = ModelVersions(usable, kept, preferred)
+    outcome = node.sessions.bind(session, versions)
+    if isinstance(outcome, Err):
+        return outcome
+    binding = outcome.ok_value
     return Ok(
-        Choice(step.model, binding.ok_value.version, binding.ok_value.token)
+        Choice(step.model, binding.version, binding.token, binding.rebound_from)
     )
 
 
--- a/bronzeglade/entry/services.py
+++ b/bronzeglade/entry/services.py
@@ -1,18 +1,68 @@
 """/services/NAME/...: plain services beside the model engines."""
 
+import dataclasses
+import datetime as dt
+import math
+from collections.abc import Mapping
 from urllib.parse import quote
 
-from result import Err
+import eventlet
+from result import Err, Ok, Result
 
 from bronzeglade.adapters import transport
-from bronzeglade.entry import access, http
+from bronzeglade.coordination import idempotency as keys
+from bronzeglade.coordination.idempotency import Answer, Attempt, State
+from bronzeglade.decisions.retry import Failure
+from bronzeglade.entry import access, http, idempotency
+from bronzeglade.entry.deadline import time_limit
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
-from bronzeglade.entry.workers import serving
+from bronzeglade.entry.workers import Worker, serving
 from bronzeglade.manifest import Operation, Service
 from bronzeglade.outcome import Refusal, RunState
 
 PREFIX = '/services/'
+RETRY_AFTER = dt.timedelta(seconds=1)
+
+# Replies after which a repeatable call is sent to another endpoint.
+_RETRIED_STATUSES = frozenset((429, 502, 503, 504))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A checked call of a plain service.
+
+    `deadline` is monotonic time, `wall_deadline` wall time: the monotonic
+    clock of a VM may stand still while the VM is suspended.
+    """
+
+    request: Request
+    team: str
+    service: Service
+    operation: Operation
+    path: str
+    body: bytes
+    deadline: dt.timedelta
+    wall_deadline: dt.datetime
+
+    def digest(self) -> bytes:
+        """Return the digest that tells calls under one key apart."""
+        return keys.digest_of(
+            (
+                self.request.method,
+                self.service.name,
+                self.path,
+                self.request.query,
+            ),
+            self.body,
+        )
+
+    def late(self, node: Node) -> bool:
+        """Return whether the deadline has passed."""
+        return (
+            node.clock.monotonic() >= self.deadline
+            or node.clock.now() >= self.wall_deadline
+        )
 
 
 def handle(node: Node, request: Request) -> Response:
@@ -40,10 +90,35 @@
         message = f'{name!r} has no operation {request.method} {path}'
         refusal = Refusal(404, 'operation_not_found', message)
         return http.refuse(refusal, request.request_id)
-    body = http.read_body(request, node.settings)
-    if isinstance(body, Err) and request.header('Content-Length'):
+    limit = time_limit(request, _longest(node, service))
+    if isinstance(limit, Err):
+        return http.refuse(limit.err_value, request.request_id)
+    body = _read_body(node, request)
+    if isinstance(body, Err):
         return http.refuse(body.err_value, request.request_id)
-    return _call(node, request, service, path, body.unwrap_or(b''))
+    call = Call(
+        request,
+        caller.ok_value.team.name,
+        service,
+        operation,
+        path,
+        body.ok_value,
+        node.clock.monotonic() + limit.ok_value,
+        node.clock.now() + limit.ok_value,
+    )
+    return _answer(node, call)
+
+
+def _longest(node: Node, service: Service) -> dt.timedelta:
+    limit = dt.timedelta(milliseconds=service.timeout_ms)
+    return min(limit, node.settings.request_timeout)
+
+
+def _read_body(node: Node, request: Request) -> Result[bytes, Refusal]:
+    # Without a length there is no body, unless it comes in chunks.
+    if request.header('Content-Length') or request.header('Transfer-Encoding'):
+        return http.read_body(request, node.settings)
+    return Ok(b'')
 
 
 def find_operation(
@@ -58,41 +133,158 @@
     return max(matching, key=lambda one: len(one.path), default=None)
 
 
-def _call(
-    node: Node, request: Request, service: Service, path: str, body: bytes
-) -> Response:
-    workers = list(serving(node.workers, service.name))
-    if not workers:
-        message = f'no endpoint of {service.name!r} is live'
-        refusal = Refusal(503, 'no_endpoint', message)
-        return http.refuse(refusal, request.request_id)
-    worker = node.random.choice(workers)
-    query = f'?{request.query}' if request.query else ''
-    answer = transport.call(
+def _answer(node: Node, call: Call) -> Response:
+    key = call.request.header('Idempotency-Key')
+    if key is None or call.operation.repeatable:
+        return _passed(call, _send(node, call, None))
+    if not _valid_key(key):
+        message = 'Idempotency-Key: 1 to 200 printable ASCII characters'
+        return _refuse(call, Refusal(422, 'invalid_idempotency_key', message))
+    attempt = Attempt(call.team, key, call.digest(), call.request.request_id)
+    found = node.idempotency.claim(attempt)
+    if isinstance(found, Refusal):
+        return _refuse(call, found)
+    if found is not None:
+        return _respond(call, found, {'Idempotency-Replayed': 'true'})
+    return _execute(node, call, attempt)
+
+
+def _execute(node: Node, call: Call, attempt: Attempt) -> Response:
+    outcome = _send(node, call, attempt)
+    if isinstance(outcome, Err):
+        ran = outcome.err_value.run_state is RunState.UNKNOWN
+        state = State.UNKNOWN if ran else State.NOT_RUN
+        node.idempotency.settle(attempt, state)
+    else:
+        stored = idempotency.kept(outcome.ok_value)
+        node.idempotency.settle(attempt, State.RAN, stored)
+    return _passed(call, outcome)
+
+
+def _valid_key(key: str) -> bool:
+    return (
+        0 < len(key) <= keys.LONGEST_KEY and key.isascii() and key.isprintable()
+    )
+
+
+def _send(
+    node: Node, call: Call, attempt: Attempt | None
+) -> Result[Answer, Refusal]:
+    """Send a call to endpoints until one has answered.
+
+    A call that is not repeatable goes to a further endpoint only when it
+    surely never left.
+    """
+    workers = list(serving(node.workers, call.service.name))
+    node.random.shuffle(workers)
+    node.retries.earn()
+    failures: list[Failure] = []
+    for worker in workers:
+        if not _may_try(node, call, failures):
+            break
+        outcome = _try_worker(node, call, worker, attempt)
+        if isinstance(outcome, Ok):
+            return outcome
+        failures.append(outcome.err_value)
+    return Err(_failed(node, call, failures))
+
+
+def _may_try(node: Node, call: Call, failures: list[Failure]) -> bool:
+    if call.late(node):
+        return False
+    if not failures:
+        return True
+    repeatable = call.operation.repeatable
+    allowed = node.retries.may_retry(len(failures), failures[-1], repeatable)
+    if allowed:
+        node.retries.spend()
+    return allowed
+
+
+def _try_worker(
+    node: Node, call: Call, worker: Worker, attempt: Attempt | None
+) -> Result[Answer, Failure]:
+    left = call.deadline - node.clock.monotonic()
+    if attempt is not None:
+        attempt.leave()
+    with eventlet.Timeout(left.total_seconds(), False):
+        outcome = _exchange(node, call, worker, left)
+        if outcome == Err(Failure.NOT_CONNECTED) and attempt is not None:
+            attempt.returned()
+        return outcome
+    return Err(Failure.LOST)
+
+
+def _exchange(
+    node: Node, call: Call, worker: Worker, left: dt.timedelta
+) -> Result[Answer, Failure]:
+    query = f'?{call.request.query}' if call.request.query else ''
+    reply = transport.call(
         node.pool,
-        request.method,
-        f'http://{worker.address}{quote(path)}{query}',
-        node.settings.request_timeout,
-        body,
+        call.request.method,
+        f'http://{worker.address}{quote(call.path)}{query}',
+        left,
+        call.body,
         {
-            'Content-Type': request.header('Content-Type') or 'text/plain',
-            'X-Request-Id': request.request_id,
-            'X-Idempotency-Key': request.header('Idempotency-Key') or '',
+            'Content-Type': call.request.header('Content-Type') or 'text/plain',
+            'X-Request-Id': call.request.request_id,
+            'X-Idempotency-Key': call.request.header('Idempotency-Key') or '',
+            'X-Deadline-Ms': str(
+                math.ceil(left / dt.timedelta(milliseconds=1))
+            ),
         },
     )
-    if isinstance(answer, Err):
-        sent = answer.err_value.sent
-        state = RunState.UNKNOWN if sent else RunState.NOT_RUN
-        message = f'the endpoint did not answer: {answer.err_value.detail}'
-        refusal = Refusal(502, 'endpoint_failed', message, state)
-        return http.refuse(refusal, request.request_id)
-    reply = answer.ok_value
+    if isinstance(reply, Err):
+        sent = reply.err_value.sent
+        return Err(Failure.LOST if sent else Failure.NOT_CONNECTED)
+    answer = reply.ok_value
+    if answer.status in _RETRIED_STATUSES and call.operation.repeatable:
+        return Err(Failure.REFUSED)
+    content_type = answer.headers.get('Content-Type', 'text/plain')
+    return Ok(Answer(answer.status, content_type, answer.body))
+
+
+def _failed(node: Node, call: Call, failures: list[Failure]) -> Refusal:
+    state = RunState.NOT_RUN
+    if Failure.LOST in failures:
+        state = RunState.UNKNOWN
+    retry_after = None
+    if state is RunState.NOT_RUN or call.operation.repeatable:
+        retry_after = RETRY_AFTER
+    if call.late(node):
+        message = 'the deadline passed before the endpoint answered'
+        return Refusal(504, 'deadline_exceeded', message, state)
+    if not failures:
+        message = f'no endpoint of {call.service.name!r} is live'
+        return Refusal(503, 'no_endpoint', message, state, retry_after)
+    if failures[-1] is Failure.REFUSED:
+        message = 'the endpoint takes no more work'
+        return Refusal(503, 'endpoint_refused', message, state, retry_after)
+    message = 'the endpoint did not answer'
+    return Refusal(502, 'endpoint_failed', message, state, retry_after)
+
+
+def _passed(call: Call, outcome: Result[Answer, Refusal]) -> Response:
+    if isinstance(outcome, Err):
+        return _refuse(call, outcome.err_value)
+    return _respond(call, outcome.ok_value, {})
+
+
+def _refuse(call: Call, refusal: Refusal) -> Response:
+    return http.refuse(refusal, call.request.request_id)
+
+
+def _respond(
+    call: Call, answer: Answer, headers: Mapping[str, str]
+) -> Response:
+    body = answer.body or b''
     return Response(
-        reply.status,
-        (reply.body,),
+        answer.status,
+        (body,),
         {
-            'Content-Type': reply.headers.get('Content-Type', 'text/plain'),
-            'Content-Length': str(len(reply.body)),
-            'X-Request-Id': request.request_id,
+            'Content-Type': answer.content_type,
+            'Content-Length': str(len(body)),
+            'X-Request-Id': call.request.request_id,
+            **headers,
         },
     )
--- /dev/null
+++ b/bronzeglade/entry/sessions_test.py
@@ -0,0 +1,95 @@
+"""Guards what callers with sessions are told."""
+
+from collections.abc import Mapping, Sequence
+
+from result import Err, Result
+
+from bronzeglade.adapters.table import (
+    CommitError,
+    Put,
+    Row,
+    StoreError,
+    Transaction,
+    Unavailable,
+)
+from bronzeglade.builders import MemoryTable
+from bronzeglade.coordination import session as bindings
+from bronzeglade.coordination.seal import SharedKey
+from bronzeglade.entry.sessions import (
+    Binding,
+    ModelVersions,
+    SessionRequest,
+    Sessions,
+)
+
+KEYS = (SharedKey(1, b'secret'),)
+BOTH = ModelVersions(('v1', 'v2'), ('v1', 'v2'), 'v2')
+ONLY_V2 = ModelVersions(('v2',), ('v2',), 'v2')
+ROLLOUT_REMOVED = ModelVersions(('v1',), ('v1', 'v2'), 'v1')
+
+
+class BrokenTable(MemoryTable):
+    """A table in an outage."""
+
+    def read(
+        self, keys: Sequence[str]
+    ) -> Result[Mapping[str, Row], StoreError]:
+        """Fail."""
+        return Err(StoreError('outage'))
+
+    def commit(self, transaction: Transaction) -> Result[None, CommitError]:
+        """Fail without effect."""
+        return Err(Unavailable('outage'))
+
+
+def bind(
+    sessions: Sessions, versions: ModelVersions, token: str | None = None
+) -> Binding:
+    """Bind the session of these tests."""
+    request = SessionRequest('team', 's', token, 'model')
+    return sessions.bind(request, versions).unwrap()
+
+
+def test_bound_session_needs_no_table() -> None:
+    """Bound sessions would be refused during an outage of the table."""
+    table = MemoryTable()
+    sessions = Sessions(table, KEYS)
+    token = bind(sessions, BOTH).token
+    reads, commits = table.reads, table.rows['session/team/s/model'].version
+    assert bind(sessions, ROLLOUT_REMOVED).version == 'v2'
+    assert bind(Sessions(table, KEYS), ROLLOUT_REMOVED, token).version == 'v2'
+    assert (table.reads, commits) == (reads, 1)
+
+
+def test_withdrawn_version_is_left_once_and_told() -> None:
+    """A caller must learn that its session has moved, from every node."""
+    table = MemoryTable()
+    first = Sessions(table, KEYS)
+    token = bind(first, ModelVersions(('v1',), ('v1',), 'v1')).token
+    moved = bind(first, ONLY_V2)
+    assert (moved.version, moved.rebound_from) == ('v2', 'v1')
+    assert bind(first, ONLY_V2).rebound_from is None
+    other = bind(Sessions(table, KEYS), ONLY_V2, token)
+    assert (other.version, other.rebound_from) == ('v2', 'v1')
+
+
+def test_row_decides_between_cache_and_token() -> None:
+    """A node that missed a rebinding would take the session back."""
+    table = MemoryTable()
+    node = Sessions(table, KEYS)
+    bind(node, ModelVersions(('v1',), ('v1', 'v2'), 'v1'))
+    key = 'session/team/s/model'
+    table.apply(Transaction(puts=(Put(key, bindings.encode('v2')),)))
+    session = bindings.Session('team', 's', 'model')
+    token = bindings.sign(node.keys, session, 'v2')
+    assert bind(node, BOTH, token).version == 'v2'
+
+
+def test_unknown_session_in_an_outage() -> None:
+    """A guess between two versions could break an earlier binding."""
+    sessions = Sessions(BrokenTable(), KEYS)
+    request = SessionRequest('team', 's', None, 'model')
+    refusal = sessions.bind(request, BOTH).unwrap_err()
+    assert (refusal.status, refusal.run_state.value) == (503, 'not_run')
+    assert refusal.retry_after is not None
+    assert bind(sessions, ONLY_V2) == Binding('v2')
--- /dev/null
+++ b/fleet/services_test.py
@@ -0,0 +1,88 @@
+"""Guards at-most-once execution of orders across entry processes."""
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from fleet import deployments
+from fleet.launch import Fleet
+
+ORDER = {'order_id': 'o-1'}
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    """Run Brolga's fleet."""
+    directory: Path = tmp_path_factory.mktemp('logs')
+    with Fleet(deployments.BROLGA, directory) as running:
+        yield running
+
+
+def order(
+    fleet: Fleet, entry: int, key: str, document: Any
+) -> tuple[int, Any, bool]:
+    """Place an order; return status, content and whether it is a replay."""
+    reply = fleet.http.request(
+        'POST',
+        f'http://{fleet.entries()[entry].address}/services/sightings/sightings',
+        json=document,
+        headers={
+            'Authorization': f'Bearer {fleet.api_key()}',
+            'Idempotency-Key': key,
+        },
+        timeout=30,
+    )
+    replayed = reply.headers.get('Idempotency-Replayed') == 'true'
+    return reply.status, json.loads(reply.data), replayed
+
+
+def cause(fleet: Fleet, role: str, faults: dict[str, Any]) -> None:
+    """Set faults of every stand-in of a role."""
+    for program in fleet.of_role(role):
+        fleet.cause(program, faults)
+
+
+def executions(fleet: Fleet, key: str) -> int:
+    """Count the executions under a key at all endpoints."""
+    return sum(
+        json.loads(
+            fleet.http.request(
+                'GET', f'http://{program.address}/executions', timeout=30
+            ).data
+        ).get(key, 0)
+        for program in fleet.of_role('sightings-api')
+    )
+
+
+def test_retry_on_another_entry_gets_the_stored_answer(fleet: Fleet) -> None:
+    """A retry that runs again counts a sighting twice."""
+    first = order(fleet, 0, 'k1', ORDER)
+    second = order(fleet, 1, 'k1', ORDER)
+    assert (first[0], first[2]) == (200, False)
+    assert second == (200, first[1], True)
+    status, refused, _ = order(fleet, 1, 'k1', {'order_id': 'o-2'})
+    assert (status, refused['error']['run_state']) == (422, 'not_run')
+    assert executions(fleet, 'k1') == 1
+
+
+def test_unknown_outcome_stays_unknown(fleet: Fleet) -> None:
+    """An order whose answer was lost may have been executed."""
+    cause(fleet, 'sightings-api', {'drop_after': 1})
+    status, refused, _ = order(fleet, 0, 'k2', ORDER)
+    cause(fleet, 'sightings-api', {'drop_after': 0})
+    assert (status, refused['error']['run_state']) == (502, 'unknown')
+    status, refused, _ = order(fleet, 1, 'k2', ORDER)
+    assert (status, refused['error']['code']) == (409, 'outcome_unknown')
+    assert executions(fleet, 'k2') == 1
+
+
+def test_order_is_not_run_while_the_table_is_unavailable(fleet: Fleet) -> None:
+    """An order that leaves without its claim could run twice."""
+    cause(fleet, 'table', {'outage': 1})
+    status, refused, _ = order(fleet, 0, 'k3', ORDER)
+    cause(fleet, 'table', {'outage': 0})
+    assert (status, refused['error']['run_state']) == (503, 'not_run')
+    assert executions(fleet, 'k3') == 0
