--- /dev/null
+++ b/bronzeglade/adapters/rating.py
@@ -0,0 +1,88 @@
+"""The rating service: noisy, late, sometimes unavailable."""
+
+import dataclasses
+import datetime as dt
+import json
+from collections.abc import Sequence
+from typing import Any, Protocol
+
+import pydantic as pd
+import urllib3
+from result import Err, Ok, Result
+
+from bronzeglade.adapters import transport
+
+_HTTP_OK = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """A whole answer with the messages that asked for it."""
+
+    prompt: Sequence[Any]
+    answer: str
+    model: str
+    version: str
+
+
+class RatingDocument(pd.BaseModel):
+    """The reply of the rating service."""
+
+    rating: float = pd.Field(ge=0, le=1)
+
+
+class RatingService(Protocol):
+    """Rates answers from 0 to 1."""
+
+    def rate(self, sample: Sample, limit: dt.timedelta) -> Result[float, str]:
+        """Return a rating, or why there is none."""
+
+
+class HttpRatings:
+    """Client of the rating service's HTTP interface: POST /rate."""
+
+    def __init__(self, url: str, pool: urllib3.PoolManager) -> None:
+        """Create a client.
+
+        Args:
+          url: base URL of the service.
+          pool: connections to use.
+        """
+        self.url = url
+        self.pool = pool
+
+    def rate(self, sample: Sample, limit: dt.timedelta) -> Result[float, str]:
+        """Rate an answer.
+
+        Args:
+          sample: the answer.
+          limit: time limit of the call.
+
+        Returns:
+          The rating, or why there is none.
+        """
+        answer = transport.call(
+            self.pool,
+            'POST',
+            f'{self.url}/rate',
+            limit,
+            json.dumps(dataclasses.asdict(sample)).encode(),
+            {'Content-Type': 'application/json'},
+        )
+        if isinstance(answer, Err):
+            return Err(answer.err_value.detail)
+        if answer.ok_value.status != _HTTP_OK:
+            return Err(f'status {answer.ok_value.status}')
+        try:
+            document = RatingDocument.model_validate_json(answer.ok_value.body)
+        except pd.ValidationError as error:
+            return Err(str(error.errors()[0]['msg']))
+        return Ok(document.rating)
+
+
+class NoRatings:
+    """A deployment without a rating service."""
+
+    def rate(self, sample: Sample, limit: dt.timedelta) -> Result[float, str]:
+        """Return that there is no rating."""
+        return Err('there is no rating service')
--- a/bronzeglade/builders.py
+++ b/bronzeglade/builders.py
@@ -1,17 +1,15 @@
-"""Fakes and builders of test data."""
+"""Builders of test data."""
 
 import dataclasses
 import datetime as dt
-import enum
 import json
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any
 
-from greenlet import getcurrent, greenlet
 from result import Err, Ok, Result
 
+from bronzeglade import catalog as catalogs
 from bronzeglade.adapters.table import (
-    ABSENT,
     CommitError,
     Conflict,
     Row,
@@ -20,7 +18,12 @@
     Unavailable,
     Unknown,
 )
+from bronzeglade.catalog import Catalog, Configuration
+from bronzeglade.manifest import Rollout
+from bronzeglade.settings import EntrySettings
 
+PEER_KEY = '1:000102030405060708090a0b0c0d0e0f'
+DOMAINS = ('a', 'b', 'c')
 _EPOCH = dt.datetime(2026, 1, 1, tzinfo=dt.UTC)
 
 
@@ -112,60 +115,51 @@
     ]
 
 
-class Fault(enum.Enum):
-    """What happens to one call of the table."""
-
-    NONE = 'none'
-    REFUSED = 'refused'  # surely not applied
-    LOST_REPLY = 'lost_reply'  # applied
-    LOST_CALL = 'lost_call'  # not applied
-    DELAYED = 'delayed'  # applied when `settle` is called
-
-
 class MemoryTable:
-    """A table in memory; inside a `Task`, each call can be interrupted."""
+    """A table in memory with outages and lost replies."""
 
     def __init__(self) -> None:
         """Create an empty table."""
         self.rows: dict[str, Row] = {}
-        self.delayed: list[Transaction] = []
-        self.reads = 0
+        self.available = True
+        self.lose_reply = False
+        self.before_commit: Callable[[], None] | None = None
+        self.after_lost_reply: Callable[[], None] | None = None
 
     def read(
         self, keys: Sequence[str]
     ) -> Result[Mapping[str, Row], StoreError]:
         """Read rows by key."""
-        fault = interrupt()
-        self.reads += 1
-        found = {key: self.rows[key] for key in keys if key in self.rows}
-        interrupt()
-        return Ok(found) if fault is Fault.NONE else Err(StoreError('fault'))
+        if not self.available:
+            return Err(StoreError('outage'))
+        return Ok({key: self.rows[key] for key in keys if key in self.rows})
 
     def scan(self, prefix: str, limit: int) -> Result[list[Row], StoreError]:
         """Read rows by prefix."""
+        if not self.available:
+            return Err(StoreError('outage'))
         keys = sorted(key for key in self.rows if key.startswith(prefix))
         return Ok([self.rows[key] for key in keys[:limit]])
 
     def commit(self, transaction: Transaction) -> Result[None, CommitError]:
-        """Apply a transaction, under the fault of the task's step."""
-        fault = interrupt()
-        outcome: Result[None, CommitError] = Err(Unknown(fault.value))
-        if fault is Fault.REFUSED:
-            outcome = Err(Unavailable(fault.value))
-        elif fault is Fault.DELAYED:
-            self.delayed.append(transaction)
-        elif fault is not Fault.LOST_CALL:
-            applied = self.apply(transaction)
-            outcome = applied if fault is Fault.NONE else outcome
-        interrupt()
+        """Apply a transaction; `before_commit` runs once ahead of it."""
+        before = self.before_commit
+        self.before_commit = None
+        if before is not None:
+            before()
+        if not self.available:
+            return Err(Unavailable('outage'))
+        outcome = self._apply(transaction)
+        if self.lose_reply:
+            self.lose_reply = False
+            after = self.after_lost_reply
+            self.after_lost_reply = None
+            if after is not None:
+                after()
+            return Err(Unknown('lost reply'))
         return outcome
 
-    def settle(self, index: int) -> None:
-        """Apply a delayed transaction now."""
-        self.apply(self.delayed.pop(index))
-
-    def apply(self, transaction: Transaction) -> Result[None, CommitError]:
-        """Apply a transaction if its checks hold."""
+    def _apply(self, transaction: Transaction) -> Result[None, CommitError]:
         for check in transaction.checks:
             version = self._version(check.key)
             if version != check.version:
@@ -178,49 +172,113 @@
         return Ok(None)
 
     def _version(self, key: str) -> int:
-        return self.rows[key].version if key in self.rows else ABSENT
+        row = self.rows.get(key)
+        return row.version if row else 0
 
 
-class _TaskGreenlet(greenlet):
-    """Tells tasks from the green threads of eventlet."""
+def entry_settings(index: int = 0, **changes: Any) -> EntrySettings:
+    """Return settings of the n-th node; failure domains rotate.
 
+    Args:
+      index: 0 to 999.
+      changes: settings by name.
+    """
+    given = {
+        'vm': f'entry-{index}',
+        'host': f'10.0.{index // 250}.{index % 250 + 1}',
+        'port': 8000,
+        'control_port': 8001,
+        'failure_domain': DOMAINS[index % len(DOMAINS)],
+        'vm_list_url': 'http://10.1.0.1:80',
+        'table_url': 'http://10.1.0.2:80',
+        'peer_keys': PEER_KEY,
+    }
+    return EntrySettings.model_validate({**given, **changes})
+
+
+def manifest_document(deployment: str = 'test') -> dict[str, Any]:
+    """Return a small valid manifest with one model and one team."""
+    return {
+        'deployment': deployment,
+        'failure_domains': [{'name': name, 'region': 'r'} for name in DOMAINS],
+        'ranks': [
+            {
+                'name': 'urgent',
+                'priority': 0,
+                'first_token_ms': 800,
+                'inter_token_ms': 26,
+            }
+        ],
+        'models': [
+            {
+                'name': 'model',
+                'prompt_cost': 1,
+                'completion_cost': 1,
+                'versions': [{'name': 'v1', 'state': 'serving'}],
+            }
+        ],
+        'teams': [
+            {
+                'name': 'team',
+                'key_hashes': ['a' * 64],
+                'rank': 'urgent',
+                'grants': [{'model': 'model'}],
+            }
+        ],
+        'operators': [{'name': 'operator', 'key_hashes': ['b' * 64]}],
+    }
 
-class Task:
-    """Work of a node that stops before and after each call of the table.
 
-    A task that is never stepped again is a process that died or is paused.
-    """
+def manifest_text(deployment: str = 'test') -> bytes:
+    """Return the text of `manifest_document`."""
+    return json.dumps(manifest_document(deployment)).encode()
+
 
-    def __init__(self, action: Callable[..., Any], *arguments: Any) -> None:
-        """Run up to the first call."""
-        self.value: Any = None
-        self.greenlet = _TaskGreenlet(action)
-        self._resume(*arguments)
-
-    @property
-    def done(self) -> bool:
-        """Whether the action has returned."""
-        return bool(self.greenlet.dead)
-
-    def step(self, fault: Fault = Fault.NONE) -> None:
-        """Run up to the next stop."""
-        self._resume(fault)
-
-    def finish(self) -> Any:
-        """Run to the end without faults; return the action's value."""
-        while not self.done:
-            self.step()
-        return self.value
-
-    def _resume(self, *arguments: Any) -> None:
-        value = self.greenlet.switch(*arguments)
-        if self.done:
-            self.value = value
-
-
-def interrupt() -> Fault:
-    """Stop the running task, if there is one, until it is stepped."""
-    running = getcurrent()
-    if not isinstance(running, _TaskGreenlet):
-        return Fault.NONE
-    return Fault(running.parent.switch())
+def rollout(**changes: Any) -> Rollout:
+    """Return a roll-out of `m` from `v1` to `v2` in three steps."""
+    document: dict[str, Any] = {
+        'name': 'r',
+        'model': 'm',
+        'from_version': 'v1',
+        'to_version': 'v2',
+        'steps': [
+            {'share': share, 'min_requests': 10, 'min_seconds': 5}
+            for share in (0.1, 0.5, 1)
+        ],
+    }
+    return Rollout.model_validate({**document, **changes})
+
+
+def catalog(*rollouts: Rollout) -> Catalog:
+    """Return a catalog of model `m` with `v1` serving and two allowed."""
+    states = {'v1': 'serving', 'v2': 'allowed', 'v3': 'allowed'}
+    document = {
+        'deployment': 'test',
+        'failure_domains': [{'name': 'd0', 'region': 'r0'}],
+        'ranks': [
+            {
+                'name': 'standard',
+                'priority': 1,
+                'first_token_ms': 800,
+                'inter_token_ms': 26,
+            }
+        ],
+        'models': [
+            {
+                'name': 'm',
+                'prompt_cost': 1,
+                'completion_cost': 4,
+                'versions': [
+                    {'name': name, 'state': state}
+                    for name, state in states.items()
+                ],
+            }
+        ],
+        'rollouts': [one.model_dump(mode='json') for one in rollouts],
+        'operators': [{'name': 'o', 'key_hashes': ['0' * 64]}],
+    }
+    text = json.dumps(document).encode()
+    built, errors = catalogs.build(Configuration(1, 'digest', text))
+    if built is None:
+        raise ValueError(errors)
+    return built
--- a/bronzeglade/coordination/idempotency_test.py
+++ b/bronzeglade/coordination/idempotency_test.py
@@ -15,17 +15,17 @@
     rule,
 )
 
-from bronzeglade.builders import (
-    Fault,
-    ManualClock,
-    MemoryTable,
-    Task,
-    interrupt,
-)
+from bronzeglade.builders import ManualClock
 from bronzeglade.coordination import idempotency as keys
 from bronzeglade.coordination.idempotency import Answer, Attempt, State
 from bronzeglade.entry.idempotency import Idempotency, kept
 from bronzeglade.outcome import BrokenInvariantError, Refusal, RunState
+from bronzeglade.stepped import (
+    Fault,
+    SteppedTable,
+    Task,
+    interrupt,
+)
 
 NODE = st.integers(0, 2)
 MINUTE = dt.timedelta(minutes=1)
@@ -39,7 +39,7 @@
         """Start three nodes."""
         super().__init__()
         self.clock = ManualClock()
-        self.table = MemoryTable()
+        self.table = SteppedTable()
         self.nodes = [self.new_node() for _ in range(3)]
         self.tasks: list[tuple[int, Task]] = []
         self.executed: dict[str, list[str]] = collections.defaultdict(list)
@@ -202,7 +202,7 @@
 
 def test_delayed_take_over_is_never_applied_after_its_release() -> None:
     """It would leave the key claimed by an attempt that never sends."""
-    table, now = MemoryTable(), ManualClock().now()
+    table, now = SteppedTable(), ManualClock().now()
     first = Attempt('team', 'key', b'x', '1')
     assert keys.finish(table, first, first.entry(State.NOT_RUN, now))
     late = Attempt('team', 'key', b'x', '2')
--- a/bronzeglade/coordination/journal_test.py
+++ b/bronzeglade/coordination/journal_test.py
@@ -14,7 +14,7 @@
     rule,
 )
 
-from bronzeglade.builders import Fault, ManualClock, MemoryTable, Task
+from bronzeglade.builders import ManualClock
 from bronzeglade.coordination import journal as journals
 from bronzeglade.coordination.journal import (
     Batch,
@@ -23,6 +23,7 @@
     Replicas,
 )
 from bronzeglade.manifest import Rank
+from bronzeglade.stepped import Fault, SteppedTable, Task
 
 VMS = ('a', 'b', 'c')  # each in a failure domain of its own
 VM = st.sampled_from(VMS)
@@ -38,7 +39,7 @@
         self.replicas = Replicas(SMALL)
         self.tasks: dict[str, Task] = {}
 
-    def start(self, table: MemoryTable, origin: str) -> None:
+    def start(self, table: SteppedTable, origin: str) -> None:
         """Flush an origin's records, one flush at a time."""
         if origin in self.tasks:
             return
@@ -58,7 +59,7 @@
     def __init__(self) -> None:
         """Start all processes."""
         super().__init__()
-        self.table = MemoryTable()
+        self.table = SteppedTable()
         self.now = dt.timedelta()
         self.started = 0
         self.processes = {vm: self.new_process(vm) for vm in VMS}
--- a/bronzeglade/coordination/session_test.py
+++ b/bronzeglade/coordination/session_test.py
@@ -4,10 +4,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
-from bronzeglade.builders import Fault, MemoryTable, Task
 from bronzeglade.coordination import session as bindings
 from bronzeglade.coordination.seal import SharedKey
 from bronzeglade.coordination.session import Bound, Session, Want
+from bronzeglade.stepped import Fault, SteppedTable, Task
 
 KEPT = ('v1', 'v2')
 KEY = st.sampled_from(('k', 'l', 'm'))
@@ -21,7 +21,7 @@
     def __init__(self) -> None:
         """Start without bindings."""
         super().__init__()
-        self.table = MemoryTable()
+        self.table = SteppedTable()
         self.tasks: list[Task] = []
         self.seen: dict[str, str] = {}
 
@@ -77,7 +77,7 @@
 
 def test_binding_moves_only_from_a_version_that_may_not_be_kept() -> None:
     """A session that moves with each change of shares loses its version."""
-    table = MemoryTable()
+    table = SteppedTable()
     key = SESSION.row_key
     assert bindings.resolve(table, [Want(key, 'v1', KEPT)])[key] == Bound('v1')
     assert table.reads == 0
--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -11,6 +11,7 @@
     completion,
     deadline,
     dispatch,
+    evidence,
     http,
     selection,
 )
@@ -21,6 +22,9 @@
 from bronzeglade.outcome import Refusal, RunState
 
 
+PATH = '/v1/chat/completions'
+
+
 def handle(node: Node, request: Request) -> Response:
     """Answer a chat completion.
 
@@ -40,13 +44,20 @@
 def _run(node: Node, work: Work) -> Response:
     request_id = work.request.request_id
     ticket = node.admission.enter(
-        work.caller.team, work.caller.rank, work.choice.model, work.deadline
+        work.caller.team,
+        work.caller.rank,
+        work.choice.model,
+        work.deadline,
+        work.request.has_caller_left,
     )
     if isinstance(ticket, Err):
         return http.refuse(ticket.err_value, request_id)
+    began = node.clock.monotonic()
     started = dispatch.start(node, work, ticket.ok_value)
     if isinstance(started, Err):
         return http.refuse(started.err_value, request_id)
+    evidence.first_token(node, started.ok_value, began)
+    work.request.trace.first_token = node.clock.monotonic()
     if work.chat.stream:
         return _streamed(node, started.ok_value)
     return _whole(node, started.ok_value)
@@ -80,6 +91,14 @@
     choice = selection.choose(node, caller.ok_value, request, steps.ok_value[0])
     if isinstance(choice, Err):
         return choice
+    request.trace.chosen(choice.ok_value.model, choice.ok_value.version)
+    request.trace.event(
+        'choice',
+        model=choice.ok_value.model,
+        version=choice.ok_value.version,
+        generation=caller.ok_value.catalog.configuration.generation,
+        vm=node.settings.vm,
+    )
     return Ok(
         Work(
             request=request,
@@ -131,16 +150,30 @@
         whole=whole,
         finished_at=node.clock.now(),
     )
-    return node.billing.record(record, node.settings.request_timeout)
+    billed = node.billing.record(record, node.settings.request_timeout)
+    trace = work.request.trace
+    trace.event(
+        'bill',
+        whole=whole,
+        cost_nanodollars=cost,
+        prompt_tokens=usage.prompt_tokens,
+        completion_tokens=usage.completion_tokens,
+        error=billed.err(),
+    )
+    if isinstance(billed, Ok):
+        trace.answered = whole
+        node.telemetry.billed(trace.labels, cost, usage.completion_tokens)
+    return billed
 
 
 def _whole(node: Node, started: Started) -> Response:
     request_id = started.work.request.request_id
     try:
-        for _chunk in started.answer.body():
+        for _block in _timed(node, started):
             continue
     finally:
         dispatch.finish(node, started)
+    evidence.ended(node, started)
     if not started.answer.complete:
         message = 'the worker stopped before the answer was complete'
         return http.refuse(
@@ -197,8 +230,9 @@
     answer = started.answer
     whole = False
     try:
-        yield from answer.body()
+        yield from _timed(node, started)
         whole = answer.complete
+        evidence.ended(node, started)
     finally:
         dispatch.finish(node, started)
         if not whole and answer.tokens:
@@ -213,6 +247,17 @@
         yield _error_event(refusal, started)
 
 
+def _timed(node: Node, started: Started) -> Iterator[bytes]:
+    """Yield the body of an answer and count the times between its blocks."""
+    count = started.work.request.trace.gap_counter(node.telemetry)
+    last = node.clock.monotonic()
+    for block in started.answer.body():
+        now = node.clock.monotonic()
+        count((now - last).total_seconds())
+        yield block
+        last = now
+
+
 def _ending(node: Node, started: Started) -> Iterator[bytes]:
     # The last part leaves only after the request is billed.
     billed = _bill(node, started, whole=True)
@@ -225,5 +270,6 @@
 
 
 def _error_event(refusal: Refusal, started: Started) -> bytes:
+    started.work.request.trace.refusal = refusal
     document = http.error_document(refusal, started.work.request.request_id)
     return b'data: ' + json.dumps(document).encode() + b'\n\n'
--- a/bronzeglade/entry/control.py
+++ b/bronzeglade/entry/control.py
@@ -1,7 +1,7 @@
 """The application towards operators, peers and metrics."""
 
+import dataclasses
 import uuid
-from typing import Any
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from result import Err, Ok
@@ -9,9 +9,15 @@
 from bronzeglade import catalog as catalogs
 from bronzeglade import manifest as manifests
 from bronzeglade.catalog import Configuration
-from bronzeglade.coordination import head as heads
-from bronzeglade.coordination.head import Published, Superseded, Undecided
-from bronzeglade.entry import http
+from bronzeglade.coordination.datagram import NAME_LIMIT
+from bronzeglade.coordination.head import (
+    Published,
+    Reused,
+    Superseded,
+    Undecided,
+)
+from bronzeglade.entry import http, status
+from bronzeglade.entry.access import NOT_READY
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
 from bronzeglade.entry.peers import PEER_PREFIX
@@ -23,10 +29,14 @@
     route = (request.method, request.path)
     if route == ('GET', '/metrics'):
         return Response(
-            200, (generate_latest(),), {'Content-Type': CONTENT_TYPE_LATEST}
+            200,
+            (generate_latest(node.telemetry.registry),),
+            {'Content-Type': CONTENT_TYPE_LATEST},
         )
     if route == ('POST', '/operator/manifest'):
         return _publish(node, request)
+    if route == ('GET', '/operator/manifest'):
+        return _manifest(node, request)
     if route == ('GET', '/operator/status'):
         return _status(node, request)
     if request.method == 'POST' and request.path.startswith(PEER_PREFIX):
@@ -48,6 +58,26 @@
     return Response(200, (reply.ok_value,), {'Content-Length': length})
 
 
+def _manifest(node: Node, request: Request) -> Response:
+    """Return the manifest that is active; 404 before the first one."""
+    if node.catalog is None:
+        refusal = Refusal(404, 'no_configuration', 'no manifest is active')
+        return http.refuse(refusal, request.request_id)
+    refused = _operator_refusal(node, request, node.catalog.manifest)
+    if refused is not None:
+        return http.refuse(refused, request.request_id)
+    configuration = node.catalog.configuration
+    return Response(
+        200,
+        (configuration.text,),
+        {
+            'Content-Type': 'application/json',
+            'Content-Length': str(len(configuration.text)),
+            'X-Generation': str(configuration.generation),
+        },
+    )
+
+
 def _publish(node: Node, request: Request) -> Response:
     body = http.read_body(request, node.settings)
     if isinstance(body, Err):
@@ -64,11 +94,23 @@
         message = 'X-Replaces-Generation: the generation that is replaced'
         refusal = Refusal(422, 'no_generation', message)
         return http.refuse(refusal, request.request_id)
+    publication_id = request.header('X-Publication-Id') or uuid.uuid4().hex
+    operator = request.header('X-Operator') or 'unnamed'
+    if max(len(publication_id), len(operator)) > NAME_LIMIT:
+        message = f'X-Publication-Id, X-Operator: at most {NAME_LIMIT} letters'
+        refusal = Refusal(422, 'name_too_long', message)
+        return http.refuse(refusal, request.request_id)
     published = Published(
         Configuration(int(replaces) + 1, catalogs.digest_of(text), text),
-        request.header('X-Publication-Id') or uuid.uuid4().hex,
-        request.header('X-Operator') or 'unnamed',
+        publication_id,
+        operator,
     )
+    if node.catalog is None and published.configuration.generation > 1:
+        # Only the first manifest may name its own operators.
+        refusal = dataclasses.replace(
+            NOT_READY, retry_after=node.settings.head_poll_interval
+        )
+        return http.refuse(refusal, request.request_id)
     return _commit(node, request, published)
 
 
@@ -83,26 +125,17 @@
 
 
 def _commit(node: Node, request: Request, published: Published) -> Response:
-    outcome = heads.publish(node.table, published)
+    outcome = node.distribution.commit(published)
     if isinstance(outcome, Ok):
-        node.adopt(outcome.ok_value)
-        configuration = published.configuration
-        return http.json_response(
-            {
-                'generation': configuration.generation,
-                'digest': configuration.digest,
-            }
-        )
+        return _committed(node, outcome.ok_value)
     error = outcome.err_value
     if isinstance(error, Superseded):
         return http.json_response(
-            {
-                'generation': error.generation,
-                'digest': error.digest,
-                'operator': error.operator,
-            },
-            409,
+            {'status': 'superseded', **dataclasses.asdict(error)}, 409
         )
+    if isinstance(error, Reused):
+        refusal = Refusal(422, 'publication_id_reused', error.detail)
+        return http.refuse(refusal, request.request_id)
     unknown = isinstance(error, Undecided)
     state = RunState.UNKNOWN if unknown else RunState.NOT_RUN
     refusal = Refusal(
@@ -115,23 +148,30 @@
     return http.refuse(refusal, request.request_id)
 
 
+def _committed(node: Node, published: Published) -> Response:
+    configuration = published.configuration
+    accepted = node.distribution.wait_accepted(configuration.generation)
+    holders = node.publication.holding(configuration.generation)
+    document = {
+        'status': 'accepted' if accepted else 'committed',
+        'generation': configuration.generation,
+        'digest': configuration.digest,
+        'publication_id': published.publication_id,
+        'current_generation': node.generation(),
+        'holders': [
+            {'vm': holder.vm, 'failure_domain': holder.failure_domain}
+            for holder in holders
+        ],
+    }
+    return http.json_response(document, 200 if accepted else 202)
+
+
 def _status(node: Node, request: Request) -> Response:
     if node.catalog is not None and not catalogs.is_operator_key(
         node.catalog.manifest, request.bearer_key()
     ):
         refusal = Refusal(401, 'invalid_operator_key', 'the key is not valid')
         return http.refuse(refusal, request.request_id)
-    return http.json_response({'nodes': [node_status(node)]})
-
-
-def node_status(node: Node) -> dict[str, Any]:
-    """Return what is in force on this node."""
-    configuration = node.catalog.configuration if node.catalog else None
-    return {
-        'vm': node.settings.vm,
-        'failure_domain': node.settings.failure_domain,
-        'generation': node.generation(),
-        'digest': configuration.digest if configuration else '',
-        'draining': node.draining,
-        'open_requests': node.open_requests,
-    }
+    if request.query == 'scope=node':
+        return http.json_response({'nodes': [status.of_node(node)]})
+    return http.json_response({'nodes': status.of_all(node)})
--- a/bronzeglade/entry/dispatch.py
+++ b/bronzeglade/entry/dispatch.py
@@ -9,9 +9,12 @@
 from bronzeglade.adapters import engine as engines
 from bronzeglade.adapters.engine import EngineRefusal, EngineStream
 from bronzeglade.adapters.transport import CallFailure
+from bronzeglade.decisions.admission import Ticket
+from bronzeglade.decisions.evidence import FAILED
+from bronzeglade.decisions.prefix import prompt_blocks
 from bronzeglade.decisions.retry import Failure, failure_of_status
+from bronzeglade.decisions.routing import NoWorker, RoutedRequest
 from bronzeglade.entry.access import Caller
-from bronzeglade.entry.admission import Ticket
 from bronzeglade.entry.answer import Answer
 from bronzeglade.entry.completion import ChatRequest
 from bronzeglade.entry.http import Request
@@ -43,16 +46,18 @@
     run_state: RunState = RunState.NOT_RUN
     worker: Worker | None = None
     rejection: EngineRefusal | None = None
+    blocks: tuple[str, ...] | None = None
 
 
 @dataclasses.dataclass(slots=True)
 class Started:
-    """A stream whose first event has arrived."""
+    """A stream whose first event has arrived; `at` is monotonic."""
 
     work: Work
     tries: Tries
     answer: Answer
     ticket: Ticket
+    at: dt.timedelta
     finished: bool = False
 
     @property
@@ -88,7 +93,7 @@
             node.admission.leave(ticket)
     if answer is None:
         return Err(_failure(node, work, tries))
-    return Ok(Started(work, tries, answer, ticket))
+    return Ok(Started(work, tries, answer, ticket, node.clock.monotonic()))
 
 
 def _first_answer(node: Node, work: Work, tries: Tries) -> Answer | None:
@@ -98,9 +103,16 @@
         if worker is None:
             return None
         outcome = _try_worker(node, work, tries, worker)
+        work.request.trace.event(
+            'try',
+            worker=worker.vm,
+            attempt=len(tries.vms),
+            failure=_failure_name(outcome),
+        )
         if isinstance(outcome, Ok):
             return outcome.ok_value
         failed = outcome.err_value
+        _count_lost(node, work, failed.failure)
         if failed.failure.run_state is not RunState.NOT_RUN:
             tries.run_state = failed.failure.run_state
         if failed.failure is Failure.REJECTED:
@@ -112,6 +124,10 @@
     return None
 
 
+def _failure_name(outcome: Result[Answer, _Failed]) -> str | None:
+    return outcome.err_value.failure.name if isinstance(outcome, Err) else None
+
+
 def _expired(node: Node, work: Work) -> bool:
     return node.clock.monotonic() >= work.deadline
 
@@ -121,14 +137,27 @@
     # it was queued, retried or streamed.
     if not is_permitted(node, work):
         return None
-    workers = [
-        worker
-        for worker in serving_model(
-            node.workers, work.choice.model, work.choice.version
+    workers = serving_model(
+        node.workers, work.choice.model, work.choice.version
+    )
+    choice = node.routing.choose(
+        workers,
+        RoutedRequest(_blocks(node, work, tries), work.caller.rank.priority),
+        tries.vms,
+    )
+    if isinstance(choice, NoWorker):
+        return None
+    return next(one for one in workers if one.vm == choice.worker)
+
+
+def _blocks(node: Node, work: Work, tries: Tries) -> tuple[str, ...]:
+    if tries.blocks is None:
+        messages = (
+            {'role': one.role, 'content': one.content}
+            for one in work.chat.messages
         )
-        if worker.vm not in tries.vms
-    ]
-    return choose_worker(node, workers) if workers else None
+        tries.blocks = prompt_blocks(messages, node.routing.settings.prefix)
+    return tries.blocks
 
 
 def _failure(node: Node, work: Work, tries: Tries) -> Refusal:
@@ -145,12 +174,6 @@
     return Refusal(503, 'no_worker', message, state, RETRY_AFTER)
 
 
-def choose_worker(node: Node, workers: list[Worker]) -> Worker:
-    """Choose the worker with the fewest requests of this node."""
-    node.random.shuffle(workers)
-    return min(workers, key=lambda one: node.in_flight.get(one.vm, 0))
-
-
 def _try_worker(
     node: Node, work: Work, tries: Tries, worker: Worker
 ) -> Result[Answer, _Failed]:
@@ -168,10 +191,10 @@
         reopen if worker.resumes_streams else None,
     )
     if answer.read_first():
+        node.routing.succeeded(worker.vm)
         return Ok(answer)
     answer.close()
-    _end_try(node, tries)
-    return Err(_Failed(Failure.LOST))
+    return Err(_end_failed(node, tries, _Failed(Failure.LOST)))
 
 
 def _open(
@@ -180,7 +203,7 @@
     check_choice(work)
     left = work.deadline - node.clock.monotonic()
     tries.worker = worker
-    node.in_flight[worker.vm] = node.in_flight.get(worker.vm, 0) + 1
+    node.routing.started(worker.vm, tries.blocks or ())
     stream = engines.open_stream(
         node.pool,
         worker.address,
@@ -196,8 +219,7 @@
     )
     if isinstance(stream, Ok):
         return stream
-    _end_try(node, tries)
-    return Err(_failed(stream.err_value))
+    return Err(_end_failed(node, tries, _failed(stream.err_value)))
 
 
 def _failed(error: CallFailure | EngineRefusal) -> _Failed:
@@ -209,7 +231,8 @@
 def _resume(
     node: Node, work: Work, tries: Tries, tokens: int
 ) -> EngineStream | None:
-    _end_try(node, tries)
+    _end_failed(node, tries, _Failed(Failure.LOST))
+    _count_lost(node, work, Failure.LOST)
     if _expired(node, work):
         return None
     worker = _next_worker(node, work, tries)
@@ -219,6 +242,12 @@
     return _open(node, work, tries, worker, tokens).ok()
 
 
+def _count_lost(node: Node, work: Work, failure: Failure) -> None:
+    # A retry hides the failure from the caller, not from the roll-out.
+    if failure is Failure.LOST:
+        node.versions.observe(work.choice.model, work.choice.version, FAILED)
+
+
 def is_permitted(node: Node, work: Work) -> bool:
     """Return whether the version may still receive the work."""
     if node.catalog is None:
@@ -226,7 +255,14 @@
     state = catalogs.version_state(
         node.catalog, work.choice.model, work.choice.version
     )
-    return state is not VersionState.WITHDRAWN
+    if state is VersionState.WITHDRAWN:
+        return False
+    return node.versions.permits(
+        node.catalog,
+        work.choice.model,
+        work.choice.version,
+        work.request.header('X-Session-Id') is not None,
+    )
 
 
 def check_choice(work: Work) -> None:
@@ -247,6 +283,8 @@
     if started.finished:
         return
     started.finished = True
+    if started.answer.complete:
+        node.routing.served(node.clock.monotonic() - started.at)
     _end_try(node, started.tries)
     node.admission.leave(started.ticket)
     started.answer.close()
@@ -254,5 +292,12 @@
 
 def _end_try(node: Node, tries: Tries) -> None:
     if tries.worker is not None:
-        node.in_flight[tries.worker.vm] -= 1
+        node.routing.finished(tries.worker.vm)
         tries.worker = None
+
+
+def _end_failed(node: Node, tries: Tries, failed: _Failed) -> _Failed:
+    if tries.worker is not None:
+        node.routing.failed(tries.worker.vm, failed.failure)
+    _end_try(node, tries)
+    return failed
--- a/bronzeglade/entry/dispatch_test.py
+++ b/bronzeglade/entry/dispatch_test.py
@@ -11,6 +11,7 @@
 
 from bronzeglade import catalog as catalogs
 from bronzeglade.catalog import Configuration
+from bronzeglade.coordination.head import Published
 from bronzeglade.entry import chat
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
@@ -52,10 +53,12 @@
         server.server_close()
 
 
-def catalog_of(document: Any) -> catalogs.Catalog | None:
+def catalog_of(document: Any) -> catalogs.Catalog:
     """Return the catalog of a manifest."""
     text = json.dumps(document).encode()
-    return catalogs.build(Configuration(1, 'd', text))[0]
+    catalog, errors = catalogs.build(Configuration(1, 'd', text))
+    assert catalog is not None, errors
+    return catalog
 
 
 def node_with(addresses: list[str]) -> Node:
@@ -73,7 +76,8 @@
         }
     )
     node = Node(settings)
-    node.catalog = catalog_of(deployments.manifest(deployments.BROLGA))
+    catalog = catalog_of(deployments.manifest(deployments.BROLGA))
+    node.adopt(Published(catalog.configuration, 'first', 'operator'))
     node.workers = tuple(
         Worker(
             vm=f'w{index}',
@@ -87,6 +91,7 @@
         )
         for index, address in enumerate(addresses)
     )
+    node.admission.update(catalog, node.workers, ())
     return node
 
 
@@ -150,9 +155,9 @@
     node = node_with([engine(200, b'data: ' + event + b'\n\n')])
     response = respond(node, stream=True)
     assert response.status == 200
-    assert sum(node.in_flight.values()) == 1
+    assert node.routing.loads.own.total() == 1
     response.body.close()  # type: ignore[attr-defined]
-    assert sum(node.in_flight.values()) == 0
+    assert node.routing.loads.own.total() == 0
     assert node.admission.open == 0
 
 
--- a/bronzeglade/entry/http.py
+++ b/bronzeglade/entry/http.py
@@ -4,6 +4,7 @@
 import datetime as dt
 import json
 import math
+import socket
 import uuid
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
@@ -11,6 +12,8 @@
 import eventlet
 from result import Err, Ok, Result
 
+from bronzeglade.entry import protocol
+from bronzeglade.entry.trace import Trace
 from bronzeglade.outcome import Refusal
 
 Environ = dict[str, Any]
@@ -44,6 +47,7 @@
     429: 'rate_limit_error',
 }
 _FIRST_SERVER_ERROR = 500
+CLOSE = 'Connection'  # a response with this header ends its connection
 _READ_SIZE = 65536  # bytes
 
 
@@ -63,6 +67,7 @@
     query: str
     environ: Environ
     request_id: str
+    trace: Trace = dataclasses.field(default_factory=lambda: Trace(''))
 
     def header(self, name: str) -> str | None:
         """Return a header, or None when the caller did not send it."""
@@ -72,6 +77,19 @@
         found = self.environ.get(key)
         return None if found is None else str(found)
 
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed its connection."""
+        body = self.environ.get('wsgi.input')
+        connection = getattr(body, 'get_socket', lambda: None)()
+        if connection is None:
+            return False
+        try:
+            return not connection.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def bearer_key(self) -> str:
         """Return the key of the Authorization header, or an empty string."""
         scheme, _, key = (self.header('Authorization') or '').partition(' ')
@@ -85,6 +103,7 @@
     status: int
     body: Body = ()
     headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    refusal: Refusal | None = None
 
 
 Handler = Callable[[Request], Response]
@@ -101,22 +120,60 @@
     """
 
     def application(environ: Environ, start: StartResponse) -> Body:
-        response = handler(read_head(environ))
+        request = read_head(environ)
+        refusal = head_refusal(request)
+        if refusal is None:
+            response = handler(request)
+        else:
+            response = refuse(refusal, request.request_id)
         reason = _REASONS.get(response.status, 'Unknown')
-        start(f'{response.status} {reason}', list(response.headers.items()))
+        headers = dict(response.headers)
+        if headers.pop(CLOSE, '') or _has_rest(environ):
+            environ[protocol.KEY].close_after_response()
+        start(f'{response.status} {reason}', list(headers.items()))
         return response.body
 
     return application
 
 
+def head_refusal(request: Request) -> Refusal | None:
+    """Return the refusal of a head that is not UTF-8, or None.
+
+    The server hands over each byte as one character.
+
+    Args:
+      request: as the server read it.
+    """
+    parts = {'path': request.path, 'query': request.query}
+    parts.update(request.environ.get('headers_raw', ()))
+    for name, text in parts.items():
+        try:
+            text.encode('latin-1').decode()
+        except UnicodeError:
+            message = f'{ascii(name)} is not valid UTF-8'
+            return Refusal(400, 'invalid_encoding', message)
+    return None
+
+
+def _has_rest(environ: Environ) -> bool:
+    # The server would read the rest of a refused body before the next
+    # request, however long it is.
+    body = environ.get('eventlet.input')
+    if body is None or protocol.KEY not in environ:
+        return False
+    return bool(body.chunked_input) or body.position < body.content_length
+
+
 def read_head(environ: Environ) -> Request:
     """Build the request of a WSGI environment, under a new identity."""
+    request_id = uuid.uuid4().hex
     return Request(
         method=environ['REQUEST_METHOD'],
         path=environ['PATH_INFO'],
         query=environ.get('QUERY_STRING', ''),
         environ=environ,
-        request_id=uuid.uuid4().hex,
+        request_id=request_id,
+        trace=Trace(request_id),
     )
 
 
@@ -216,4 +273,5 @@
     retry = refusal.retry_after is not None
     extra['X-Should-Retry'] = 'true' if retry else 'false'
     document = error_document(refusal, request_id)
-    return json_response(document, refusal.status, extra)
+    response = json_response(document, refusal.status, extra)
+    return dataclasses.replace(response, refusal=refusal)
--- a/bronzeglade/entry/process.py
+++ b/bronzeglade/entry/process.py
@@ -1,20 +1,36 @@
 """The router process: sockets, signals and graceful shutdown."""
 
 import datetime as dt
+import functools
 import signal
 from collections.abc import Callable, Iterator
 from typing import Any
 
 import eventlet
+from eliot import write_traceback
 from eventlet import wsgi
 
-from bronzeglade.entry import callers, control, http, invariants
+from bronzeglade.entry import (
+    callers,
+    chat,
+    control,
+    http,
+    invariants,
+    logs,
+    protocol,
+    status,
+    trace,
+)
 from bronzeglade.entry.http import Body, Environ, Request, Response
 from bronzeglade.entry.node import Node
 from bronzeglade.settings import EntrySettings
 
 BACKLOG = 512
 MAX_CONNECTIONS = 4096
+SOCKET_TIMEOUT = dt.timedelta(seconds=60)  # idle connections and each write
+# Least time for the last flush of billing records; a replica holder has them
+# when it passes.
+FLUSH_LIMIT = dt.timedelta(seconds=10)
 POLL_INTERVAL = dt.timedelta(milliseconds=50)
 
 
@@ -35,20 +51,22 @@
       The exit code.
     """
     invariants.install()
+    logs.configure(settings.log_file)
     node = Node(settings)
-    node.start()
+    status.register(node)
     stopped = eventlet.event.Event()
-    _serve(settings.host, settings.port, _counted(node))
+    _serve(settings, settings.port, _counted(node))
     _serve(
-        settings.host,
+        settings,
         settings.control_port,
         http.wsgi(lambda request: control.handle(node, request)),
     )
+    node.start()
 
     def stop(_signal: int, _frame: Any) -> None:
         if not node.draining:
             node.draining = True
-            eventlet.spawn(_drain, node, stopped)
+            eventlet.spawn(drain, node, stopped)
 
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
@@ -56,8 +74,10 @@
     return 0
 
 
-def _serve(host: str, port: int, application: Callable[..., Body]) -> None:
-    listener = eventlet.listen((host, port), backlog=BACKLOG)
+def _serve(
+    settings: EntrySettings, port: int, application: Callable[..., Body]
+) -> None:
+    listener = eventlet.listen((settings.host, port), backlog=BACKLOG)
     eventlet.spawn(
         wsgi.server,
         listener,
@@ -65,7 +85,11 @@
         log=_NoLog(),
         log_output=False,
         max_size=MAX_CONNECTIONS,
-        socket_timeout=60,
+        protocol=protocol.bounded(settings.receive_timeout),
+        # Each part of a stream is written when it is there; the default
+        # gathers 4,096 bytes first, which delays tokens.
+        minimum_chunk_size=1,
+        socket_timeout=SOCKET_TIMEOUT.total_seconds(),
         debug=False,
     )
 
@@ -73,13 +97,19 @@
 def _counted(node: Node) -> Callable[[Environ, http.StartResponse], Body]:
     def handler(request: Request) -> Response:
         node.open_requests += 1
+        trace.begin(node.telemetry, request.trace, request.path)
         try:
             response = callers.handle(node, request)
         except BaseException:
             node.open_requests -= 1
             raise
+        request.trace.refusal = response.refusal
+        if request.path != chat.PATH:
+            request.trace.answered = True
         return Response(
-            response.status, _Counted(node, response.body), response.headers
+            response.status,
+            _Counted(node, response.body, request.trace),
+            response.headers,
         )
 
     return http.wsgi(handler)
@@ -88,9 +118,10 @@
 class _Counted:
     """A body whose end closes the count of its request."""
 
-    def __init__(self, node: Node, body: Body) -> None:
+    def __init__(self, node: Node, body: Body, traced: trace.Trace) -> None:
         """Wrap a body."""
         self.node = node
+        self.trace = traced
         self.body = body
 
     def __iter__(self) -> Iterator[bytes]:
@@ -101,14 +132,39 @@
         """Close the body; called once by the server in every case."""
         self.node.open_requests -= 1
         close = getattr(self.body, 'close', None)
-        if close is not None:
-            close()
+        try:
+            if close is not None:
+                close()
+        finally:
+            trace.end(self.node.telemetry, self.trace)
+
 
+def drain(node: Node, stopped: Any) -> None:
+    """Stop gracefully.
 
-def _drain(node: Node, stopped: Any) -> None:
+    New requests are served while callers may still use a list of addresses
+    with this node, and refused after that; requests in flight are finished.
+
+    Args:
+      node: state of this process, already marked as draining.
+      stopped: event that is sent at the end.
+    """
+    node.heartbeats.leave()
+    node.clock.sleep(node.settings.entries_max_age)
+    node.refusing = True
     deadline = node.clock.monotonic() + node.settings.drain_limit
-    eventlet.sleep(node.settings.entries_max_age.total_seconds())
+    # At least one pause, for requests that are on their way.
+    node.clock.sleep(POLL_INTERVAL)
     while node.open_requests and node.clock.monotonic() < deadline:
-        eventlet.sleep(POLL_INTERVAL.total_seconds())
-    node.billing.close(deadline - node.clock.monotonic())
+        node.clock.sleep(POLL_INTERVAL)
+    left = max(FLUSH_LIMIT, deadline - node.clock.monotonic())
+    actions: list[Callable[[], object]] = list(node.on_drain)
+    actions.append(functools.partial(node.billing.close, left))
+    for action in actions:
+        try:
+            action()
+        except Exception:
+            # What remains is still handed over by the other actions.
+            write_traceback()
+    node.heartbeats.leave(gone=True)
     stopped.send()
--- a/bronzeglade/entry/selection.py
+++ b/bronzeglade/entry/selection.py
@@ -10,6 +10,7 @@
 from bronzeglade.entry.http import Request
 from bronzeglade.entry.node import Node
 from bronzeglade.entry.sessions import ModelVersions, SessionRequest
+from bronzeglade.entry.versions import HALTED
 from bronzeglade.manifest import VersionState
 from bronzeglade.outcome import Refusal
 
@@ -62,10 +63,16 @@
     """
     usable = _versions(caller, step)
     session_id = request.header('X-Session-Id')
+    offered = node.versions.offered(caller.catalog, step.model, usable)
+    if not offered.unbound:
+        return Err(HALTED)
     if step.version is not None:
         return Ok(Choice(step.model, step.version))
     preferred = node.versions.preferred(
-        caller.catalog, step.model, usable, session_id or request.request_id
+        caller.catalog,
+        step.model,
+        offered.unbound,
+        session_id or request.request_id,
     )
     if session_id is None:
         return Ok(Choice(step.model, preferred))
@@ -75,8 +82,12 @@
         request.header('X-Session-Token'),
         step.model,
     )
-    kept = catalogs.bindable_versions(caller.catalog, caller.team, step.model)
-    versions = ModelVersions(usable, kept, preferred)
+    kept = node.versions.offered(
+        caller.catalog,
+        step.model,
+        catalogs.bindable_versions(caller.catalog, caller.team, step.model),
+    )
+    versions = ModelVersions(offered.bound, kept.bound, preferred)
     outcome = node.sessions.bind(session, versions)
     if isinstance(outcome, Err):
         return outcome
--- a/bronzeglade/entry/sessions_test.py
+++ b/bronzeglade/entry/sessions_test.py
@@ -12,7 +12,6 @@
     Transaction,
     Unavailable,
 )
-from bronzeglade.builders import MemoryTable
 from bronzeglade.coordination import session as bindings
 from bronzeglade.coordination.seal import SharedKey
 from bronzeglade.entry.sessions import (
@@ -21,6 +20,7 @@
     SessionRequest,
     Sessions,
 )
+from bronzeglade.stepped import SteppedTable
 
 KEYS = (SharedKey(1, b'secret'),)
 BOTH = ModelVersions(('v1', 'v2'), ('v1', 'v2'), 'v2')
@@ -28,7 +28,7 @@
 ROLLOUT_REMOVED = ModelVersions(('v1',), ('v1', 'v2'), 'v1')
 
 
-class BrokenTable(MemoryTable):
+class BrokenTable(SteppedTable):
     """A table in an outage."""
 
     def read(
@@ -52,7 +52,7 @@
 
 def test_bound_session_needs_no_table() -> None:
     """Bound sessions would be refused during an outage of the table."""
-    table = MemoryTable()
+    table = SteppedTable()
     sessions = Sessions(table, KEYS)
     token = bind(sessions, BOTH).token
     reads, commits = table.reads, table.rows['session/team/s/model'].version
@@ -63,7 +63,7 @@
 
 def test_withdrawn_version_is_left_once_and_told() -> None:
     """A caller must learn that its session has moved, from every node."""
-    table = MemoryTable()
+    table = SteppedTable()
     first = Sessions(table, KEYS)
     token = bind(first, ModelVersions(('v1',), ('v1',), 'v1')).token
     moved = bind(first, ONLY_V2)
@@ -75,11 +75,11 @@
 
 def test_row_decides_between_cache_and_token() -> None:
     """A node that missed a rebinding would take the session back."""
-    table = MemoryTable()
+    table = SteppedTable()
     node = Sessions(table, KEYS)
     bind(node, ModelVersions(('v1',), ('v1', 'v2'), 'v1'))
     key = 'session/team/s/model'
-    table.apply(Transaction(puts=(Put(key, bindings.encode('v2')),)))
+    table.commit(Transaction(puts=(Put(key, bindings.encode('v2')),)))
     session = bindings.Session('team', 's', 'model')
     token = bindings.sign(node.keys, session, 'v2')
     assert bind(node, BOTH, token).version == 'v2'
--- a/fleet/operator.py
+++ b/fleet/operator.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+import msgpack
 import urllib3
 from urllib3.exceptions import HTTPError
 
@@ -45,7 +46,7 @@
           fleet: a started fleet.
         """
         self.fleet = fleet
-        self.http = urllib3.PoolManager(retries=False)
+        self.http = urllib3.PoolManager(maxsize=8, retries=False)
         self.lock = threading.Lock()
         self.document: Document = fleet.manifest()
         self.generation = 1
@@ -100,14 +101,17 @@
           seconds: limit.
 
         Returns:
-          The last reports.
+          The last reports; generation 0 of a process that does not answer.
         """
         limit = time.monotonic() + seconds
         while True:
-            last = self.read_all()
+            last = [
+                self._status(entry)
+                or StatusSeen(entry.name, time.time(), 0, '')
+                for entry in self.fleet.entries()
+            ]
             current = all(one.generation >= self.generation for one in last)
-            complete = len(last) == len(self.fleet.entries())
-            if (current and complete) or time.monotonic() > limit:
+            if current or time.monotonic() > limit:
                 return last
             time.sleep(POLL_S)
 
@@ -122,9 +126,9 @@
 
     def _read_manifest(self, generation: int) -> None:
         # Another operator's document is in the table under its generation.
-        text = self.fleet.table_row(f'config/generation/{generation:010d}')
-        if text is not None:
-            self.document = json.loads(text)
+        row = self.fleet.table_row(f'config/generation/{generation:010d}')
+        if row is not None:
+            self.document = json.loads(msgpack.unpackb(row)['text'])
             self.generation = generation
 
     def _send(
@@ -166,7 +170,7 @@
         try:
             reply = self.http.request(
                 'GET',
-                f'http://{entry.control_address}/operator/status',
+                f'http://{entry.control_address}/operator/status?scope=node',
                 headers=operator_headers(),
                 timeout=STATUS_S,
             )
@@ -207,3 +211,22 @@
             for rollout in document['rollouts']
             if (rollout['model'], rollout['to_version']) != (model, version)
         ]
+
+
+def add_rollout(model: str, from_version: str, to_version: str) -> Change:
+    """Return the change that puts a short rollout into a manifest."""
+    rollout = {
+        'name': f'{model}-{to_version}',
+        'model': model,
+        'from_version': from_version,
+        'to_version': to_version,
+        'steps': [
+            {'share': share, 'min_requests': 10, 'min_seconds': 3}
+            for share in (0.1, 0.5, 1)
+        ],
+    }
+
+    def change(document: Document) -> None:
+        document['rollouts'] = [rollout]
+
+    return change
