--- a/bronzeglade/entry/dispatch.py
+++ b/bronzeglade/entry/dispatch.py
@@ -15,6 +15,7 @@
 from bronzeglade.decisions.retry import Failure, failure_of_status
 from bronzeglade.decisions.routing import NoWorker, RoutedRequest
 from bronzeglade.entry.access import Caller
+from bronzeglade.entry.allowances import Taken
 from bronzeglade.entry.answer import Answer
 from bronzeglade.entry.completion import ChatRequest
 from bronzeglade.entry.http import Request
@@ -59,6 +60,7 @@
     ticket: Ticket
     at: dt.timedelta
     finished: bool = False
+    taken: Taken | None = None
 
     @property
     def worker(self) -> Worker | None:
@@ -287,6 +289,8 @@
         node.routing.served(node.clock.monotonic() - started.at)
     _end_try(node, started.tries)
     node.admission.leave(started.ticket)
+    if started.taken is not None:
+        node.allowances.settle(started.taken, started.answer.usage())
     started.answer.close()
 
 
