--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -11,11 +11,13 @@
     access,
     cascade,
     completion,
+    deadline,
     dispatch,
     evidence,
     http,
     selection,
 )
+from bronzeglade.entry.access import Caller
 from bronzeglade.entry.dispatch import Started, Work
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
@@ -86,7 +88,7 @@
     Returns:
       The work, or a refusal; nothing has run.
     """
-    caller = access.identify(node, request)
+    caller = _billable_caller(node, request)
     if isinstance(caller, Err):
         return caller
     body = http.read_body(request, node.settings)
@@ -95,7 +97,7 @@
     chat = completion.parse(body.ok_value)
     if isinstance(chat, Err):
         return chat
-    limit = _time_limit(node, request)
+    limit = deadline.time_limit(request, node.settings.request_timeout)
     if isinstance(limit, Err):
         return limit
     steps = selection.allowed_steps(caller.ok_value, chat.ok_value.model)
@@ -130,15 +132,12 @@
     )
 
 
-def _time_limit(node: Node, request: Request) -> Result[dt.timedelta, Refusal]:
-    wanted = request.header('X-Deadline-Ms')
-    longest = node.settings.request_timeout
-    if wanted is None:
-        return Ok(longest)
-    if not wanted.isdecimal() or not int(wanted):
-        message = 'X-Deadline-Ms: a whole number of milliseconds above 0'
-        return Err(Refusal(422, 'invalid_deadline', message))
-    return Ok(min(longest, dt.timedelta(milliseconds=int(wanted))))
+def _billable_caller(node: Node, request: Request) -> Result[Caller, Refusal]:
+    caller = access.identify(node, request)
+    if isinstance(caller, Err):
+        return caller
+    refusal = node.billing.refusal(caller.ok_value.rank)
+    return caller if refusal is None else Err(refusal)
 
 
 def _headers(started: Started) -> dict[str, str]:
@@ -150,6 +149,10 @@
     }
     if work.choice.session_token is not None:
         headers['X-Session-Token'] = work.choice.session_token
+    if work.choice.session_rebound is not None:
+        headers['X-Session-Rebound'] = (
+            f'{work.choice.session_rebound}->{work.choice.version}'
+        )
     return headers
 
 
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -10,6 +10,7 @@
 from result import Err
 
 from bronzeglade.adapters import transport
+from bronzeglade.adapters.breaker import BreakingTable
 from bronzeglade.adapters.orders import HttpOrders
 from bronzeglade.adapters.rating import HttpRatings, NoRatings, RatingService
 from bronzeglade.adapters.table import HttpTable
@@ -25,11 +26,12 @@
 from bronzeglade.entry import rollouts
 from bronzeglade.entry.admission import TICK_S, Admission
 from bronzeglade.entry.allowances import INTERVAL_S, NodeAllowances
-from bronzeglade.entry.billing import Billing
+from bronzeglade.entry.billing import Billing, Place
 from bronzeglade.entry.cascade_metrics import CascadeMetrics
 from bronzeglade.entry.configuration import Distribution, Services
 from bronzeglade.entry.feeds import Feeds
 from bronzeglade.entry.heartbeats import Heartbeats, Links, new_member
+from bronzeglade.entry.idempotency import Idempotency
 from bronzeglade.entry.loading import Loading
 from bronzeglade.entry.loops import spawn_loop
 from bronzeglade.entry.peers import Gossip, Peers
@@ -73,8 +75,22 @@
         self.catalog: Catalog | None = None
         self.vms: tuple[Vm, ...] = ()
         self.workers: tuple[Worker, ...] = ()
-        self.billing = Billing(self.origin, self.table, self.clock)
         self.peers = Peers(settings, self.pool)
+        self.billing = Billing(
+            Place(self.origin, settings.vm, settings.failure_domain),
+            self.table,
+            self.peers,
+            self.clock,
+            self.random,
+        )
+        self.guarded_table = BreakingTable(self.table, self.clock)
+        self.idempotency = Idempotency(
+            self.guarded_table,
+            self.clock,
+            self.random,
+            settings.request_timeout,
+            lambda: len(self.peers.live()),
+        )
         self.gossip = Gossip(self.origin, self.clock)
         myself = new_member(settings, self.origin, self.clock.now())
         self.membership = Membership(
@@ -95,7 +111,7 @@
                 self.clock,
             )
         )
-        self.sessions = Sessions()
+        self.sessions = Sessions(self.guarded_table, self.peers.keys)
         self.versions = Versions(self.gossip, self.publication)
         self.rollouts = Rollouts(
             Identity(settings.vm, self.origin, settings.failure_domain),
@@ -143,7 +159,8 @@
             self.distribution.poll,
         )
         self.heartbeats.start(self.settings.host, self.settings.control_port)
-        eventlet.spawn(self.billing.run)
+        self.billing.start()
+        self.idempotency.start()
         self._every(0, self.feeds.read_next)
         for interval, action in (
             (rollouts.JUDGE_INTERVAL, self.rollouts.judge),
--- a/bronzeglade/entry/process.py
+++ b/bronzeglade/entry/process.py
@@ -1,6 +1,7 @@
 """The router process: sockets, signals and graceful shutdown."""
 
 import datetime as dt
+import functools
 import signal
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -14,6 +15,7 @@
     chat,
     control,
     http,
+    invariants,
     logs,
     protocol,
     status,
@@ -26,6 +28,9 @@
 BACKLOG = 512
 MAX_CONNECTIONS = 4096
 SOCKET_TIMEOUT = dt.timedelta(seconds=60)  # idle connections and each write
+# Least time for the last flush of billing records; a replica holder has them
+# when it passes.
+FLUSH_LIMIT = dt.timedelta(seconds=10)
 POLL_INTERVAL = dt.timedelta(milliseconds=50)
 
 
@@ -45,6 +50,7 @@
     Returns:
       The exit code.
     """
+    invariants.install()
     logs.configure(settings.log_file)
     node = Node(settings)
     status.register(node)
@@ -151,7 +157,10 @@
     node.clock.sleep(POLL_INTERVAL)
     while node.open_requests and node.clock.monotonic() < deadline:
         node.clock.sleep(POLL_INTERVAL)
-    for action in (*node.on_drain, node.billing.flush):
+    left = max(FLUSH_LIMIT, deadline - node.clock.monotonic())
+    actions: list[Callable[[], object]] = list(node.on_drain)
+    actions.append(functools.partial(node.billing.close, left))
+    for action in actions:
         try:
             action()
         except Exception:
