--- a/fleet/bench_router.py
+++ b/fleet/bench_router.py
@@ -25,7 +25,7 @@
 
 ROUTED = dataclasses.replace(
     deployments.BROLGA,
-    entry_count=1,
+    entry_count=2,  # a manifest is accepted in two failure domains
     endpoints=(
         EndpointPlan(
             'sources', SOURCES, model='guide-small', versions=('v1',), slots=512
