--- /dev/null
+++ b/scripts/control_cost.py
@@ -0,0 +1,83 @@
+"""Prints what an idle router process costs, by number of nodes and workers.
+
+Starts fleets of several sizes without traffic of callers and reads the
+processor time and resident memory of each router process from /proc.
+"""
+
+import dataclasses
+import json
+import os
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from absl import app, flags
+
+from fleet.deployments import BROLGA, Deployment
+from fleet.launch import Fleet
+
+SIZES = flags.DEFINE_list('nodes', ['2', '8', '16', '24'], 'Node counts.')
+WORKERS = flags.DEFINE_list('workers', ['8', '24'], 'Worker counts.')
+SECONDS = flags.DEFINE_integer('seconds', 15, 'Measured time of a size.')
+
+SETTLE_S = 5
+TICKS = os.sysconf('SC_CLK_TCK')
+KB_PER_MB = 1024
+
+
+def main(_words: list[str]) -> None:
+    """Measure each size once and print one JSON object a line."""
+    base = len(WORKERS.value) and int(WORKERS.value[0])
+    points = [(int(nodes), base) for nodes in SIZES.value]
+    points.extend((8, int(workers)) for workers in WORKERS.value[1:])
+    for nodes, workers in points:
+        sys.stdout.write(json.dumps(_measure(nodes, workers)) + '\n')
+        sys.stdout.flush()
+
+
+def _measure(nodes: int, workers: int) -> dict[str, float]:
+    with tempfile.TemporaryDirectory() as directory:
+        with Fleet(_resized(nodes, workers), Path(directory)) as fleet:
+            pids = [entry.process.pid for entry in fleet.entries()]
+            time.sleep(SETTLE_S)
+            before = [_cpu_s(pid) for pid in pids]
+            time.sleep(SECONDS.value)
+            used = [
+                (_cpu_s(pid) - first) / SECONDS.value
+                for pid, first in zip(pids, before, strict=True)
+            ]
+            resident = [_resident_mb(pid) for pid in pids]
+    return {
+        'nodes': nodes,
+        'workers': workers,
+        'cpu_percent_median': round(statistics.median(used) * 100, 2),
+        'cpu_percent_max': round(max(used) * 100, 2),
+        'resident_mb_median': round(statistics.median(resident), 1),
+    }
+
+
+def _resized(nodes: int, workers: int) -> Deployment:
+    groups = len(BROLGA.endpoints)
+    endpoints = tuple(
+        dataclasses.replace(plan, count=max(1, workers // groups))
+        for plan in BROLGA.endpoints
+    )
+    return dataclasses.replace(BROLGA, entry_count=nodes, endpoints=endpoints)
+
+
+def _cpu_s(pid: int) -> float:
+    stat = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
+    return (int(stat[11]) + int(stat[12])) / TICKS
+
+
+def _resident_mb(pid: int) -> float:
+    for line in Path(f'/proc/{pid}/status').read_text().splitlines():
+        if line.startswith('VmRSS'):
+            return int(line.split()[1]) / KB_PER_MB
+    return 0
+
+
+if __name__ == '__main__':
+    app.run(main)
