Keep the evidence of roll-outs within a datagram

The evidence document of 11 roll-outs has 1,607 bytes and gossip carries at most 1,200, so with more than eight roll-outs no node would have told its evidence. A document now holds six running roll-outs that take turns (under 1,000 bytes), and large fleets publish less often. Halts are a document of their own. The test fails with 11 roll-outs in a document and without turns.

--- a/bronzeglade/entry/rollouts.py
+++ b/bronzeglade/entry/rollouts.py
@@ -39,6 +39,12 @@
 POLL_INTERVAL = dt.timedelta(seconds=30)
 # Time in which a new share reaches the nodes and its evidence comes back.
 STEP_SPREAD = dt.timedelta(seconds=4)
+# Roll-outs in one document of evidence: 150 bytes each, and a document must
+# fit a datagram of 1,200 bytes. More of them take turns.
+REPORTED_ROLLOUTS = 6
+# Nodes for each second between two documents of evidence of a node: with more
+# nodes the documents are merged less often, so their bytes stay bounded.
+NODES_PER_SECOND = 60
 # Origins whose counters are remembered, twice the largest fleet and more.
 KEPT_ORIGINS = 1000
 
@@ -138,6 +144,8 @@
         self.surroundings = surroundings
         self.lease = Lease(LeaseSettings(), clock, identity.origin)
         self.trials: dict[str, Trial] = {}
+        self.publish_at = clock.monotonic()
+        self.turns = 0
 
     def judge(self) -> None:
         """Exchange evidence and halts; halt what the evidence condemns.
@@ -150,7 +158,7 @@
         for origin, document in dict(gossip.read(STEPS_TOPIC)).items():
             if origin != self.identity.origin:
                 self.view.merge(document)
-        gossip.publish(EVIDENCE_TOPIC, self._counted(rollouts))
+        self.publish_evidence(rollouts)
         self._keep_trials(rollouts)
         documents = dict(gossip.read(EVIDENCE_TOPIC))
         for rollout in rollouts.values():
@@ -199,6 +207,32 @@
             CANDIDATE_COUNT,
         )
 
+    def publish_evidence(self, rollouts: Mapping[str, Rollout]) -> None:
+        """Tell the other nodes what this node has counted, when it is due.
+
+        Args:
+          rollouts: those of the manifest in force.
+        """
+        now = self.clock.monotonic()
+        if now < self.publish_at:
+            return
+        nodes = len(self.surroundings.peers()) + 1
+        self.publish_at = now + dt.timedelta(seconds=nodes / NODES_PER_SECOND)
+        running = {
+            name: rollout
+            for name, rollout in rollouts.items()
+            if self.view.halt_reason(rollout) is None
+        }
+        self.turns += 1
+        first = self.turns * REPORTED_ROLLOUTS
+        names = sorted(running)
+        chosen = {
+            names[(first + index) % len(names)]
+            for index in range(min(REPORTED_ROLLOUTS, len(names)))
+        }
+        reported = {name: running[name] for name in chosen}
+        self.versions.gossip.publish(EVIDENCE_TOPIC, self._counted(reported))
+
     def _counted(self, rollouts: Mapping[str, Rollout]) -> dict[str, Any]:
         return {
             rows.run_id(rollout): [
--- a/bronzeglade/entry/rollouts_test.py
+++ b/bronzeglade/entry/rollouts_test.py
@@ -2,6 +2,7 @@
 
 import datetime as dt
 
+import msgpack
 from result import Err, Ok, Result
 
 from bronzeglade import builders
@@ -18,7 +19,12 @@
 from bronzeglade.coordination.rollout import RolloutState
 from bronzeglade.decisions.evidence import FAILED, Observation
 from bronzeglade.entry.peers import Gossip
-from bronzeglade.entry.rollouts import Identity, Rollouts, Surroundings
+from bronzeglade.entry.rollouts import (
+    EVIDENCE_TOPIC,
+    Identity,
+    Rollouts,
+    Surroundings,
+)
 from bronzeglade.entry.versions import Versions
 
 ROLLOUT = builders.rollout()
@@ -167,9 +173,38 @@
     for _ in range(3):
         world.turn()
     node.judge()
+    world.clock.advance(TURN)
+    node.judge()
     trial = node.trials[rows.run_id(ROLLOUT)]
     before = trial.requests
     node.versions.counters.clear()
     node.versions.observe('m', 'v2', Observation())
+    world.clock.advance(TURN)
     node.judge()
     assert trial.requests == before + 1
+
+
+def test_evidence_of_many_rollouts_fits_a_datagram() -> None:
+    """A document that does not fit is never sent, and no halt follows."""
+    world = World()
+    node = world.nodes[0]
+    many = [
+        builders.rollout(name=f'r{index}', model=f'm{index}')
+        for index in range(11)
+    ]
+    rollouts = {one.name: one for one in many}
+    node.versions.track(many)
+    for one in many:
+        for _ in range(5000):
+            seen = Observation(False, 0.37, 0.81)
+            node.versions.observe(one.model, 'v1', seen)
+            node.versions.observe(one.model, 'v2', seen)
+    reported: set[str] = set()
+    for _ in range(3):
+        node.publish_evidence(rollouts)
+        gossip = node.versions.gossip
+        document = gossip.read(EVIDENCE_TOPIC)[node.identity.origin]
+        assert len(msgpack.packb(document)) < 1000
+        reported.update(document)
+        world.clock.advance(TURN)
+    assert reported == {rows.run_id(one) for one in many}
