--- a/bronzeglade/entry/cascade.py
+++ b/bronzeglade/entry/cascade.py
@@ -20,11 +20,15 @@
 from bronzeglade.entry.completion import ChatRequest
 from bronzeglade.entry.dispatch import Started, Work
 from bronzeglade.entry.node import Node
-from bronzeglade.outcome import Refusal
+from bronzeglade.outcome import Refusal, RunState
 
 DEFAULT_MAX_TOKENS = 256
 # Refusals after which a more expensive model may still answer.
 ESCALATED_CODES = frozenset(('no_worker', 'engine_rejected'))
+# What is true of a first run whose answer was not whole.
+CUT = Refusal(
+    502, 'answer_cut', 'the first run was cut', run_state=RunState.RAN
+)
 
 
 def plan(catalog: Catalog, chat: ChatRequest, steps: list[Step]) -> RoutePlan:
@@ -97,7 +101,7 @@
         return started
     if isinstance(started, Err):
         if started.err_value.code in ESCALATED_CODES:
-            return _escalate(node, work, 0)
+            return after(started.err_value, _escalate(node, work, 0))
         return started
     tried = started.ok_value
     try:
@@ -119,7 +123,20 @@
         # A whole answer of lower quality is better than none.
         tried.answer.first = body
         return Ok(tried)
-    return outcome
+    return after(CUT, outcome)
+
+
+def after(
+    earlier: Refusal, outcome: Result[Started, Refusal]
+) -> Result[Started, Refusal]:
+    """Return the outcome of a second run, true also of the first one."""
+    if isinstance(outcome, Ok) or earlier.run_state is RunState.NOT_RUN:
+        return outcome
+    refusal = outcome.err_value
+    if refusal.run_state is RunState.RAN:
+        return outcome
+    state = earlier.run_state
+    return Err(dataclasses.replace(refusal, run_state=state))
 
 
 def cost(started: Started) -> int:
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -24,6 +24,7 @@
 from bronzeglade.decisions.routing import Routing, RoutingSettings
 from bronzeglade.entry import rollouts
 from bronzeglade.entry.admission import TICK_S, Admission
+from bronzeglade.entry.allowances import INTERVAL_S, NodeAllowances
 from bronzeglade.entry.billing import Billing
 from bronzeglade.entry.cascade_metrics import CascadeMetrics
 from bronzeglade.entry.configuration import Distribution, Services
@@ -123,6 +124,7 @@
             lambda: len(self.peers.live()) + 1,
         )
         self.admission = Admission(self.gossip, self.clock, self.random)
+        self.allowances = NodeAllowances(self.gossip, self.clock)
         self.routing = Routing(RoutingSettings(), self.clock, self.random)
         self.feeds = Feeds(settings, self.pool, self.routing)
         self.retries = RetryBudget(RetrySettings())
@@ -151,6 +153,7 @@
         ):
             self._every(interval.total_seconds(), action)
         self._every(TICK_S, self.admission.tick)
+        self._every(INTERVAL_S, self.allowances.exchange)
 
     def read_vms(self) -> None:
         """Read the VM list; the last list stays when that fails."""
@@ -199,6 +202,7 @@
         if self.catalog is not None:
             self.workers = live_workers(self.catalog, self.vms)
             self.feeds.update(self.workers)
+            self.allowances.configure(self.catalog, len(self.peers.live()) + 1)
             self.admission.update(
                 self.catalog,
                 self.workers,
