--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -70,12 +70,18 @@
     taken = node.allowances.take(work.caller.team.name, work.chat)
     if isinstance(taken, Refusal):
         return Err(taken)
-    started = cascade.start(node, work)
-    if isinstance(started, Ok):
-        started.ok_value.taken = taken
-    elif started.err_value.run_state is RunState.NOT_RUN:
-        node.allowances.give_back(taken)
-    return started
+    outcome = cascade.start(node, work)
+    if isinstance(outcome, Err):
+        if outcome.err_value.run_state is RunState.NOT_RUN:
+            node.allowances.give_back(taken)
+        return outcome
+    started = outcome.ok_value
+    if started.finished:
+        # The answer was read whole to be rated.
+        node.allowances.settle(taken, started.answer.usage())
+    else:
+        started.taken = taken
+    return outcome
 
 
 def prepare(node: Node, request: Request) -> Result[Work, Refusal]:
