Keep tool calls in whole answers

Cause: Answer.document() took the text only, so a whole (not streamed) answer lost its tool calls. Change: entry/tools.py puts them together from the events; those of a held event are dropped when the stream is resumed, as its text is. The test fails without the change (empty content, no calls).

--- a/bronzeglade/entry/answer.py
+++ b/bronzeglade/entry/answer.py
@@ -9,6 +9,7 @@
 
 from bronzeglade.adapters.engine import EngineStream
 from bronzeglade.coordination.bill import Usage
+from bronzeglade.entry import tools
 
 ID_PREFIX = 'chatcmpl-'
 _QUOTE = b'"'
@@ -48,6 +49,7 @@
         self.held: list[tuple[bytes, bool]] = []
         self.held_tokens = 0
         self.text: list[str] = []
+        self.calls: list[tuple[int, Mapping[str, Any]]] = []
         self.tokens = 0
         self.reported: Mapping[str, int] | None = None
         self.finish_reason: str | None = None
@@ -116,10 +118,7 @@
             'choices': [
                 {
                     'index': 0,
-                    'message': {
-                        'role': 'assistant',
-                        'content': ''.join(self.text),
-                    },
+                    'message': self._message(),
                     'finish_reason': self.finish_reason,
                     'logprobs': None,
                 }
@@ -131,6 +130,16 @@
             },
         }
 
+    def _message(self) -> dict[str, Any]:
+        content = ''.join(self.text)
+        if not self.calls:
+            return {'role': 'assistant', 'content': content}
+        return {
+            'role': 'assistant',
+            'content': content or None,
+            'tool_calls': tools.merge(call for _token, call in self.calls),
+        }
+
     def close(self) -> None:
         """End the stream; an unfinished request is cancelled."""
         self.source.close()  # type: ignore[attr-defined]
@@ -176,6 +185,7 @@
         if self.held_tokens:
             del self.text[-self.held_tokens :]
         self.tokens -= self.held_tokens
+        self.calls = [call for call in self.calls if call[0] <= self.tokens]
         self.held_tokens = 0
         self.held = []
         self.reported = None
@@ -214,6 +224,9 @@
             self.tokens += 1
             self.held_tokens += held
             self.text.append(delta.get('content') or '')
+            self.calls.extend(
+                (self.tokens, call) for call in delta.get('tool_calls') or ()
+            )
         if held:
             self.held.append((payload, True))
         return not held
--- a/bronzeglade/entry/answer_test.py
+++ b/bronzeglade/entry/answer_test.py
@@ -1,5 +1,6 @@
 """Guards against answers that are cut, crossed, repeated or not closed."""
 
+import json
 import re
 from collections.abc import Sequence
 from typing import Any
@@ -117,3 +118,31 @@
     answer = answer_of([*events, engine_event('b', 'w2 ')])
     assert run(answer) == ['w0', 'w1']
     assert answer.crossed
+
+
+def call_event(name: str, arguments: str, finish: str | None) -> bytes:
+    """Return an event with a part of a tool call."""
+    function = {'name': name, 'arguments': arguments}
+    calls = [{'index': 0, 'id': 'c1', 'function': function}]
+    event = {
+        'id': 'chatcmpl-a',
+        'choices': [{'delta': {'tool_calls': calls}, 'finish_reason': finish}],
+    }
+    return json.dumps(event).encode()
+
+
+def test_tool_calls_are_part_of_a_whole_answer() -> None:
+    """An answer without its tool calls looks like an empty one."""
+    cut = [call_event('log', '{"bird":', None), call_event('', '1}', 'stop')]
+    rest = [call_event('', '1}', 'stop'), engine_events('a', 2, 2)[-1]]
+    answer = answer_of(cut, lambda _tokens: FakeStream(rest), whole=False)
+    run(answer)
+    message = answer.document()['choices'][0]['message']
+    assert message['content'] is None
+    assert message['tool_calls'] == [
+        {
+            'id': 'c1',
+            'type': 'function',
+            'function': {'name': 'log', 'arguments': '{"bird":1}'},
+        }
+    ]
