Assert that configurations only advance and that the end follows the bill

Cause: the invariants 'configuration never reverts' and 'billed before the last part leaves' were kept by the code but not asserted by the program. Change: require() in Node._use and before the ending of a stream.

--- a/bronzeglade/entry/chat.py
+++ b/bronzeglade/entry/chat.py
@@ -21,7 +21,7 @@
 from bronzeglade.entry.dispatch import Started, Work
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
-from bronzeglade.outcome import Refusal, RunState
+from bronzeglade.outcome import Refusal, RunState, require
 
 PATH = '/v1/chat/completions'
 # Each open request holds a connection and about 50 KB; admission admits far
@@ -297,6 +297,8 @@
     if isinstance(billed, Err):
         yield _error_event(_unbilled(billed.err_value), started)
         return
+    answered = started.work.request.trace.answered
+    require(answered, 'billed-before-the-end', started.work.request.request_id)
     usage = started.work.chat.wants_usage()
     yield from started.answer.ending(usage)
     yield b'data: [DONE]\n\n'
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -46,6 +46,7 @@
     live_workers,
 )
 from bronzeglade.manifest import Rollout
+from bronzeglade.outcome import require
 from bronzeglade.settings import EntrySettings
 
 JITTER = 0.2  # part of an interval by which loops of nodes are spread
@@ -201,8 +202,14 @@
         return self.catalog.configuration.generation
 
     def _use(self, catalog: Catalog) -> None:
+        generation = catalog.configuration.generation
+        require(
+            generation > self.generation(),
+            'configuration-never-reverts',
+            (self.generation(), generation),
+        )
         self.catalog = catalog
-        self.telemetry.generation.set(catalog.configuration.generation)
+        self.telemetry.generation.set(generation)
         self._refresh_workers()
 
     def live_nodes(self) -> list[tuple[str, str]]:
