--- a/fleet/launch_test.py
+++ b/fleet/launch_test.py
@@ -1,5 +1,7 @@
 """Guards the whole path: a fleet of processes serves an OpenAI client."""
 
+import json
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -7,7 +9,7 @@
 import pytest
 
 from fleet import deployments
-from fleet.launch import Fleet
+from fleet.launch import Fleet, Program
 from standins import answers
 from standins.answers import Marker
 
@@ -72,3 +74,43 @@
         limited.chat.completions.create(
             model='guide-large', messages=[{'role': 'user', 'content': 'hi'}]
         )
+
+
+def ask(fleet: Fleet, index: int) -> None:
+    """Ask the large model through any entry process for one token."""
+    entries = fleet.entries()
+    entry = entries[index % len(entries)]
+    openai.OpenAI(
+        base_url=f'http://{entry.address}/v1',
+        api_key=fleet.api_key(),
+        max_retries=0,
+    ).chat.completions.create(
+        model='guide-large',
+        messages=[{'role': 'user', 'content': f'question {index}'}],
+        max_tokens=1,
+    )
+
+
+def executed_by(fleet: Fleet, engine: Program) -> int:
+    """Return how many requests an engine has executed."""
+    reply = fleet.http.request('GET', f'http://{engine.address}/executed')
+    return len(json.loads(reply.data)['requests'])
+
+
+def test_leaving_endpoint_gets_no_new_work(fleet: Fleet) -> None:
+    """Work on a VM that is taken away would be cut."""
+    leaving, *others = fleet.of_role('guide-llm-large')
+    index = 0
+    while not executed_by(fleet, leaving):
+        ask(fleet, index)
+        index += 1
+        assert index < 200, 'the engine never got work while it was live'
+    fleet.register([leaving], 'leaving')
+    time.sleep(5)  # every entry process reads the VM list every 2 s
+    before = executed_by(fleet, leaving)
+    elsewhere = sum(executed_by(fleet, engine) for engine in others)
+    for late in range(60):
+        ask(fleet, late)
+    assert executed_by(fleet, leaving) == before
+    assert sum(executed_by(fleet, one) for one in others) == elsewhere + 60
+    fleet.register([leaving], 'live')
