--- a/bronzeglade/entry/answer.py
+++ b/bronzeglade/entry/answer.py
@@ -55,7 +55,7 @@
         self.finish_reason: str | None = None
         self.model = ''
         self.created = 0
-        self.crossed = False
+        self.mismatched = False
         self.pattern = Pattern()
 
     @property
@@ -63,7 +63,7 @@
         """Whether the answer arrived whole, with its usage."""
         return (
             self.stream.complete
-            and not self.crossed
+            and not self.mismatched
             and self.finish_reason is not None
             and self._counts_agree()
         )
@@ -74,7 +74,7 @@
         if batch is None:
             return False
         self.first = self._take_all(batch)
-        return not self.crossed
+        return not self.mismatched
 
     def body(self) -> Iterator[bytes]:
         """Yield the events before the end, framed as server-sent events.
@@ -161,12 +161,12 @@
             events = self._take_all(batch)
             if events:
                 yield events
-            if self.crossed:
+            if self.mismatched:
                 return
 
     def _resume(self) -> bool:
         # More tokens than reported cannot be repaired: they are delivered.
-        finished = self.stream.complete and not self.crossed
+        finished = self.stream.complete and not self.mismatched
         if self.reopen is None or finished or self.resumes >= MAX_RESUMES:
             return False
         self.resumes += 1
@@ -176,7 +176,7 @@
             return False
         self.stream = stream
         self.source = stream.batches()
-        self.crossed = False
+        self.mismatched = False
         self._drop_held()
         return True
 
@@ -202,7 +202,7 @@
                 continue
             event = _decode(payload)
             if event is None or event.get('id') != self.identity:
-                self.crossed = True
+                self.mismatched = True
                 break
             if self._take(payload, event):
                 self.pattern.learn(payload, event)
--- a/bronzeglade/entry/answer_test.py
+++ b/bronzeglade/entry/answer_test.py
@@ -1,4 +1,4 @@
-"""Guards against answers that are cut, crossed, repeated or not closed."""
+"""Guards against answers that are cut, mismatched, repeated or not closed."""
 
 import json
 import re
@@ -68,8 +68,8 @@
 
 def test_event_of_another_request_is_never_delivered() -> None:
     """An engine that mixes up streams must not leak an answer."""
-    crossed = engine_event('b', 'w9 ')
-    events = [engine_event('a', 'w0 '), crossed]
+    mismatched = engine_event('b', 'w9 ')
+    events = [engine_event('a', 'w0 '), mismatched]
     plain = answer_of(events)
     assert run(plain) == ['w0']
     assert not plain.complete
@@ -117,7 +117,7 @@
     events = [engine_event('a', 'w0 '), engine_event('a', 'w1 ')]
     answer = answer_of([*events, engine_event('b', 'w2 ')])
     assert run(answer) == ['w0', 'w1']
-    assert answer.crossed
+    assert answer.mismatched
 
 
 def call_event(name: str, arguments: str, finish: str | None) -> bytes:
--- a/fleet/bench_rollout.py
+++ b/fleet/bench_rollout.py
@@ -23,7 +23,7 @@
 from bronzeglade.entry.versions import Versions
 from bronzeglade.manifest import Rollout
 from fleet.bench import Figure, medians, scenario
-from fleet.rollout_parts import DelayedGossip, MemoryTable, Network
+from fleet.rollout_parts import DelayedGossip, RecordingTable, Network
 
 EXPOSURE = 'requests given to the bad version'
 ROLLOUTS = 200  # good ones, and as many bad ones
@@ -116,7 +116,7 @@
         self.start = self.clock.monotonic()
         self.rollout = published()
         self.catalog = builders.catalog(self.rollout)
-        self.table = MemoryTable(source, lost_replies=0.05)
+        self.table = RecordingTable(source, lost_replies=0.05)
         self.network = Network(source, longest_s=2)
         self.nodes = [self._node(index) for index in range(NODES)]
         self.live = list(self.nodes)
--- a/fleet/rollout_parts.py
+++ b/fleet/rollout_parts.py
@@ -1,22 +1,13 @@
 """Parts of simulations: a table and gossip in memory, under a manual clock."""
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from typing import Any
 
-from result import Err, Ok, Result
-
-from bronzeglade.adapters.table import (
-    ABSENT,
-    CommitError,
-    Conflict,
-    Row,
-    StoreError,
-    Transaction,
-    Unavailable,
-    Unknown,
-)
-from bronzeglade.builders import ManualClock
+from result import Err, Result
+
+from bronzeglade.adapters.table import CommitError, Row, Transaction, Unknown
+from bronzeglade.builders import ManualClock, MemoryTable
 from bronzeglade.entry.peers import Gossip
 
 Sent = list[tuple[float, Any]]  # documents of one origin with their times
@@ -24,8 +15,8 @@
 KEPT_DOCUMENTS = 16  # of one origin and topic; more than the longest delay
 
 
-class MemoryTable:
-    """A table with outages and lost replies; every put is recorded."""
+class RecordingTable(MemoryTable):
+    """A table whose replies are lost at random; every put is recorded."""
 
     def __init__(self, source: random.Random, lost_replies: float) -> None:
         """Create an empty table.
@@ -34,46 +25,20 @@
           source: of randomness.
           lost_replies: part of the commits whose reply is lost.
         """
+        super().__init__()
         self.source = source
         self.lost_replies = lost_replies
-        self.available = True
-        self.rows: dict[str, Row] = {}
         self.history: list[Row] = []
 
-    def read(
-        self, keys: Sequence[str]
-    ) -> Result[Mapping[str, Row], StoreError]:
-        """Read rows by key."""
-        if not self.available:
-            return Err(StoreError('outage'))
-        return Ok({key: self.rows[key] for key in keys if key in self.rows})
-
-    def scan(self, prefix: str, limit: int) -> Result[list[Row], StoreError]:
-        """Read rows by prefix."""
-        if not self.available:
-            return Err(StoreError('outage'))
-        keys = sorted(key for key in self.rows if key.startswith(prefix))
-        return Ok([self.rows[key] for key in keys[:limit]])
-
     def commit(self, transaction: Transaction) -> Result[None, CommitError]:
         """Apply a transaction; its reply may be lost."""
-        if not self.available:
-            return Err(Unavailable('outage'))
-        for check in transaction.checks:
-            version = self._version(check.key)
-            if version != check.version:
-                return Err(Conflict(check.key, version))
-        for put in transaction.puts:
-            row = Row(put.key, self._version(put.key) + 1, put.body)
-            self.rows[put.key] = row
-            self.history.append(row)
+        outcome = super().commit(transaction)
+        if isinstance(outcome, Err):
+            return outcome
+        self.history.extend(self.rows[put.key] for put in transaction.puts)
         if self.source.random() < self.lost_replies:
             return Err(Unknown('lost'))
-        return Ok(None)
-
-    def _version(self, key: str) -> int:
-        row = self.rows.get(key)
-        return row.version if row else ABSENT
+        return outcome
 
 
 class DelayedGossip(Gossip):
--- a/fleet/simulation.py
+++ b/fleet/simulation.py
@@ -28,8 +28,8 @@
         return dt.timedelta(seconds=self.seconds)
 
     def sleep(self, duration: dt.timedelta) -> None:
-        """Refuse: simulated actions never wait."""
-        raise NotImplementedError
+        """Stop the simulation: actions of one heap must never wait."""
+        raise AssertionError(f'an action waits for {duration}')
 
     def after(self, seconds: float, action: Callable[[], None]) -> None:
         """Run an action later."""
