Give each node a slot when a model has fewer slots than nodes

Reproduced: python -m scripts.control_cost with 24 nodes and 16 slots of the small model ended with 'entry-11 does not serve': a node without a slot refused every request at once, and as refused work is no demand, only the rotation of single slots every 5 s gave it one, of which the 2 s that a higher share must last took a part. Ruled out: the start of the fleet (all 24 processes had the configuration) and the limit of the launcher alone. Change: each node keeps one slot as long as the model has any; the sum is then the number of nodes, and the engines queue the excess by priority. The rotation is gone. Tests: the sum is asserted exactly as before, now max(slots, nodes); the test of the rotation, whose premise was the fault, is replaced by one that demands a slot for each node. Conclusion: a model with fewer slots than nodes can be over-committed by at most one request a node.

--- a/bronzeglade/decisions/shares.py
+++ b/bronzeglade/decisions/shares.py
@@ -17,9 +17,12 @@
     demands: Mapping[str, Demand],
     floors: Mapping[int, float],
     weights: Mapping[str, float],
-    epoch: int = 0,
 ) -> dict[str, int]:
-    """Divide the slots of a model among the nodes; the sum is `slots`.
+    """Divide the slots of a model among the nodes.
+
+    The sum is `slots`. When there are fewer slots than nodes, each node keeps
+    one slot all the same: a node without a slot would refuse work while the
+    engines are idle. The engines queue what is too much, by priority.
 
     Ranks take floors first and then the rest in order of urgency; teams share
     a rank by weight; a node has the part of a team's slots that it has of the
@@ -31,8 +34,6 @@
       demands: demand by node.
       floors: part of the slots that each priority keeps.
       weights: of teams; 1 when missing.
-      epoch: changes every few seconds; rotates single slots among nodes when
-        there are fewer slots than nodes.
     """
     totals: collections.Counter[tuple[int, str]] = collections.Counter()
     for demand in demands.values():
@@ -48,7 +49,7 @@
         )
         for node, demand in demands.items()
     }
-    return _whole(slots, shares, epoch)
+    return _whole(slots, shares)
 
 
 def _by_rank(
@@ -106,15 +107,12 @@
     return granted
 
 
-def _whole(
-    slots: int, shares: Mapping[str, float], epoch: int
-) -> dict[str, int]:
-    if not shares:
-        return {}
-    least = 1 if slots >= len(shares) else 0
+def _whole(slots: int, shares: Mapping[str, float]) -> dict[str, int]:
+    if not shares or not slots:
+        return dict.fromkeys(shares, 0)
     # Nodes keep one slot each, so that a small demand is served too.
-    excess = {node: max(0, share - least) for node, share in shares.items()}
-    rest = slots - least * len(shares)
+    excess = {node: max(0, share - 1) for node, share in shares.items()}
+    rest = max(0, slots - len(shares))
     scale = rest / max(_ENOUGH, sum(excess.values()))
     parts = {node: part * scale for node, part in excess.items()}
     whole = {node: math.floor(part + _ENOUGH) for node, part in parts.items()}
@@ -122,10 +120,10 @@
     order = sorted(
         parts,
         key=lambda node: (
-            whole[node] - parts[node] if least else 0,
-            xxhash.xxh64_intdigest(f'{epoch}/{node}'.encode()),
+            whole[node] - parts[node],
+            xxhash.xxh64_intdigest(node.encode()),
         ),
     )
     for node in order[:missing]:
         whole[node] += 1
-    return {node: least + count for node, count in whole.items()}
+    return {node: 1 + count for node, count in whole.items()}
--- a/bronzeglade/entry/admission.py
+++ b/bronzeglade/entry/admission.py
@@ -31,7 +31,6 @@
 TICK_S = 0.1
 PUBLISH_TICKS = 5
 SETTLE_TICKS = 20  # a higher share is used when it has lasted for 2 s
-EPOCH_S = 5
 
 GONE = Refusal(503, 'caller_gone', 'the caller disconnected while queued')
 
@@ -215,7 +214,6 @@
             },
             self.queue.floors,
             self.weights,
-            int(self.clock.now().timestamp() // EPOCH_S),
         )[self.gossip.origin]
         # A lower share counts at once and a higher one only when it has
         # lasted, so that nodes that give and nodes that take do not overlap.
