--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -36,7 +36,7 @@
 from bronzeglade.entry.loops import spawn_loop
 from bronzeglade.entry.peers import Gossip, Peers
 from bronzeglade.entry.ratings import RATE_INTERVAL, RatingSampler
-from bronzeglade.entry.rollouts import Identity, Rollouts, Surroundings
+from bronzeglade.entry.rollouts import Identity, Rollouts, RolloutContext
 from bronzeglade.entry.sessions import Sessions
 from bronzeglade.entry.telemetry import Telemetry
 from bronzeglade.entry.versions import Versions
@@ -119,7 +119,7 @@
             self.clock,
             self.table,
             self.versions,
-            Surroundings(
+            RolloutContext(
                 lambda: self.catalog, self.live_nodes, self._load_candidate
             ),
         )
--- a/bronzeglade/entry/rollouts.py
+++ b/bronzeglade/entry/rollouts.py
@@ -59,7 +59,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Surroundings:
+class RolloutContext:
     """What the loops ask the node for.
 
     `peers` returns name and failure domain of the other live nodes; `load`
@@ -125,7 +125,7 @@
         clock: Clock,
         table: Table,
         versions: Versions,
-        surroundings: Surroundings,
+        context: RolloutContext,
     ) -> None:
         """Create the loops' state; nothing runs yet.
 
@@ -134,14 +134,14 @@
           clock: counts lease and steps.
           table: rows of the lease and of roll-outs.
           versions: evidence of this node and what is known of steps.
-          surroundings: what the loops ask the node for.
+          context: what the loops ask the node for.
         """
         self.identity = identity
         self.clock = clock
         self.table = table
         self.versions = versions
         self.view = versions.view
-        self.surroundings = surroundings
+        self.context = context
         self.lease = Lease(LeaseSettings(), clock, identity.origin)
         self.trials: dict[str, Trial] = {}
         self.publish_at = clock.monotonic()
@@ -194,7 +194,7 @@
             self.table.commit(wanted)
 
     def _rollouts(self) -> Mapping[str, Rollout]:
-        catalog = self.surroundings.catalog()
+        catalog = self.context.catalog()
         if catalog is None:
             return {}
         return {one.name: one for one in catalog.rollouts.values()}
@@ -202,7 +202,7 @@
     def _is_candidate(self) -> bool:
         this = (self.identity.vm, self.identity.failure_domain)
         return self.identity.vm in leases.candidates(
-            [this, *self.surroundings.peers()],
+            [this, *self.context.peers()],
             self.lease.settings.key,
             CANDIDATE_COUNT,
         )
@@ -216,7 +216,7 @@
         now = self.clock.monotonic()
         if now < self.publish_at:
             return
-        nodes = len(self.surroundings.peers()) + 1
+        nodes = len(self.context.peers()) + 1
         self.publish_at = now + dt.timedelta(seconds=nodes / NODES_PER_SECOND)
         running = {
             name: rollout
@@ -324,7 +324,7 @@
         self, rollout: Rollout, changed: Progress
     ) -> Progress | None:
         # A halt may be declared while the engines are asked.
-        loaded = self.surroundings.load(rollout)
+        loaded = self.context.load(rollout)
         halted = self.view.halt_reason(rollout) is not None
         return changed if loaded and not halted else None
 
--- a/bronzeglade/entry/rollouts_test.py
+++ b/bronzeglade/entry/rollouts_test.py
@@ -23,7 +23,7 @@
     EVIDENCE_TOPIC,
     Identity,
     Rollouts,
-    Surroundings,
+    RolloutContext,
 )
 from bronzeglade.entry.versions import Versions
 
@@ -82,7 +82,7 @@
             self.clock,
             self.table,
             Versions(gossip),
-            Surroundings(self.current, self.peers, lambda _rollout: True),
+            RolloutContext(self.current, self.peers, lambda _rollout: True),
         )
 
     def current(self) -> Catalog:
--- a/fleet/bench_rollout.py
+++ b/fleet/bench_rollout.py
@@ -19,7 +19,7 @@
 from bronzeglade.coordination import rollout as rows
 from bronzeglade.coordination.rollout import RolloutState
 from bronzeglade.decisions.evidence import Observation
-from bronzeglade.entry.rollouts import Identity, Rollouts, Surroundings
+from bronzeglade.entry.rollouts import Identity, Rollouts, RolloutContext
 from bronzeglade.entry.versions import Versions
 from bronzeglade.manifest import Rollout
 from fleet.bench import Figure, medians, scenario
@@ -160,7 +160,7 @@
             for other in range(NODES)
             if other != index
         ]
-        surroundings = Surroundings(
+        context = RolloutContext(
             catalog=lambda: self.catalog,
             peers=functools.partial(self._peers, peers),
             load=lambda _rollout: True,
@@ -170,7 +170,7 @@
             self.clock,
             self.table,
             Versions(gossip),
-            surroundings,
+            context,
         )
 
     def _peers(self, peers: list[tuple[str, str]]) -> list[tuple[str, str]]:
