Check a team's grant against the newest manifest before each try

Cause: queued and retried work was checked against the newest manifest for withdrawal only, so a grant revoked meanwhile still let it run, and the assertion looked at the manifest of the request's start. Change: is_permitted and check_choice use the grants of the newest manifest. Before: the new case of dispatch_test fails (the engine receives the work); after: 7 passed.

--- a/bronzeglade/catalog.py
+++ b/bronzeglade/catalog.py
@@ -41,6 +41,7 @@
 
     configuration: Configuration
     manifest: manifests.Manifest
+    teams: Mapping[str, manifests.Team]
     teams_by_key: Mapping[str, manifests.Team]
     models: Mapping[str, manifests.Model]
     routes: Mapping[str, manifests.Route]
@@ -72,6 +73,7 @@
     catalog = Catalog(
         configuration=configuration,
         manifest=manifest,
+        teams={team.name: team for team in manifest.teams},
         teams_by_key={
             key_hash: team
             for team in manifest.teams
@@ -151,6 +153,12 @@
     )
 
 
+def grants(catalog: Catalog, team_name: str, model: str, version: str) -> bool:
+    """Return whether a generation grants a version to a team by name."""
+    team = catalog.teams.get(team_name)
+    return team is not None and is_granted(team, model, version)
+
+
 def version_state(catalog: Catalog, model: str, version: str) -> VersionState:
     """Return the state of a version; an unknown one counts as withdrawn."""
     entry = catalog.models.get(model)
--- a/bronzeglade/entry/dispatch.py
+++ b/bronzeglade/entry/dispatch.py
@@ -213,7 +213,7 @@
 def _open(
     node: Node, work: Work, tries: Tries, worker: Worker, tokens: int
 ) -> Result[EngineStream, _Failed]:
-    check_choice(work)
+    check_choice(node, work)
     left = work.deadline - node.clock.monotonic()
     tries.worker = worker
     node.routing.started(worker.vm, tries.blocks or ())
@@ -265,6 +265,13 @@
     """Return whether the version may still receive the work."""
     if node.catalog is None:
         return False
+    if not catalogs.grants(
+        node.catalog,
+        work.caller.team.name,
+        work.choice.model,
+        work.choice.version,
+    ):
+        return False
     state = catalogs.version_state(
         node.catalog, work.choice.model, work.choice.version
     )
@@ -278,12 +285,13 @@
     )
 
 
-def check_choice(work: Work) -> None:
-    """Assert that the chosen version may receive this work."""
+def check_choice(node: Node, work: Work) -> None:
+    """Assert that the newest configuration permits the chosen version."""
     choice = work.choice
-    catalog = work.caller.catalog
+    catalog = node.catalog or work.caller.catalog
+    team = work.caller.team.name
     require(
-        catalogs.is_granted(work.caller.team, choice.model, choice.version),
+        catalogs.grants(catalog, team, choice.model, choice.version),
         'allowed-version',
         choice,
     )
--- a/bronzeglade/entry/dispatch_test.py
+++ b/bronzeglade/entry/dispatch_test.py
@@ -161,20 +161,32 @@
     assert node.admission.open == 0
 
 
-def test_version_withdrawn_since_the_check_receives_nothing(
-    engine: Start,
+def withdraw(document: Any) -> None:
+    """Withdraw the version of the first model."""
+    document['models'][0]['versions'][0]['state'] = 'withdrawn'
+
+
+def revoke(document: Any) -> None:
+    """Take every model from every team."""
+    for team in document['teams']:
+        team['grants'] = []
+
+
+@pytest.mark.parametrize('change', [withdraw, revoke])
+def test_version_refused_since_the_check_receives_nothing(
+    engine: Start, change: Callable[[Any], None]
 ) -> None:
-    """Queued work must not start on a version withdrawn meanwhile."""
+    """Queued work must not start on a version withdrawn or revoked since."""
     node = node_with([engine(200, b'')])
     enter = node.admission.enter
 
-    def withdraw(*arguments: Any, **options: Any) -> Any:
+    def publish(*arguments: Any, **options: Any) -> Any:
         document = deployments.manifest(deployments.BROLGA)
-        document['models'][0]['versions'][0]['state'] = 'withdrawn'
+        change(document)
         node.catalog = catalog_of(document)
         return enter(*arguments, **options)
 
-    node.admission.enter = withdraw  # type: ignore[method-assign]
+    node.admission.enter = publish  # type: ignore[method-assign]
     response = respond(node)
     assert response.status == 503
     assert run_state(response) == 'not_run'
