--- a/fleet/deployments.py
+++ b/fleet/deployments.py
@@ -159,6 +159,39 @@
     }
 
 
+def _small_engines(group: str, model: str) -> EndpointPlan:
+    """Return two engines of a cheap, fast and less able model."""
+    return EndpointPlan(
+        group,
+        2,
+        model=model,
+        versions=('v1',),
+        first_token_s=0.03,
+        token_s=0.005,
+        quality=0.9,
+        skill=0.7,
+    )
+
+
+def _service(name: str, order_path: str) -> dict[str, Any]:
+    """Return a plain service whose reads may be repeated, orders not."""
+    return {
+        'name': name,
+        'operations': [
+            {'method': 'GET', 'path': '/', 'repeatable': True},
+            {'method': 'POST', 'path': order_path, 'repeatable': False},
+        ],
+    }
+
+
+def _route(name: str, small: str, large: str) -> dict[str, Any]:
+    """Return a cascade from a cheap model to an expensive one."""
+    return {
+        'name': name,
+        'steps': [{'model': small, 'accept_rating': 0.8}, {'model': large}],
+    }
+
+
 BROLGA = Deployment(
     name='brolga',
     region='au-qld',
@@ -179,16 +212,7 @@
         'newsletter',
     ),
     endpoints=(
-        EndpointPlan(
-            'guide-llm-small',
-            2,
-            model='guide-small',
-            versions=('v1',),
-            first_token_s=0.03,
-            token_s=0.005,
-            quality=0.9,
-            skill=0.7,
-        ),
+        _small_engines('guide-llm-small', 'guide-small'),
         EndpointPlan(
             'guide-llm-large', 3, model='guide-large', versions=('v1', 'v2')
         ),
@@ -200,28 +224,8 @@
         _model('guide-small', [('v1', 'serving')], 100),
         _model('guide-large', [('v1', 'serving'), ('v2', 'allowed')], 1000),
     ),
-    services=(
-        {
-            'name': 'sightings',
-            'operations': [
-                {'method': 'GET', 'path': '/', 'repeatable': True},
-                {
-                    'method': 'POST',
-                    'path': '/sightings',
-                    'repeatable': False,
-                },
-            ],
-        },
-    ),
-    routes=(
-        {
-            'name': 'identify',
-            'steps': [
-                {'model': 'guide-small', 'accept_rating': 0.8},
-                {'model': 'guide-large'},
-            ],
-        },
-    ),
+    services=(_service('sightings', '/sightings'),),
+    routes=(_route('identify', 'guide-small', 'guide-large'),),
 )
 
 NILE_DELTA = Deployment(
@@ -244,16 +248,7 @@
         'archive',
     ),
     endpoints=(
-        EndpointPlan(
-            'scribes-small',
-            2,
-            model='scribe-small',
-            versions=('v1',),
-            first_token_s=0.03,
-            token_s=0.005,
-            quality=0.9,
-            skill=0.7,
-        ),
+        _small_engines('scribes-small', 'scribe-small'),
         EndpointPlan(
             'scribes-large', 4, model='scribe-large', versions=('v1', 'v2')
         ),
@@ -263,24 +258,8 @@
         _model('scribe-small', [('v1', 'serving')], 100),
         _model('scribe-large', [('v1', 'serving'), ('v2', 'allowed')], 1200),
     ),
-    services=(
-        {
-            'name': 'pressroom',
-            'operations': [
-                {'method': 'GET', 'path': '/', 'repeatable': True},
-                {'method': 'POST', 'path': '/orders', 'repeatable': False},
-            ],
-        },
-    ),
-    routes=(
-        {
-            'name': 'draft',
-            'steps': [
-                {'model': 'scribe-small', 'accept_rating': 0.8},
-                {'model': 'scribe-large'},
-            ],
-        },
-    ),
+    services=(_service('pressroom', '/orders'),),
+    routes=(_route('draft', 'scribe-small', 'scribe-large'),),
 )
 
 DEPLOYMENTS = {
--- a/fleet/report.py
+++ b/fleet/report.py
@@ -118,3 +118,14 @@
         )
         lines.extend(f'    {text}' for text in verdict.violations[:5])
     return lines
+
+
+def ending(evidence: Evidence, found: Iterable[Verdict]) -> list[str]:
+    """Return the last part of a report: versions and verdicts."""
+    return [
+        'executed by version',
+        *shares(evidence),
+        '',
+        *verdicts(found),
+        '',
+    ]
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -156,11 +156,7 @@
         f'billing    once {once}, twice {twice}, unbilled {unbilled}',
         report.cost(found.bills, prices),
         '',
-        'executed by version',
-        *report.shares(found),
-        '',
-        *report.verdicts(verdicts),
-        '',
+        *report.ending(found, verdicts),
     ]
     sys.stdout.write('\n'.join(lines))
 
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -186,11 +186,7 @@
         *(f'{count:>6}  {code}' for code, count in codes.most_common()),
         report.resumed(found),
         report.activation(found),
-        'executed by version',
-        *report.shares(found),
-        '',
-        *report.verdicts(verdicts),
-        '',
+        *report.ending(found, verdicts),
     ]
     sys.stdout.write('\n'.join(lines))
 
