Keep the names of a node in one record

Cause: Place in entry/billing.py and Identity in entry/rollouts.py held the same three names in different order. Change: NodeIdentity in entry/identity.py replaces both.

--- a/bronzeglade/entry/billing.py
+++ b/bronzeglade/entry/billing.py
@@ -1,7 +1,6 @@
 """Durable billing: a request's record is kept before its answer ends."""
 
 import collections
-import dataclasses
 import datetime as dt
 import hashlib
 from random import Random
@@ -24,6 +23,7 @@
     Replicas,
     Window,
 )
+from bronzeglade.entry.identity import NodeIdentity
 from bronzeglade.entry.peers import Peer, Peers
 from bronzeglade.manifest import Rank
 from bronzeglade.outcome import Refusal
@@ -37,21 +37,12 @@
 IDLE_WAIT = dt.timedelta(seconds=1)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Place:
-    """Where this process runs; `origin` is unique to the process."""
-
-    origin: str
-    vm: str
-    failure_domain: str
-
-
 class Billing:
     """Drives the journal: replication, flushes and take-over."""
 
     def __init__(
         self,
-        place: Place,
+        identity: NodeIdentity,
         table: Table,
         peers: Peers,
         clock: Clock,
@@ -61,20 +52,20 @@
         """Create the ledger of one process.
 
         Args:
-          place: this process.
+          identity: this process.
           table: where records last.
           peers: where records are held until then.
           clock: times of retries and take-overs.
           random: spreads the flushes of the nodes.
           settings: bounds of the journal.
         """
-        self.place = place
+        self.identity = identity
         self.table = table
         self.peers = peers
         self.clock = clock
         self.random = random
         self.settings = settings
-        self.journal = Journal(place.origin, place.vm, settings)
+        self.journal = Journal(identity.origin, identity.vm, settings)
         self.replicas = Replicas(settings)
         self.avoided: dict[str, dt.timedelta] = {}
         self.waiting: collections.deque[tuple[int, Event]] = collections.deque()
@@ -155,7 +146,9 @@
             outcome = self.journal.flush(self.table, self.clock.now())
         if isinstance(outcome, Err):
             self.failures += 1
-            _log('billing:flush_failed', self.place.origin, outcome.err_value)
+            _log(
+                'billing:flush_failed', self.identity.origin, outcome.err_value
+            )
         else:
             self.failures = 0
         self._settle()
@@ -231,7 +224,7 @@
     def _probe(self) -> None:
         # Without a peer the table decides whether work is admitted, so its
         # state has to be known before the first record needs it.
-        outcome = self.table.read([journals.cursor_key(self.place.origin)])
+        outcome = self.table.read([journals.cursor_key(self.identity.origin)])
         self.failures = self.failures + 1 if isinstance(outcome, Err) else 0
 
     def _direct_pause(self) -> dt.timedelta:
@@ -245,7 +238,7 @@
         return [
             peer
             for peer in self.peers.live()
-            if peer.failure_domain != self.place.failure_domain
+            if peer.failure_domain != self.identity.failure_domain
             and self.avoided.get(peer.vm, now) <= now
         ]
 
@@ -258,7 +251,7 @@
     def _preference(self, peer: Peer) -> tuple[bool, bytes]:
         # The holder stays while it is live; a new one is chosen by a hash
         # that differs for each origin, so that records are spread.
-        text = f'{self.place.origin} {peer.vm}'.encode()
+        text = f'{self.identity.origin} {peer.vm}'.encode()
         digest = hashlib.blake2b(text, digest_size=8).digest()
         return peer.vm != self.journal.holder, digest
 
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -26,17 +26,18 @@
 from bronzeglade.entry import rollouts
 from bronzeglade.entry.admission import TICK_S, Admission
 from bronzeglade.entry.allowances import INTERVAL_S, NodeAllowances
-from bronzeglade.entry.billing import Billing, Place
+from bronzeglade.entry.billing import Billing
 from bronzeglade.entry.cascade_metrics import CascadeMetrics
 from bronzeglade.entry.configuration import Distribution, Services
 from bronzeglade.entry.feeds import Feeds
 from bronzeglade.entry.heartbeats import Heartbeats, Links, new_member
 from bronzeglade.entry.idempotency import Idempotency
+from bronzeglade.entry.identity import NodeIdentity
 from bronzeglade.entry.loading import Loading
 from bronzeglade.entry.loops import spawn_loop
 from bronzeglade.entry.peers import Gossip, Peers
 from bronzeglade.entry.ratings import RATE_INTERVAL, RatingSampler
-from bronzeglade.entry.rollouts import Identity, Rollouts, RolloutContext
+from bronzeglade.entry.rollouts import RolloutContext, Rollouts
 from bronzeglade.entry.sessions import Sessions
 from bronzeglade.entry.telemetry import Telemetry
 from bronzeglade.entry.versions import Versions
@@ -77,8 +78,11 @@
         self.vms: tuple[Vm, ...] = ()
         self.workers: tuple[Worker, ...] = ()
         self.peers = Peers(settings, self.pool)
+        identity = NodeIdentity(
+            settings.vm, self.origin, settings.failure_domain
+        )
         self.billing = Billing(
-            Place(self.origin, settings.vm, settings.failure_domain),
+            identity,
             self.table,
             self.peers,
             self.clock,
@@ -115,7 +119,7 @@
         self.sessions = Sessions(self.guarded_table, self.peers.keys)
         self.versions = Versions(self.gossip, self.publication)
         self.rollouts = Rollouts(
-            Identity(settings.vm, self.origin, settings.failure_domain),
+            identity,
             self.clock,
             self.table,
             self.versions,
--- a/bronzeglade/entry/rollouts.py
+++ b/bronzeglade/entry/rollouts.py
@@ -26,6 +26,7 @@
     StepRecord,
     may_advance,
 )
+from bronzeglade.entry.identity import NodeIdentity
 from bronzeglade.entry.versions import Versions
 from bronzeglade.manifest import Rollout
 
@@ -49,15 +50,6 @@
 KEPT_ORIGINS = 1000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Identity:
-    """Names of this node: its VM, its process and its failure domain."""
-
-    vm: str
-    origin: str
-    failure_domain: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class RolloutContext:
     """What the loops ask the node for.
@@ -121,7 +113,7 @@
 
     def __init__(
         self,
-        identity: Identity,
+        identity: NodeIdentity,
         clock: Clock,
         table: Table,
         versions: Versions,
--- a/bronzeglade/entry/rollouts_test.py
+++ b/bronzeglade/entry/rollouts_test.py
@@ -18,10 +18,10 @@
 from bronzeglade.coordination import rollout as rows
 from bronzeglade.coordination.rollout import RolloutState
 from bronzeglade.decisions.evidence import FAILED, Observation
+from bronzeglade.entry.identity import NodeIdentity
 from bronzeglade.entry.peers import Gossip
 from bronzeglade.entry.rollouts import (
     EVIDENCE_TOPIC,
-    Identity,
     Rollouts,
     RolloutContext,
 )
@@ -78,7 +78,7 @@
 
     def node(self, index: int, gossip: Gossip) -> Rollouts:
         return Rollouts(
-            Identity(f'n{index}', f'n{index}', f'd{index % 2}'),
+            NodeIdentity(f'n{index}', f'n{index}', f'd{index % 2}'),
             self.clock,
             self.table,
             Versions(gossip),
--- a/fleet/bench_rollout.py
+++ b/fleet/bench_rollout.py
@@ -19,7 +19,8 @@
 from bronzeglade.coordination import rollout as rows
 from bronzeglade.coordination.rollout import RolloutState
 from bronzeglade.decisions.evidence import Observation
-from bronzeglade.entry.rollouts import Identity, Rollouts, RolloutContext
+from bronzeglade.entry.identity import NodeIdentity
+from bronzeglade.entry.rollouts import RolloutContext, Rollouts
 from bronzeglade.entry.versions import Versions
 from bronzeglade.manifest import Rollout
 from fleet.bench import Figure, medians, scenario
@@ -166,7 +167,7 @@
             load=lambda _rollout: True,
         )
         return Rollouts(
-            Identity(name, name, f'domain-{index}'),
+            NodeIdentity(name, name, f'domain-{index}'),
             self.clock,
             self.table,
             Versions(gossip),
--- a/fleet/journal_cost.py
+++ b/fleet/journal_cost.py
@@ -22,7 +22,8 @@
 from bronzeglade.coordination.bill import Bill, Usage
 from bronzeglade.coordination.journal import DEFAULTS, Journal
 from bronzeglade.entry import http
-from bronzeglade.entry.billing import Billing, Place
+from bronzeglade.entry.billing import Billing
+from bronzeglade.entry.identity import NodeIdentity
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.peers import PEER_PREFIX, Peers
 from bronzeglade.settings import EntrySettings
@@ -88,9 +89,11 @@
     eventlet.spawn(
         wsgi.server, listener, http.wsgi(handle), log=_NoLog(), log_output=False
     )
-    place = Place(f'entry-{index}-1', settings.vm, settings.failure_domain)
+    identity = NodeIdentity(
+        settings.vm, f'entry-{index}-1', settings.failure_domain
+    )
     return Billing(
-        place, MemoryTable(), peers, SystemClock(), random.Random(index)
+        identity, MemoryTable(), peers, SystemClock(), random.Random(index)
     )
 
 
