--- a/bronzeglade/clock.py
+++ b/bronzeglade/clock.py
@@ -40,3 +40,11 @@
           duration: how long; zero yields to other green threads.
         """
         time.sleep(duration.total_seconds())
+
+
+class BootClock(SystemClock):
+    """A clock that also counts the time in which the machine is suspended."""
+
+    def monotonic(self) -> dt.timedelta:
+        """Return the time since the machine was started."""
+        return dt.timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
--- /dev/null
+++ b/bronzeglade/coordination/canary.py
@@ -0,0 +1,102 @@
+"""Roll-outs of endpoint versions: orders, and the plan that all nodes follow.
+
+The plan of a service is one row that is written under the condition that it
+has not changed, together with the status that the operator reads. Any node may
+write it; a node that acts on an old view changes nothing.
+"""
+
+import dataclasses
+import datetime as dt
+import enum
+import json
+
+from bronzeglade.adapters.table import Row
+
+PLAN_PREFIX = 'bronzeglade/rollout/'
+_MILLISECOND = dt.timedelta(milliseconds=1)
+
+
+class Stage(enum.Enum):
+    """How a roll-out stands."""
+
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    ROLLED_BACK = 'rolled_back'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """The operator's order; `number` tells orders of a service apart."""
+
+    service: str
+    target: str
+    duration: dt.timedelta
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What all nodes do about an order.
+
+    `began` is the store's monotonic time, `share` the part of new work that
+    the target gets, `withdrawn` the versions that were rolled back.
+    """
+
+    service: str
+    target: str
+    order: int
+    stage: Stage
+    share: float
+    began: dt.timedelta
+    withdrawn: tuple[str, ...] = ()
+    reason: str = ''
+
+
+def first_plan(order: Order, now: dt.timedelta, before: Plan | None) -> Plan:
+    """Return the plan of a new order.
+
+    Args:
+      order: what the operator wants.
+      now: the store's monotonic time.
+      before: the last plan of the service.
+    """
+    withdrawn = before.withdrawn if before is not None else ()
+    return Plan(
+        order.service,
+        order.target,
+        order.number,
+        Stage.RUNNING,
+        0,
+        now,
+        tuple(one for one in withdrawn if one != order.target),
+    )
+
+
+def rolled_back(plan: Plan, reason: str) -> Plan:
+    """Return the plan after a fault of the target."""
+    return dataclasses.replace(
+        plan,
+        stage=Stage.ROLLED_BACK,
+        share=0,
+        withdrawn=(*plan.withdrawn, plan.target),
+        reason=reason,
+    )
+
+
+def encode(plan: Plan) -> bytes:
+    """Return the content of the row of a plan."""
+    document = {
+        **dataclasses.asdict(plan),
+        'stage': plan.stage.value,
+        'began': plan.began // _MILLISECOND,
+    }
+    return json.dumps(document).encode()
+
+
+def decode(row: Row) -> Plan:
+    """Return the plan of a row that `encode` made."""
+    document = json.loads(row.body)
+    document['stage'] = Stage(document['stage'])
+    document['began'] = document['began'] * _MILLISECOND
+    document['withdrawn'] = tuple(document['withdrawn'])
+    return Plan(**document)
--- /dev/null
+++ b/bronzeglade/coordination/mirror.py
@@ -0,0 +1,92 @@
+"""A node's copy of one table of the store.
+
+Versions of the store rise with every transaction, so of two copies the one
+with the higher version is newer, wherever it comes from. A copy never goes
+back to an older version.
+"""
+
+import datetime as dt
+
+from bronzeglade.adapters.feed import Changes, Snapshot
+from bronzeglade.adapters.table import Row
+from bronzeglade.clock import Clock
+
+# A table is consistent again this long after its store has come back: rows
+# that expired while it was away are written anew by then.
+SETTLING = dt.timedelta(milliseconds=2500)
+
+
+class Mirror:
+    """Rows of one table as of a version; no version before the first read."""
+
+    def __init__(self, table: str, clock: Clock) -> None:
+        """Hold nothing.
+
+        Args:
+          table: its name.
+          clock: monotonic time.
+        """
+        self.table = table
+        self.clock = clock
+        self.rows: dict[str, Row] = {}
+        self.as_of = 0
+        self.failing_since: dt.timedelta | None = None
+        self.settled_at: dt.timedelta | None = None
+        self.offset = dt.timedelta()
+
+    @property
+    def loaded(self) -> bool:
+        """Whether the table was ever read."""
+        return self.as_of > 0
+
+    def replace(self, snapshot: Snapshot) -> bool:
+        """Take a whole table; return whether it is newer than the copy."""
+        if snapshot.as_of < self.as_of:
+            return False
+        changed = snapshot.rows != self.rows or not self.loaded
+        self.as_of = max(1, snapshot.as_of)
+        self.rows = dict(snapshot.rows)
+        self._set_clock(snapshot.now)
+        return changed
+
+    def apply(self, changes: Changes) -> bool:
+        """Take changes that follow the copy; return whether any counts."""
+        if changes.as_of < self.as_of:
+            return False
+        self.as_of = changes.as_of
+        self._set_clock(changes.now)
+        for key in changes.removed:
+            self.rows.pop(key, None)
+        self.rows.update(changes.written)
+        return bool(changes.written or changes.removed)
+
+    def store_time(self) -> dt.timedelta:
+        """Return the store's monotonic time, which all nodes share."""
+        return self.clock.monotonic() + self.offset
+
+    def reached(self) -> bool:
+        """Note that the store answered; return whether it was lost before."""
+        if self.failing_since is None:
+            return False
+        self.failing_since = None
+        self.settled_at = self.clock.monotonic() + SETTLING
+        return True
+
+    def missed(self) -> bool:
+        """Note that the store gave no answer; return whether it did before."""
+        if self.failing_since is not None:
+            return False
+        self.failing_since = self.clock.monotonic()
+        return True
+
+    def is_settled(self) -> bool:
+        """Return whether rows that are missing now are surely gone."""
+        if self.failing_since is not None:
+            return False
+        if self.settled_at is None:
+            return True
+        return self.clock.monotonic() >= self.settled_at
+
+    def _set_clock(self, store_time: dt.timedelta) -> None:
+        if store_time:
+            self.offset = store_time - self.clock.monotonic()
--- /dev/null
+++ b/bronzeglade/decisions/canary.py
@@ -0,0 +1,74 @@
+"""The share of a new version over the time of its roll-out.
+
+A bad version may show only under load or only after a while, and what it got
+by then counts. So it gets little for most of the time, and the rest of the
+traffic moves late, in steps during which a fault shows within a second.
+"""
+
+import dataclasses
+import datetime as dt
+
+import xxhash
+
+_HASH_RANGE = float(1 << 64)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CanarySettings:
+    """Steps of a roll-out, in parts of its duration.
+
+    Until the first step the new version gets `first_share` of the exposure
+    that is allowed. Each step gives the time and the share from then on. It is
+    complete at `complete_at`, so that the status is written before the
+    deadline.
+    """
+
+    first_share: float = 0.5
+    steps: tuple[tuple[float, float], ...] = (
+        (0.6, 0.2),
+        (0.68, 0.5),
+        (0.76, 1.0),
+    )
+    complete_at: float = 0.9
+
+
+def share_at(
+    settings: CanarySettings,
+    elapsed: dt.timedelta,
+    duration: dt.timedelta,
+    exposure: float,
+) -> float:
+    """Return the share of a new version that shows no fault.
+
+    Args:
+      settings: steps.
+      elapsed: since the order.
+      duration: from the order to its deadline.
+      exposure: share of all requests that a bad version may get.
+    """
+    passed = elapsed / duration
+    share = settings.first_share * exposure
+    for start, wanted in settings.steps:
+        if passed >= start:
+            share = wanted
+    return share
+
+
+def is_due(
+    settings: CanarySettings, elapsed: dt.timedelta, duration: dt.timedelta
+) -> bool:
+    """Return whether a roll-out without a fault is complete."""
+    return elapsed / duration >= settings.complete_at
+
+
+def position(order: str, unit: str) -> float:
+    """Return where a session or request lies in a roll-out, 0 to 1.
+
+    Shares only rise, so a unit that got the new version gets it again.
+
+    Args:
+      order: identity of the roll-out.
+      unit: identity of the session, or of a request without one.
+    """
+    digest = xxhash.xxh3_64_intdigest(f'{order} {unit}'.encode())
+    return digest / _HASH_RANGE
--- a/bronzeglade/decisions/routing.py
+++ b/bronzeglade/decisions/routing.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from bronzeglade.clock import Clock
+from bronzeglade.decisions.ejection import Ejections, EjectionSettings
 from bronzeglade.decisions.load import LoadEstimates, LoadSettings
 from bronzeglade.decisions.prefix import PrefixIndex, PrefixSettings
 from bronzeglade.decisions.retry import Failure
@@ -67,18 +68,7 @@
     capacity_factor: float = 4  # of block_s for all but the most urgent work
     slot_s: float = 0.02  # slowdown of a request in a full batch
     service_s: float = 2  # of a request, until some have finished
-    failure_weight: float = 0.2  # of the last outcome in the failure rate
-    failure_limit: float = 0.45  # three failures in a row from a clean state
-    shortest_ejection: dt.timedelta = dt.timedelta(seconds=1)
-    longest_ejection: dt.timedelta = dt.timedelta(seconds=15)
-
-
-@dataclasses.dataclass(slots=True)
-class _Health:
-    rate: float = 0
-    ejections: int = 0
-    ejected_until: dt.timedelta | None = None
-    probing: bool = False
+    ejection: EjectionSettings = EjectionSettings()
 
 
 class Routing:
@@ -99,7 +89,7 @@
         self.source = source
         self.loads = LoadEstimates(settings.load, clock)
         self.prefixes = PrefixIndex(settings.prefix, clock)
-        self.health: dict[str, _Health] = {}
+        self.ejections = Ejections(settings.ejection, clock, source)
         self.delays: Mapping[str, float] = {}
         self.service_s = settings.service_s
 
@@ -134,36 +124,22 @@
 
     def is_usable(self, worker: str) -> bool:
         """Return whether a worker is healthy or due for one probe."""
-        health = self.health.get(worker)
-        if health is None or health.ejected_until is None:
-            return True
-        due = self.clock.monotonic() >= health.ejected_until
-        return due and not health.probing
+        return self.ejections.is_usable(worker)
 
     def started(self, worker: str, blocks: Sequence[str] = ()) -> None:
         """Count a request that is sent to a worker."""
         self.loads.started(worker)
         self.prefixes.record(worker, blocks)
-        health = self.health.get(worker)
-        if health is not None and health.ejected_until is not None:
-            health.probing = True
+        self.ejections.started(worker)
 
     def finished(self, worker: str) -> None:
         """Count the end of a request on a worker."""
         self.loads.finished(worker)
-        health = self.health.get(worker)
-        if health is not None:
-            health.probing = False
+        self.ejections.finished(worker)
 
     def succeeded(self, worker: str) -> None:
         """Take note that a worker answered."""
-        health = self.health.get(worker)
-        if health is None:
-            return
-        if health.probing:
-            self.health.pop(worker)
-            return
-        health.rate *= 1 - self.settings.failure_weight
+        self.ejections.succeeded(worker)
 
     def served(self, duration: dt.timedelta) -> None:
         """Take note of how long a whole answer took."""
@@ -171,40 +147,14 @@
         self.service_s += step / 20
 
     def failed(self, worker: str, failure: Failure) -> None:
-        """Take note of a failed try; a rejected request is none.
-
-        Args:
-          worker: where it failed.
-          failure: how.
-        """
-        if failure is Failure.REJECTED:
-            return
-        health = self.health.setdefault(worker, _Health())
-        ejected = health.ejected_until is not None
-        if ejected and not health.probing:
-            return  # started before the ejection
-        weight = self.settings.failure_weight
-        health.rate += (1 - health.rate) * weight
-        if failure is Failure.NOT_CONNECTED:
-            health.rate = 1
-        if ejected or health.rate >= self.settings.failure_limit:
-            self._eject(health)
+        """Take note of a failed try; a rejected request is none."""
+        self.ejections.failed(worker, failure)
 
     def forget(self, worker: str) -> None:
         """Drop what is known of a worker that left the VM list."""
         self.loads.forget(worker)
         self.prefixes.forget(worker)
-        self.health.pop(worker, None)
-
-    def _eject(self, health: _Health) -> None:
-        longest = self.settings.longest_ejection
-        duration = self.settings.shortest_ejection * 2**health.ejections
-        spread = 0.75 + self.source.random() / 2
-        until = min(longest, duration) * spread
-        health.ejected_until = self.clock.monotonic() + until
-        health.ejections = min(health.ejections + 1, 10)
-        health.rate = 0
-        health.probing = False
+        self.ejections.forget(worker)
 
     def _sample(
         self, usable: list[Candidate], matches: Mapping[str, int]
--- a/bronzeglade/entry/heartbeats.py
+++ b/bronzeglade/entry/heartbeats.py
@@ -26,7 +26,7 @@
 )
 from bronzeglade.coordination.gossip import Gossip, Key, fingerprint
 from bronzeglade.coordination.membership import Membership
-from bronzeglade.entry import loops
+from bronzeglade import loops
 from bronzeglade.entry.configuration import Distribution
 from bronzeglade.entry.peers import Peer, Peers
 from bronzeglade.settings import EntrySettings
--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -34,7 +34,7 @@
 from bronzeglade.entry.idempotency import Idempotency
 from bronzeglade.entry.identity import NodeIdentity
 from bronzeglade.entry.loading import Loading
-from bronzeglade.entry.loops import spawn_loop
+from bronzeglade.loops import spawn_loop
 from bronzeglade.entry.peers import Gossip, Peers
 from bronzeglade.entry.ratings import RATE_INTERVAL, RatingSampler
 from bronzeglade.entry.rollouts import RolloutContext, Rollouts
--- /dev/null
+++ b/bronzeglade/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""The request path for opaque requests: doors, attempts, streams, node."""
--- /dev/null
+++ b/bronzeglade/forwarding/attempt.py
@@ -0,0 +1,220 @@
+"""One try of a request on one endpoint."""
+
+import dataclasses
+import datetime as dt
+
+from result import Err, Ok, Result
+
+from bronzeglade.decisions.load import Load
+from bronzeglade.decisions.placement import PlacedRequest
+from bronzeglade.decisions.retry import Failure
+from bronzeglade.forwarding.endpoint import Endpoint
+from bronzeglade.forwarding.message import AnswerFacts, Dispatch
+from bronzeglade.forwarding.router import Router
+from bronzeglade.forwarding.upstream import (
+    EndpointConnection,
+    OutgoingRequest,
+    idle_time,
+)
+from bronzeglade.forwarding.work import Work
+
+# An endpoint that takes longer to accept a connection is not reachable: the
+# longest way there and back is about 20 ms.
+CONNECT_LIMIT = dt.timedelta(milliseconds=250)
+# Work that may run once is not put on a connection that was idle longer: the
+# endpoint may have dropped it, and the outcome would be unknown.
+FRESH_IDLE = dt.timedelta(seconds=1)
+# Surplus answers to other requests that are skipped on one connection.
+SURPLUS_LIMIT = 3
+LARGEST_WHOLE_BODY = 8 * 1024 * 1024  # bytes
+# Time to read the rest of a refusal, so that its connection can be kept.
+REFUSAL_REST = dt.timedelta(milliseconds=100)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """A try without a usable answer.
+
+    `local` tells that the reason lies on this node, not at the endpoint.
+    """
+
+    failure: Failure
+    detail: str
+    status: int | None = None
+    local: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """A request on an endpoint; `unread` are prompt tokens it has to read."""
+
+    endpoint: Endpoint
+    model: str | None
+    placed: PlacedRequest
+    unread: int
+    connection: EndpointConnection | None = None
+    facts: AnswerFacts | None = None
+    began: dt.timedelta = dt.timedelta()
+    reading: bool = True
+    ended: bool = False
+
+
+def open_attempt(
+    router: Router,
+    work: Work,
+    attempt: Attempt,
+    deadline: dt.timedelta,
+    resume_after: int | None,
+) -> Result[AnswerFacts, Failed]:
+    """Send a request to an endpoint and read the head of its answer.
+
+    Args:
+      router: state of this process.
+      work: the request.
+      attempt: the endpoint; `end_attempt` has to follow in every case.
+      deadline: monotonic time at which the head must be there.
+      resume_after: last event that the caller has, if it has one.
+
+    Returns:
+      The head of an answer from the endpoint's service, or why there is none.
+    """
+    attempt.began = router.clock.monotonic()
+    router.placement.started(
+        attempt.endpoint.name, attempt.placed, attempt.unread
+    )
+    longest_idle = None if work.route.repeatable else FRESH_IDLE
+    limit = min(CONNECT_LIMIT, deadline - attempt.began)
+    taken = attempt.endpoint.pool.take(limit, longest_idle)
+    if isinstance(taken, Err):
+        broken = taken.err_value
+        return Err(
+            Failed(Failure.NOT_CONNECTED, broken.detail, local=broken.local)
+        )
+    attempt.connection = taken.ok_value
+    if not taken.ok_value.reused:
+        router.metrics.connections.inc()
+    now = router.clock.monotonic()
+    outgoing = _outgoing(router, work, attempt, now, resume_after)
+    sent = taken.ok_value.send(outgoing, deadline)
+    if isinstance(sent, Err):
+        return Err(Failed(Failure.LOST, sent.err_value.detail))
+    return _read_answer(router, work, attempt, deadline)
+
+
+def _outgoing(
+    router: Router,
+    work: Work,
+    attempt: Attempt,
+    now: dt.timedelta,
+    resume_after: int | None,
+) -> OutgoingRequest:
+    dispatch = Dispatch(
+        instance=attempt.endpoint.name,
+        time_left=work.time_left(now),
+        team=None if work.team is None else work.team.name,
+        model=attempt.model,
+        priority=work.priority if work.facts.prompt_tokens else None,
+        resume_after=resume_after,
+    )
+    headers = router.dialect.endpoint_headers(
+        work.head, dispatch, len(work.body)
+    )
+    return OutgoingRequest(
+        work.head.method, work.head.target, headers, work.body
+    )
+
+
+def _read_answer(
+    router: Router, work: Work, attempt: Attempt, deadline: dt.timedelta
+) -> Result[AnswerFacts, Failed]:
+    connection = attempt.connection
+    if connection is None:
+        return Err(Failed(Failure.NOT_CONNECTED, 'there is no connection'))
+    for _ in range(SURPLUS_LIMIT):
+        head = connection.read_head(deadline)
+        if isinstance(head, Err):
+            return Err(Failed(Failure.LOST, head.err_value.detail))
+        facts = router.dialect.read_answer(
+            head.ok_value.status, head.ok_value.headers
+        )
+        if facts.request_id in {None, work.request_id}:
+            return _judge(router, attempt, facts)
+        router.log.event(
+            'surplus_answer',
+            request=work.request_id,
+            endpoint=attempt.endpoint.name,
+            answered=facts.request_id,
+        )
+        rest = connection.read_body(deadline, LARGEST_WHOLE_BODY)
+        if isinstance(rest, Err):
+            return Err(Failed(Failure.LOST, rest.err_value.detail))
+        connection.skip_answer()
+    return Err(Failed(Failure.LOST, 'answers to other requests only'))
+
+
+def _judge(
+    router: Router, attempt: Attempt, facts: AnswerFacts
+) -> Result[AnswerFacts, Failed]:
+    attempt.facts = facts
+    if facts.load is not None:
+        load = Load(
+            attempt.endpoint.entry.service,
+            facts.load.running,
+            facts.load.waiting,
+        )
+        router.placement.report(attempt.endpoint.name, load)
+    connection = attempt.connection
+    if connection is not None:
+        connection.idle_limit = idle_time(facts.idle_limit)
+    if facts.not_run:
+        detail = f'the endpoint refused with status {facts.status}'
+        return Err(Failed(Failure.REFUSED, detail, facts.status))
+    if facts.encoded or (facts.succeeded and not facts.signed):
+        return Err(Failed(Failure.LOST, 'the answer is not authentic'))
+    if not facts.signed:
+        detail = f'unsigned answer with status {facts.status}'
+        return Err(Failed(Failure.LOST, detail, facts.status))
+    return Ok(facts)
+
+
+def end_reading(router: Router, attempt: Attempt) -> None:
+    """Take note that the endpoint no longer reads the prompt."""
+    if attempt.reading:
+        attempt.reading = False
+        router.placement.read(attempt.endpoint.name, attempt.unread)
+
+
+def end_attempt(
+    router: Router, attempt: Attempt, failed: Failed | None, complete: bool
+) -> None:
+    """Give back what an attempt holds; further calls do nothing.
+
+    Args:
+      router: state of this process.
+      attempt: the try.
+      failed: how it failed, or None.
+      complete: whether its answer was read to the end.
+    """
+    if attempt.ended:
+        return
+    attempt.ended = True
+    end_reading(router, attempt)
+    name = attempt.endpoint.name
+    if failed is None:
+        router.placement.ejections.succeeded(name)
+    elif failed.failure is not Failure.REFUSED and not failed.local:
+        router.placement.ejections.failed(name, failed.failure)
+    router.placement.finished(name)
+    connection = attempt.connection
+    if connection is None:
+        return
+    attempt.connection = None
+    if failed is not None and failed.failure is Failure.REFUSED:
+        # The rest of a refusal is short; it leaves the connection clean.
+        until = router.clock.monotonic() + REFUSAL_REST
+        rest = connection.read_body(until, LARGEST_WHOLE_BODY)
+        complete = isinstance(rest, Ok)
+    if complete:
+        attempt.endpoint.pool.give_back(connection)
+    else:
+        attempt.endpoint.pool.discard(connection)
--- /dev/null
+++ b/bronzeglade/forwarding/copies.py
@@ -0,0 +1,201 @@
+"""Keeps the node's copies of tables current, from the store or from peers."""
+
+import dataclasses
+import datetime as dt
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import eventlet
+import msgpack
+import urllib3
+from result import Err, Ok, Result
+
+from bronzeglade.adapters import transport
+from bronzeglade.adapters.feed import HistoryGone, Snapshot, TableFeed
+from bronzeglade.adapters.table import Row, StoreError
+from bronzeglade.coordination.mirror import Mirror
+from bronzeglade.forwarding.journal import Log
+from bronzeglade.forwarding.settings import Address
+
+# How long the store keeps a call waiting for changes. A store that accepts
+# calls and does not answer is noticed after this time and the call's limit.
+FEED_WAIT = dt.timedelta(milliseconds=2000)
+# Pauses between calls of a store that gives no answer.
+SHORTEST_PAUSE = dt.timedelta(milliseconds=150)
+LONGEST_PAUSE = dt.timedelta(milliseconds=800)
+# A node that cannot reach the store asks a peer this often.
+PEER_INTERVAL = dt.timedelta(milliseconds=700)
+PEER_TIMEOUT = dt.timedelta(milliseconds=400)
+COPY_PATH = '/copy/'
+_NO_CONTENT = 204
+_OK = 200
+_MILLISECOND = dt.timedelta(milliseconds=1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyContext:
+    """What the copies of a node work with.
+
+    `peers` returns control addresses of other nodes.
+    """
+
+    store: TableFeed
+    pool: urllib3.PoolManager
+    log: Log
+    random: random.Random
+    peers: Callable[[], Sequence[Address]]
+
+
+class Copy:
+    """One table, and what is done when it changes."""
+
+    def __init__(
+        self, context: CopyContext, mirror: Mirror, on_change: Callable[[], None]
+    ) -> None:
+        """Follow a table.
+
+        Args:
+          context: parts of the node.
+          mirror: the copy.
+          on_change: called after each change, and when rows that are missing
+            have become surely gone.
+        """
+        self.context = context
+        self.mirror = mirror
+        self.on_change = on_change
+        self.pause = SHORTEST_PAUSE
+        self.must_read = True
+
+    def follow_next(self) -> None:
+        """Wait for the next change and take it; one turn of a loop."""
+        if self.must_read:
+            self._read_whole()
+            return
+        outcome = self.context.store.changes(
+            self.mirror.table, self.mirror.as_of, FEED_WAIT
+        )
+        if isinstance(outcome, Ok):
+            changed = self.mirror.apply(outcome.ok_value)
+            self._reached()
+            if changed:
+                self.on_change()
+            return
+        error = outcome.err_value
+        if isinstance(error, HistoryGone):
+            self.context.log.event(
+                'history_gone', table=self.mirror.table, after=self.mirror.as_of
+            )
+            self.must_read = True
+        else:
+            self._missed(error)
+
+    def ask_peer(self) -> None:
+        """Take a newer copy of a peer while the store gives no answer."""
+        interval = PEER_INTERVAL.total_seconds()
+        eventlet.sleep(interval * (0.8 + 0.4 * self.context.random.random()))
+        peers = list(self.context.peers())
+        waiting = self.mirror.failing_since is not None
+        if not peers or not (waiting or not self.mirror.loaded):
+            return
+        peer = self.context.random.choice(peers)
+        outcome = self._fetch(peer)
+        if isinstance(outcome, Err) or outcome.ok_value is None:
+            return
+        if self.mirror.replace(outcome.ok_value):
+            self.context.log.event(
+                'copy_of_peer',
+                table=self.mirror.table,
+                peer=f'{peer[0]}:{peer[1]}',
+                as_of=self.mirror.as_of,
+            )
+            self.on_change()
+
+    def _fetch(self, peer: Address) -> Result[Snapshot | None, str]:
+        table = self.mirror.table
+        after = self.mirror.as_of
+        url = f'http://{peer[0]}:{peer[1]}{COPY_PATH}{table}?after={after}'
+        reply = transport.call(self.context.pool, 'GET', url, PEER_TIMEOUT)
+        if isinstance(reply, Err):
+            return Err(reply.err_value.detail)
+        if reply.ok_value.status != _OK:
+            return Ok(None)
+        return Ok(unpack_copy(reply.ok_value.body))
+
+    def _read_whole(self) -> None:
+        outcome = self.context.store.snapshot(self.mirror.table)
+        if isinstance(outcome, Err):
+            self._missed(outcome.err_value)
+            return
+        self.must_read = False
+        self.mirror.replace(outcome.ok_value)
+        self._reached()
+        self.on_change()
+
+    def _reached(self) -> None:
+        self.pause = SHORTEST_PAUSE
+        failing = self.mirror.failing_since
+        if self.mirror.reached() and failing is not None:
+            lasted = self.mirror.clock.monotonic() - failing
+            self.context.log.event(
+                'store_back',
+                table=self.mirror.table,
+                lasted_ms=lasted // _MILLISECOND,
+            )
+            eventlet.spawn_after(self._settling_s(), self.on_change)
+
+    def _settling_s(self) -> float:
+        until = self.mirror.settled_at or dt.timedelta()
+        left = until - self.mirror.clock.monotonic()
+        return left.total_seconds() + 0.01
+
+    def _missed(self, error: StoreError) -> None:
+        if self.mirror.missed():
+            self.context.log.event(
+                'store_lost', table=self.mirror.table, detail=error.detail
+            )
+        spread = 0.5 + self.context.random.random()
+        eventlet.sleep(self.pause.total_seconds() * spread)
+        self.pause = min(LONGEST_PAUSE, self.pause * 2)
+
+
+def pack_copy(mirror: Mirror) -> bytes:
+    """Return a copy for a peer."""
+    packed: bytes = msgpack.packb(
+        [
+            mirror.as_of,
+            mirror.store_time() // _MILLISECOND,
+            [[row.key, row.version, row.body] for row in mirror.rows.values()],
+        ]
+    )
+    return packed
+
+
+def unpack_copy(packed: bytes) -> Snapshot:
+    """Return the copy that a peer has packed."""
+    as_of, now, rows = msgpack.unpackb(packed)
+    return Snapshot(
+        as_of,
+        {key: Row(key, version, body) for key, version, body in rows},
+        now * _MILLISECOND,
+    )
+
+
+def pages(mirrors: Sequence[Mirror]) -> Callable[..., Any]:
+    """Return the application that gives copies to peers."""
+    by_path = {COPY_PATH + mirror.table: mirror for mirror in mirrors}
+
+    def application(environ: dict[str, Any], start: Any) -> Any:
+        mirror = by_path.get(environ['PATH_INFO'])
+        after = environ.get('QUERY_STRING', '').rpartition('=')[2]
+        if mirror is None or not after.isdigit():
+            start('404 Not Found', [('Content-Length', '0')])
+            return ()
+        if mirror.as_of <= int(after):
+            start('204 No Content', [])
+            return ()
+        body = pack_copy(mirror)
+        start('200 OK', [('Content-Length', str(len(body)))])
+        return (body,)
+
+    return application
--- /dev/null
+++ b/bronzeglade/forwarding/delivery.py
@@ -0,0 +1,319 @@
+"""Delivery of one request: tries, resumes and exactly one final answer."""
+
+import dataclasses
+import datetime as dt
+import enum
+
+from result import Err, Ok
+
+from bronzeglade.decisions.placement import PlacedRequest, PromptShare
+from bronzeglade.decisions.retry import Failure
+from bronzeglade.forwarding import attempt as attempts
+from bronzeglade.forwarding.attempt import Attempt, Failed
+from bronzeglade.forwarding.caller import Caller
+from bronzeglade.forwarding.event import EventSplitter
+from bronzeglade.forwarding.message import AnswerFacts
+from bronzeglade.forwarding.route import Kind
+from bronzeglade.forwarding.router import Router
+from bronzeglade.forwarding.work import Work
+from bronzeglade.outcome import Refusal, RunState
+
+# Part of the objective after which a silent endpoint is given up for another
+# one, when the request may run twice.
+PATIENCE = 0.75
+_SERVER_ERROR = 500
+
+
+class End(enum.Enum):
+    """How the reading of an answer ended."""
+
+    COMPLETE = 'complete'
+    BROKEN = 'broken'
+    LEFT = 'left'  # the caller has gone
+
+
+@dataclasses.dataclass(slots=True)
+class Delivery:
+    """What is known of one request while it is delivered.
+
+    `sent` counts the endpoints that it was sent to. `last_event` is the last
+    event that the caller has; `begun` tells whether the head of an answer was
+    sent to it.
+    """
+
+    router: Router
+    work: Work
+    caller: Caller
+    tried: list[str] = dataclasses.field(default_factory=list)
+    sent: int = 0
+    run_state: RunState = RunState.NOT_RUN
+    last_event: int | None = None
+    begun: bool = False
+    first_byte: dt.timedelta | None = None
+    outcome: str = ''
+    detail: str = ''
+
+    def run(self) -> None:
+        """Deliver the request; the caller has its final answer afterwards."""
+        self.last_event = self.work.facts.last_event
+        self.router.retries(self.work.service).earn()
+        while not self.outcome:
+            self._try_next()
+
+    def _try_next(self) -> None:
+        attempt = self._next_attempt()
+        if attempt is None:
+            self._give_up()
+            return
+        self.tried.append(attempt.endpoint.name)
+        self.sent += 1
+        self.caller.on_leave = lambda: _abort(attempt)
+        failed: Failed | None = Failed(Failure.LOST, 'interrupted')
+        complete = False
+        try:
+            failed, complete = self._use(attempt)
+        finally:
+            self.caller.on_leave = None
+            if self.caller.left:
+                failed = None
+            attempts.end_attempt(self.router, attempt, failed, complete)
+        self._log_attempt(attempt, failed)
+        if self.caller.left:
+            self.outcome = 'abandoned'
+        elif failed is not None and not self.outcome:
+            self._after_failure(failed)
+
+    def _use(self, attempt: Attempt) -> tuple[Failed | None, bool]:
+        """Return how the try failed, if so, and whether all was read."""
+        if self.caller.left:
+            return None, False
+        opened = attempts.open_attempt(
+            self.router,
+            self.work,
+            attempt,
+            self._patience(),
+            self.last_event,
+        )
+        if isinstance(opened, Err):
+            return opened.err_value, False
+        facts = opened.ok_value
+        if self.work.route.kind is Kind.STREAM and facts.succeeded:
+            return self._relay(attempt, facts)
+        return self._whole(attempt, facts)
+
+    def _whole(
+        self, attempt: Attempt, facts: AnswerFacts
+    ) -> tuple[Failed | None, bool]:
+        connection = attempt.connection
+        if connection is None:
+            return Failed(Failure.NOT_CONNECTED, 'no connection'), False
+        body = connection.read_body(
+            self.work.until, attempts.LARGEST_WHOLE_BODY
+        )
+        attempts.end_reading(self.router, attempt)
+        if isinstance(body, Err):
+            return Failed(Failure.LOST, body.err_value.detail), False
+        self.run_state = RunState.RAN
+        if facts.status >= _SERVER_ERROR:
+            failed = Failed(Failure.LOST, 'endpoint error', facts.status)
+            if self._may_retry(failed):
+                return failed, True
+        if self.begun:
+            return Failed(Failure.LOST, 'error in place of a stream'), True
+        self.first_byte = self.router.clock.monotonic()
+        self.caller.respond(facts.status, facts.headers, body.ok_value)
+        self.outcome = 'answered' if facts.succeeded else 'endpoint_error'
+        self.detail = str(facts.status)
+        return None, True
+
+    def _relay(
+        self, attempt: Attempt, facts: AnswerFacts
+    ) -> tuple[Failed | None, bool]:
+        end, detail = self._pump(attempt, facts)
+        if end is End.COMPLETE:
+            if not self.begun:
+                self._begin(facts)
+            self.caller.finish()
+            self.outcome = 'answered'
+            return None, True
+        if end is End.LEFT:
+            return None, False
+        return Failed(Failure.LOST, detail), False
+
+    def _pump(self, attempt: Attempt, facts: AnswerFacts) -> tuple[End, str]:
+        splitter = EventSplitter()
+        connection = attempt.connection
+        if connection is None:
+            return End.BROKEN, 'no connection'
+        while not self.caller.left:
+            limit = self.work.until
+            if attempt.reading:
+                limit = self._patience()
+            block = connection.read_block(limit)
+            if isinstance(block, Err):
+                return End.BROKEN, block.err_value.detail
+            if block.ok_value is None:
+                if splitter.rest:
+                    return End.BROKEN, 'the stream ends inside an event'
+                return End.COMPLETE, ''
+            for event in splitter.feed(block.ok_value):
+                attempts.end_reading(self.router, attempt)
+                if not self._pass_on(facts, event.number, event.content):
+                    return End.BROKEN, 'an event is missing'
+        return End.LEFT, ''
+
+    def _pass_on(
+        self, facts: AnswerFacts, number: int | None, content: bytes
+    ) -> bool:
+        """Send an event; return False when one before it is missing."""
+        if number is not None and self.last_event is not None:
+            if number <= self.last_event:
+                return True
+            if number > self.last_event + 1:
+                return False
+        if not self.begun:
+            self._begin(facts)
+        self.caller.write(content)
+        self.run_state = RunState.RAN
+        if number is not None:
+            self.last_event = number
+        return True
+
+    def _begin(self, facts: AnswerFacts) -> None:
+        self.begun = True
+        self.first_byte = self.router.clock.monotonic()
+        chunked = (b'Transfer-Encoding', b'chunked')
+        self.caller.begin(facts.status, [*facts.headers, chunked])
+
+    def _next_attempt(self) -> Attempt | None:
+        work = self.work
+        if self.router.clock.monotonic() >= work.until:
+            return None
+        model = self.router.model_for(work)
+        placed = _placed(work, model)
+        offered = self.router.candidates(work)
+        place = self.router.placement.choose(offered, placed, self.tried)
+        if place is None:
+            self.detail = f'none of {len(offered)} endpoints is left'
+            return None
+        endpoint = self.router.registry.endpoints[place.name]
+        unread = max(0, placed.tokens - place.cached_tokens)
+        self.router.log.event(
+            'attempt',
+            request=work.request_id,
+            number=len(self.tried) + 1,
+            endpoint=place.name,
+            model=model,
+            offered=len(offered),
+            cost=round(place.cost, 2),
+            cached=place.cached_tokens,
+            load=round(place.load, 1),
+            resume_after=self.last_event,
+            configuration=self.router.version,
+        )
+        return Attempt(endpoint, model, placed, unread)
+
+    def _patience(self) -> dt.timedelta:
+        """Return when a silent endpoint is given up."""
+        work = self.work
+        now = self.router.clock.monotonic()
+        if not work.route.repeatable or not self._has_tries():
+            return work.until
+        return min(work.until, now + work.route.objective * PATIENCE)
+
+    def _has_tries(self) -> bool:
+        return self.sent < self.work.route.attempts
+
+    def _may_retry(self, failed: Failed) -> bool:
+        if not self._has_tries() or self.caller.left:
+            return False
+        if self.router.clock.monotonic() >= self.work.until:
+            return False
+        repeatable = self.work.route.repeatable
+        not_run = failed.failure.run_state is RunState.NOT_RUN
+        if not repeatable and not not_run:
+            return False
+        # A connection that was never made is no arrival at an endpoint.
+        if failed.failure is Failure.NOT_CONNECTED:
+            return True
+        return self.router.retries(self.work.service).may_retry(
+            1, failed.failure, repeatable
+        )
+
+    def _after_failure(self, failed: Failed) -> None:
+        if failed.failure.run_state is not RunState.NOT_RUN:
+            if self.run_state is RunState.NOT_RUN:
+                self.run_state = RunState.UNKNOWN
+        self.detail = failed.detail
+        if failed.failure is Failure.NOT_CONNECTED:
+            self.sent -= 1
+            if self._may_retry(failed):
+                return
+        elif self._may_retry(failed):
+            self.router.retries(self.work.service).spend()
+            self.router.metrics.retries.labels(failed.failure.value).inc()
+            return
+        self._give_up()
+
+    def _give_up(self) -> None:
+        """Send the final answer of a request that gets no result."""
+        if self.begun:
+            self.outcome = 'broken_off'
+            self.caller.break_off()
+            return
+        refusal = self._refusal()
+        self.outcome = refusal.code
+        self.detail = self.detail or refusal.message
+        refuse(self.router, self.caller, refusal, self.work.request_id)
+
+    def _refusal(self) -> Refusal:
+        late = self.router.clock.monotonic() >= self.work.until
+        if self.run_state is RunState.NOT_RUN:
+            return Refusal(
+                503,
+                'no_endpoint',
+                'no endpoint took the request',
+                RunState.NOT_RUN,
+                self.router.retry_after(self.work),
+            )
+        if late:
+            message = 'the time limit passed'
+            return Refusal(504, 'timeout', message, self.run_state)
+        message = 'the endpoint failed'
+        return Refusal(502, 'endpoint_failed', message, self.run_state)
+
+    def _log_attempt(self, attempt: Attempt, failed: Failed | None) -> None:
+        if failed is None:
+            return
+        self.router.log.event(
+            'attempt_failed',
+            request=self.work.request_id,
+            endpoint=attempt.endpoint.name,
+            failure=failed.failure.value,
+            status=failed.status,
+            detail=failed.detail,
+            events=self.last_event,
+        )
+        self.router.metrics.failures.labels(failed.failure.value).inc()
+
+
+def refuse(
+    router: Router, caller: Caller, refusal: Refusal, request_id: str | None
+) -> None:
+    """Send a refusal."""
+    headers = router.dialect.refusal_headers(refusal, request_id)
+    caller.respond(refusal.status, headers, refusal.message.encode())
+
+
+def _abort(attempt: Attempt) -> None:
+    if attempt.connection is not None:
+        attempt.connection.abort()
+
+
+def _placed(work: Work, model: str | None) -> PlacedRequest:
+    facts = work.facts
+    shares = tuple(
+        PromptShare(f'{model} {part.name}', part.tokens)
+        for part in facts.parts[:-1]
+    )
+    return PlacedRequest(shares, facts.prompt_tokens)
--- /dev/null
+++ b/bronzeglade/forwarding/door.py
@@ -0,0 +1,129 @@
+"""The door for opaque requests: who asks, and which route answers."""
+
+import datetime as dt
+
+from result import Err, Ok, Result
+
+from bronzeglade.forwarding.caller import Caller, IncomingRequest
+from bronzeglade.forwarding.delivery import Delivery, refuse
+from bronzeglade.forwarding.message import RequestFacts
+from bronzeglade.forwarding.route import Route, RouteTable, Team
+from bronzeglade.forwarding.router import Router
+from bronzeglade.forwarding.work import Work
+from bronzeglade.outcome import Refusal, RunState
+
+# When a node without a configuration may be asked again.
+STARTING_RETRY = dt.timedelta(seconds=1)
+
+
+def handle(router: Router, incoming: IncomingRequest, caller: Caller) -> None:
+    """Answer one request.
+
+    Args:
+      router: state of this process.
+      incoming: the request.
+      caller: takes the answer.
+    """
+    facts = router.dialect.read_request(incoming.head)
+    request_id = facts.ok_value.request_id if isinstance(facts, Ok) else None
+    accepted = _accept(router, incoming, facts)
+    if isinstance(accepted, Err):
+        refusal = accepted.err_value
+        refuse(router, caller, refusal, request_id)
+        router.metrics.count('', refusal.code)
+        router.log.event(
+            'refused',
+            request=request_id,
+            status=refusal.status,
+            code=refusal.code,
+            path=incoming.head.path,
+            configuration=router.version,
+        )
+        return
+    work = accepted.ok_value
+    router.in_flight += 1
+    delivery = Delivery(router, work, caller)
+    try:
+        delivery.run()
+    finally:
+        router.in_flight -= 1
+        _record(router, delivery)
+
+
+def _accept(
+    router: Router,
+    incoming: IncomingRequest,
+    facts: Result[RequestFacts, Refusal],
+) -> Result[Work, Refusal]:
+    if isinstance(facts, Err):
+        return facts
+    table = router.table
+    if table is None:
+        message = 'no configuration is known yet'
+        return Err(
+            Refusal(
+                503, 'starting', message, RunState.NOT_RUN, STARTING_RETRY
+            )
+        )
+    found = _find(table, incoming, facts.ok_value)
+    if isinstance(found, Err):
+        return found
+    route, team = found.ok_value
+    limit = facts.ok_value.time_limit
+    received = incoming.received
+    longest = route.timeout if limit is None else min(limit, route.timeout)
+    return Ok(
+        Work(
+            head=incoming.head,
+            body=incoming.body,
+            facts=facts.ok_value,
+            route=route,
+            service=route.service_of(facts.ok_value.request_id),
+            team=team,
+            received=received,
+            until=received + longest,
+            caller_until=None if limit is None else received + limit,
+        )
+    )
+
+
+def _find(
+    table: RouteTable, incoming: IncomingRequest, facts: RequestFacts
+) -> Result[tuple[Route, Team | None], Refusal]:
+    route = table.find(facts.host, incoming.head.path)
+    if route is None:
+        return Err(Refusal(404, 'no_route', 'no route matches the path'))
+    if table.teams is None or route.public:
+        return Ok((route, None))
+    team = table.teams.get(facts.key or '')
+    if team is None:
+        return Err(Refusal(401, 'unknown_key', 'the key is not known'))
+    return Ok((route, team))
+
+
+def _record(router: Router, delivery: Delivery) -> None:
+    work = delivery.work
+    now = router.clock.monotonic()
+    first = delivery.first_byte
+    outcome = delivery.outcome or 'interrupted'
+    router.metrics.ended(
+        work.route.name, outcome, work.received, first, now
+    )
+    router.log.event(
+        'request',
+        request=work.request_id,
+        route=work.route.name,
+        service=work.service,
+        team=None if work.team is None else work.team.name,
+        outcome=outcome,
+        run_state=delivery.run_state.value,
+        endpoints=delivery.tried,
+        first_ms=None if first is None else _ms(first - work.received),
+        total_ms=_ms(now - work.received),
+        detail=delivery.detail,
+        configuration=router.version,
+    )
+
+
+def _ms(duration: dt.timedelta) -> int:
+    return duration // dt.timedelta(milliseconds=1)
--- /dev/null
+++ b/bronzeglade/forwarding/metrics.py
@@ -0,0 +1,106 @@
+"""Counters and latency histograms of the request path."""
+
+import datetime as dt
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+# Seconds; bounds stand around the usual objectives of 0.145 s, 2 s and 6 s.
+LATENCY_BOUNDS = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.145,
+    0.2,
+    0.3,
+    0.5,
+    1.0,
+    2.0,
+    3.0,
+    4.0,
+    6.0,
+    8.0,
+    12.0,
+    25.0,
+)
+
+
+class Metrics:
+    """Metrics of one process."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the metrics."""
+        self.registry = registry
+        self.requests = Counter(
+            'bronzeglade_forwarded_requests',
+            'Requests that ended, by outcome.',
+            ('route', 'outcome'),
+            registry=registry,
+        )
+        self.first_byte = Histogram(
+            'bronzeglade_first_byte_seconds',
+            'Seconds from the head of a request to the first byte.',
+            ('route',),
+            buckets=LATENCY_BOUNDS,
+            registry=registry,
+        )
+        self.total = Histogram(
+            'bronzeglade_request_seconds',
+            'Seconds from the head of a request to its end.',
+            ('route',),
+            buckets=LATENCY_BOUNDS,
+            registry=registry,
+        )
+        self.failures = Counter(
+            'bronzeglade_attempt_failures',
+            'Tries without a usable answer, by kind.',
+            ('failure',),
+            registry=registry,
+        )
+        self.retries = Counter(
+            'bronzeglade_retries',
+            'Further tries, by the failure before them.',
+            ('failure',),
+            registry=registry,
+        )
+        self.connections = Counter(
+            'bronzeglade_endpoint_connections',
+            'New connections to endpoints.',
+            registry=registry,
+        )
+        self.store_calls = Counter(
+            'bronzeglade_store_calls',
+            'Calls of the store, by kind and outcome.',
+            ('call', 'outcome'),
+            registry=registry,
+        )
+        self.configuration = Gauge(
+            'bronzeglade_configuration_version',
+            'Version of the configuration that is active.',
+            registry=registry,
+        )
+        self.dropped_lines = Counter(
+            'bronzeglade_log_lines_dropped',
+            'Log lines above the rate limit.',
+            registry=registry,
+        )
+
+    def count(self, route: str, outcome: str) -> None:
+        """Count a request that ended before it was delivered."""
+        self.requests.labels(route, outcome).inc()
+
+    def ended(
+        self,
+        route: str,
+        outcome: str,
+        received: dt.timedelta,
+        first: dt.timedelta | None,
+        now: dt.timedelta,
+    ) -> None:
+        """Count a delivered request; all times are monotonic."""
+        self.count(route, outcome)
+        self.total.labels(route).observe((now - received).total_seconds())
+        if first is not None:
+            self.first_byte.labels(route).observe(
+                (first - received).total_seconds()
+            )
--- /dev/null
+++ b/bronzeglade/forwarding/process.py
@@ -0,0 +1,398 @@
+"""The router process for opaque requests: sockets, loops, signals, stop."""
+
+import datetime as dt
+import json
+import random
+import secrets
+import signal
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+from eventlet import wsgi
+from prometheus_client import CollectorRegistry, generate_latest
+from result import Err, Ok
+
+from bronzeglade.adapters import transport
+from bronzeglade.adapters.table import Put, Transaction
+from bronzeglade.clock import BootClock
+from bronzeglade.coordination.mirror import Mirror
+from bronzeglade.decisions.placement import Placement, PlacementSettings
+from bronzeglade.forwarding import copies, door, roster, wire
+from bronzeglade.forwarding.caller import Caller, CallerConnection, IncomingRequest
+from bronzeglade.forwarding.copies import Copy, CopyContext
+from bronzeglade.forwarding.endpoint import EndpointEntry, Registry
+from bronzeglade.forwarding.journal import Log
+from bronzeglade.forwarding.metrics import Metrics
+from bronzeglade.forwarding.rollouts import TICK, Rollouts
+from bronzeglade.forwarding.roster import RouterNode
+from bronzeglade.forwarding.router import Router
+from bronzeglade.forwarding.settings import Address, RouterSettings
+from bronzeglade.forwarding.site import Application, Site
+from bronzeglade.loops import spawn_loop
+
+OWN_TABLE = 'bronzeglade'
+NODE_PREFIX = 'bronzeglade/node/'
+BACKLOG = 512
+# Pauses between tries to register this node.
+REGISTER_PAUSE = dt.timedelta(milliseconds=300)
+HOUSEKEEPING = dt.timedelta(seconds=1)
+SETTINGS_CHECK = dt.timedelta(seconds=2)
+STOP_POLL = dt.timedelta(milliseconds=50)
+# Part of the grace period after which running work is given up: what is left
+# is for the last answers to leave.
+STOP_PART = 0.87
+PAGE_TIMEOUT_S = 15
+EXIT_INVALID_SETTINGS = 2
+
+
+class _NoLog:
+    """Drops the access log of the page servers."""
+
+    def write(self, text: str) -> None:
+        """Drop a line."""
+
+
+class RouterProcess:
+    """One router process."""
+
+    def __init__(
+        self, site: Site, settings: RouterSettings, metrics_port: int
+    ) -> None:
+        """Create a process that knows no configuration yet.
+
+        Args:
+          site: the platform.
+          settings: checked settings.
+          metrics_port: where metrics are served.
+        """
+        self.site = site
+        self.metrics_port = metrics_port
+        self.clock = BootClock()
+        self.random = random.Random(secrets.randbits(64))
+        self.log = Log(sys.stdout.fileno(), settings.name, self.clock)
+        metrics = Metrics(CollectorRegistry())
+        self.pool = transport.new_pool()
+        self.store = site.open_store(
+            settings,
+            lambda call, end: metrics.store_calls.labels(call, end).inc(),
+        )
+        documents = site.documents
+        self.orders = Mirror(documents.operator_table, self.clock)
+        self.entries = Mirror(documents.endpoint_table, self.clock)
+        self.own = Mirror(OWN_TABLE, self.clock)
+        self.rollouts = Rollouts(
+            self.store, self.orders, self.own, documents, self.log
+        )
+        self.router = Router(
+            settings=settings,
+            clock=self.clock,
+            random=self.random,
+            dialect=site.dialect,
+            log=self.log,
+            metrics=metrics,
+            placement=Placement(
+                PlacementSettings(),
+                settings.failure_domain,
+                self.clock,
+                self.random,
+            ),
+            registry=Registry(self.clock),
+            rollouts=self.rollouts,
+            nodes=lambda: max(1, len(self.nodes)),
+        )
+        self.rollouts.node = settings.name
+        self.rollouts.exposure = settings.rollout.share
+        self.rollouts.rank = self._rank
+        self.nodes: dict[str, RouterNode] = {}
+        self.connections: set[CallerConnection] = set()
+        self.listeners: list[Any] = []
+        self.stopped = eventlet.event.Event()
+
+    def run(self) -> int:
+        """Serve until a signal, then stop gracefully; return the exit code."""
+        self.log.start()
+        signal.signal(signal.SIGTERM, self._on_stop)
+        signal.signal(signal.SIGINT, self._on_stop)
+        signal.signal(signal.SIGHUP, self._on_reload)
+        settings = self.router.settings
+        self.log.event(
+            'start',
+            failure_domain=settings.failure_domain,
+            callers=settings.callers,
+            store=settings.store,
+        )
+        self._serve_callers(settings.callers)
+        self._serve(
+            settings.readiness, self.site.readiness(self.is_ready)
+        )
+        self._serve(
+            settings.directory, self.site.directory(self.addresses)
+        )
+        self._serve(
+            settings.control,
+            copies.pages((self.orders, self.entries, self.own)),
+        )
+        self._serve(
+            (settings.callers[0], self.metrics_port), self._metrics_page
+        )
+        self._start_loops()
+        self.stopped.wait()
+        self.log.event('stop')
+        self.log.flush()
+        return 0
+
+    def is_ready(self) -> bool:
+        """Return whether new requests can be served."""
+        return (
+            self.router.table is not None
+            and bool(self.router.registry.endpoints)
+            and not self.router.draining
+        )
+
+    def addresses(self, failure_domain: str, region: str) -> list[Address]:
+        """Return the addresses that a caller should use."""
+        settings = self.router.settings
+        nodes = dict(self.nodes)
+        if self.is_ready():
+            nodes[settings.name] = _myself(settings)
+        elif self.router.draining:
+            nodes.pop(settings.name, None)
+        return roster.addresses_for(
+            nodes.values(), failure_domain, region, settings.failure_domains
+        )
+
+    def _start_loops(self) -> None:
+        context = CopyContext(
+            self.store, self.pool, self.log, self.random, self._peers
+        )
+        for mirror, action in (
+            (self.orders, self._orders_changed),
+            (self.entries, self._entries_changed),
+            (self.own, self._own_changed),
+        ):
+            copy = Copy(context, mirror, action)
+            spawn_loop(copy.follow_next)
+            spawn_loop(copy.ask_peer)
+        spawn_loop(self._every(TICK, self.rollouts.tick))
+        spawn_loop(self._every(HOUSEKEEPING, self._housekeep))
+        spawn_loop(self._every(SETTINGS_CHECK, self.reload))
+        eventlet.spawn(self._register)
+
+    def _every(
+        self, interval: dt.timedelta, action: Callable[[], None]
+    ) -> Callable[[], None]:
+        def turn() -> None:
+            spread = 0.9 + 0.2 * self.random.random()
+            eventlet.sleep(interval.total_seconds() * spread)
+            action()
+
+        return turn
+
+    def _housekeep(self) -> None:
+        self.router.registry.close_idle()
+
+    def _peers(self) -> list[Address]:
+        settings = self.router.settings
+        known = {
+            node.control
+            for node in self.nodes.values()
+            if node.name != settings.name
+        }
+        return sorted(known) or list(settings.peers)
+
+    def _rank(self, service: str) -> int:
+        """Return the place of this node among those that act on a service."""
+        names = sorted({*self.nodes, self.router.settings.name})
+        return names.index(self.router.settings.name)
+
+    def _orders_changed(self) -> None:
+        row = self.orders.rows.get(self.site.documents.configuration_key)
+        if row is not None:
+            outcome = self.site.documents.read_configuration(row)
+            if isinstance(outcome, Ok):
+                self.router.adopt(outcome.ok_value)
+            else:
+                self.log.event(
+                    'unreadable_configuration', reason=outcome.err_value
+                )
+        self.rollouts.refresh()
+
+    def _entries_changed(self) -> None:
+        entries: list[EndpointEntry] = []
+        for row in self.entries.rows.values():
+            outcome = self.site.documents.read_endpoint(row)
+            if isinstance(outcome, Ok):
+                entries.append(outcome.ok_value)
+            else:
+                self.log.event(
+                    'unreadable_entry', key=row.key, reason=outcome.err_value
+                )
+        self.router.update_endpoints(entries, self.entries.is_settled())
+
+    def _own_changed(self) -> None:
+        nodes: dict[str, RouterNode] = {}
+        for key, row in self.own.rows.items():
+            if key.startswith(NODE_PREFIX):
+                node = _read_node(row.body)
+                nodes[node.name] = node
+        if nodes.keys() != self.nodes.keys():
+            self.log.event('nodes', names=sorted(nodes))
+        self.nodes = nodes
+        self.router.share_connections()
+        self.rollouts.refresh()
+
+    def _register(self) -> None:
+        settings = self.router.settings
+        put = Put(NODE_PREFIX + settings.name, _node_body(settings))
+        while not self.router.draining:
+            outcome = self.store.commit(Transaction(puts=(put,)))
+            if isinstance(outcome, Ok):
+                self.log.event('registered')
+                return
+            self.log.event('not_registered', reason=str(outcome.err_value))
+            eventlet.sleep(REGISTER_PAUSE.total_seconds())
+
+    def _unregister(self) -> None:
+        key = NODE_PREFIX + self.router.settings.name
+        until = self.clock.monotonic() + self.router.settings.stop.listing
+        while self.clock.monotonic() < until:
+            outcome = self.store.commit(Transaction(deletes=(key,)))
+            if isinstance(outcome, Ok):
+                return
+            eventlet.sleep(REGISTER_PAUSE.total_seconds())
+
+    def _serve_callers(self, address: Address) -> None:
+        listener = wire.listen(address, BACKLOG)
+        self.listeners.append(listener)
+
+        def accept() -> None:
+            sock, _peer = listener.accept()
+            wire.tune(sock)
+            eventlet.spawn(self._serve_connection, sock)
+
+        spawn_loop(accept)
+
+    def _serve_connection(self, sock: Any) -> None:
+        connection = CallerConnection(
+            sock,
+            self.clock,
+            self._handle,
+            self._limits,
+            lambda: self.router.draining,
+        )
+        self.connections.add(connection)
+        try:
+            connection.run()
+        finally:
+            self.connections.discard(connection)
+
+    def _handle(self, incoming: IncomingRequest, caller: Caller) -> None:
+        door.handle(self.router, incoming, caller)
+
+    def _limits(self) -> Any:
+        table = self.router.table
+        return None if table is None else table.limits
+
+    def _serve(self, address: Address, application: Application) -> None:
+        listener = wire.listen(address, BACKLOG)
+        eventlet.spawn(
+            wsgi.server,
+            listener,
+            application,
+            log=_NoLog(),
+            log_output=False,
+            socket_timeout=PAGE_TIMEOUT_S,
+            debug=False,
+        )
+
+    def _metrics_page(self, environ: dict[str, Any], start: Any) -> Any:
+        body = generate_latest(self.router.metrics.registry)
+        start(
+            '200 OK',
+            [
+                ('Content-Type', 'text/plain; version=0.0.4'),
+                ('Content-Length', str(len(body))),
+            ],
+        )
+        return (body,)
+
+    def reload(self) -> None:
+        """Take the settings file when it has changed."""
+        outcome = self.site.read_settings()
+        if isinstance(outcome, Err):
+            self.log.event('unreadable_settings', reason=outcome.err_value)
+            return
+        if outcome.ok_value != self.router.settings:
+            self.router.settings = outcome.ok_value
+            self.rollouts.exposure = outcome.ok_value.rollout.share
+            self.log.event('reload')
+
+    def _on_reload(self, _signal: int, _frame: Any) -> None:
+        eventlet.spawn(self.reload)
+
+    def _on_stop(self, _signal: int, _frame: Any) -> None:
+        if not self.router.draining:
+            self.router.draining = True
+            eventlet.spawn(self._stop)
+
+    def _stop(self) -> None:
+        """Leave the directory, serve what comes, finish, and end."""
+        settings = self.router.settings
+        began = self.clock.monotonic()
+        self.log.event('stopping', in_flight=self.router.in_flight)
+        eventlet.spawn(self._unregister)
+        listed_until = began + settings.stop.listing
+        deadline = began + settings.stop.grace * STOP_PART
+        while self.clock.monotonic() < listed_until:
+            eventlet.sleep(STOP_POLL.total_seconds())
+        for listener in self.listeners:
+            listener.close()
+        while self.router.in_flight and self.clock.monotonic() < deadline:
+            eventlet.sleep(STOP_POLL.total_seconds())
+        self.log.event('stopped', in_flight=self.router.in_flight)
+        self.stopped.send()
+
+
+def run(site: Site, metrics_port: int) -> int:
+    """Run a router process until it is stopped.
+
+    Args:
+      site: the platform.
+      metrics_port: where metrics are served.
+
+    Returns:
+      The exit code; 2 for settings that are not valid.
+    """
+    settings = site.read_settings()
+    if isinstance(settings, Err):
+        sys.stderr.write(f'error: settings: {settings.err_value}\n')
+        return EXIT_INVALID_SETTINGS
+    return RouterProcess(site, settings.ok_value, metrics_port).run()
+
+
+def _myself(settings: RouterSettings) -> RouterNode:
+    return RouterNode(
+        settings.name,
+        settings.failure_domain,
+        settings.callers,
+        settings.control,
+    )
+
+
+def _node_body(settings: RouterSettings) -> bytes:
+    node = _myself(settings)
+    return json.dumps(
+        [node.name, node.failure_domain, node.callers, node.control]
+    ).encode()
+
+
+def _read_node(body: bytes) -> RouterNode:
+    name, failure_domain, callers, control = json.loads(body)
+    return RouterNode(
+        name,
+        failure_domain,
+        (callers[0], callers[1]),
+        (control[0], control[1]),
+    )
--- /dev/null
+++ b/bronzeglade/forwarding/rollouts.py
@@ -0,0 +1,331 @@
+"""Roll-outs on one node: which version a request gets, evidence, progress."""
+
+import datetime as dt
+import json
+from collections.abc import Callable, Sequence
+
+from result import Err, Ok
+
+from bronzeglade.adapters.table import Check, Put, Table, Transaction
+from bronzeglade.coordination import canary as plans
+from bronzeglade.coordination.canary import Order, Plan, Stage
+from bronzeglade.coordination.mirror import Mirror
+from bronzeglade.decisions import canary, evidence
+from bronzeglade.decisions.canary import CanarySettings
+from bronzeglade.decisions.evidence import Evidence, Observation
+from bronzeglade.decisions.rollout import Judge, JudgeSettings
+from bronzeglade.forwarding.endpoint import Endpoint
+from bronzeglade.forwarding.journal import Log
+from bronzeglade.forwarding.site import Documents
+from bronzeglade.forwarding.work import Work
+from bronzeglade.manifest import RolloutLimits
+
+EVIDENCE_TABLE = 'bronzeglade_evidence'
+# Evidence is written and read this often while a roll-out runs.
+EVIDENCE_INTERVAL = dt.timedelta(seconds=1)
+TICK = dt.timedelta(milliseconds=250)
+# Another node acts in place of the one whose turn it is after this time.
+TAKEOVER = dt.timedelta(milliseconds=1500)
+# Harm that a new version may do: cold caches make its first answers slower.
+LIMITS = RolloutLimits(
+    max_error_increase=0.05, max_latency_ratio=3, max_rating_drop=1
+)
+# The evidence of a handful of requests on one node suffices for a halt; the
+# operator's versions fail half of their requests, not one in a hundred.
+JUDGE = JudgeSettings(threshold=9)
+EVIDENCE_ROWS = 500
+# Pause after a step that the store did not take.
+COMMIT_PAUSE = dt.timedelta(milliseconds=700)
+
+Pair = tuple[Evidence, Evidence]
+
+
+class _Watch:
+    """What this node knows of one running roll-out."""
+
+    def __init__(self, order: Order) -> None:
+        self.order = order
+        self.mine: Pair = (Evidence(), Evidence())
+        self.written: Pair = (Evidence(), Evidence())
+        self.written_at = dt.timedelta()
+        self.read_at = dt.timedelta()
+        self.seen: Pair = (Evidence(), Evidence())
+        self.judge = Judge(JUDGE, LIMITS)
+        self.lagging_since: dt.timedelta | None = None
+        self.paused_until = dt.timedelta()
+        self.halted = False
+
+
+class Rollouts:
+    """Orders and plans of all services, as this node sees them."""
+
+    def __init__(
+        self,
+        table: Table,
+        orders: Mirror,
+        own: Mirror,
+        documents: Documents,
+        log: Log,
+    ) -> None:
+        """Know no order.
+
+        Args:
+          table: where plans and evidence are written.
+          orders: copy of the operator's table.
+          own: copy of the product's table.
+          documents: decoding of the operator's rows.
+          log: of the node.
+        """
+        self.table = table
+        self.orders_mirror = orders
+        self.own = own
+        self.documents = documents
+        self.log = log
+        self.clock = own.clock
+        self.settings = CanarySettings()
+        self.exposure = 0.1
+        self.node = ''
+        self.rank: Callable[[str], int] = lambda _service: 0
+        self.orders: dict[str, Order] = {}
+        self.plans: dict[str, Plan] = {}
+        self.watches: dict[str, _Watch] = {}
+
+    def refresh(self) -> None:
+        """Take the orders and plans of the copies."""
+        for key, row in self.orders_mirror.rows.items():
+            if key.startswith(self.documents.order_prefix):
+                order = self.documents.read_order(row)
+                if isinstance(order, Err):
+                    self.log.event(
+                        'unreadable_order', key=key, reason=order.err_value
+                    )
+                else:
+                    self._take_order(order.ok_value)
+        for key, row in self.own.rows.items():
+            if key.startswith(plans.PLAN_PREFIX):
+                self._take_plan(plans.decode(row))
+
+    def select(
+        self, work: Work, endpoints: Sequence[Endpoint]
+    ) -> list[Endpoint]:
+        """Return the endpoints whose version a request may use."""
+        plan = self.plans.get(work.service)
+        order = self.orders.get(work.service)
+        if order is None:
+            return list(endpoints)
+        target = [one for one in endpoints if one.entry.version == order.target]
+        others = [one for one in endpoints if one.entry.version != order.target]
+        if plan is None or plan.order != order.number:
+            return others
+        if plan.stage is Stage.COMPLETED:
+            return target or others
+        if plan.stage is Stage.ROLLED_BACK or self._is_halted(work.service):
+            return others
+        unit = f'{plan.service} {plan.order}'
+        if canary.position(unit, work.unit) < plan.share:
+            return target or others
+        return others or target
+
+    def observe(
+        self, service: str, version: str, observation: Observation
+    ) -> None:
+        """Count the outcome of a try during a roll-out."""
+        watch = self.watches.get(service)
+        if watch is None:
+            return
+        mine = list(watch.mine)
+        index = 0 if version == watch.order.target else 1
+        mine[index] = evidence.count(mine[index], observation)
+        watch.mine = (mine[0], mine[1])
+
+    def tick(self) -> None:
+        """Exchange evidence and move the roll-outs that are this node's."""
+        for service, watch in list(self.watches.items()):
+            plan = self.plans.get(service)
+            if plan is not None and plan.order == watch.order.number:
+                if plan.stage is not Stage.RUNNING:
+                    self.watches.pop(service)
+                    continue
+                self._write_evidence(service, watch)
+                self._advance(watch, plan)
+            else:
+                self._begin(watch, plan)
+
+    def _take_order(self, order: Order) -> None:
+        known = self.orders.get(order.service)
+        if known is not None and known.number >= order.number:
+            return
+        self.orders[order.service] = order
+        plan = self.plans.get(order.service)
+        if plan is not None and plan.order == order.number:
+            if plan.stage is not Stage.RUNNING:
+                return
+        self.watches[order.service] = _Watch(order)
+        self.log.event(
+            'rollout_order',
+            service=order.service,
+            target=order.target,
+            number=order.number,
+            duration_s=order.duration.total_seconds(),
+        )
+
+    def _take_plan(self, plan: Plan) -> None:
+        known = self.plans.get(plan.service)
+        if known == plan:
+            return
+        self.plans[plan.service] = plan
+        self.log.event(
+            'rollout_plan',
+            service=plan.service,
+            target=plan.target,
+            stage=plan.stage.value,
+            share=plan.share,
+            reason=plan.reason,
+        )
+
+    def _is_halted(self, service: str) -> bool:
+        watch = self.watches.get(service)
+        return watch is not None and watch.halted
+
+    def _begin(self, watch: _Watch, before: Plan | None) -> None:
+        if self.own.loaded and self._is_turn(watch):
+            now = self.own.store_time()
+            self._commit(watch, plans.first_plan(watch.order, now, before))
+
+    def _advance(self, watch: _Watch, plan: Plan) -> None:
+        if watch.halted:
+            self._commit(watch, plans.rolled_back(plan, 'evidence'))
+            return
+        wanted = self._wanted(watch, plan)
+        if wanted == plan:
+            watch.lagging_since = None
+            if self.rank(plan.service) == 0:
+                self._read_evidence(watch, plan)
+            return
+        if not self._is_turn(watch):
+            return
+        self._read_evidence(watch, plan)
+        if watch.halted:
+            wanted = plans.rolled_back(plan, 'evidence')
+        self._commit(watch, wanted)
+
+    def _wanted(self, watch: _Watch, plan: Plan) -> Plan:
+        elapsed = self.own.store_time() - plan.began
+        duration = watch.order.duration
+        if canary.is_due(self.settings, elapsed, duration):
+            return _replaced(plan, 1, Stage.COMPLETED)
+        share = canary.share_at(
+            self.settings, elapsed, duration, self.exposure
+        )
+        if watch.judge.verdict().suspect:
+            share = plan.share
+        return _replaced(plan, max(share, plan.share), Stage.RUNNING)
+
+    def _is_turn(self, watch: _Watch) -> bool:
+        """Return whether this node acts now: by rank, others after a while."""
+        now = self.clock.monotonic()
+        if watch.lagging_since is None:
+            watch.lagging_since = now
+        rank = self.rank(watch.order.service)
+        return now - watch.lagging_since >= TAKEOVER * rank
+
+    def _commit(self, watch: _Watch, plan: Plan) -> None:
+        if self.clock.monotonic() < watch.paused_until:
+            return
+        key = plans.PLAN_PREFIX + plan.service
+        row = self.own.rows.get(key)
+        check = Check(key, 0 if row is None else row.version)
+        outcome = self.table.commit(
+            Transaction(
+                checks=(check,),
+                puts=(
+                    Put(key, plans.encode(plan)),
+                    self.documents.status_row(plan),
+                ),
+            )
+        )
+        if isinstance(outcome, Err):
+            watch.paused_until = self.clock.monotonic() + COMMIT_PAUSE
+        self.log.event(
+            'rollout_step',
+            service=plan.service,
+            stage=plan.stage.value,
+            share=plan.share,
+            reason=plan.reason,
+            outcome='done' if isinstance(outcome, Ok) else str(outcome.err()),
+        )
+
+    def _write_evidence(self, service: str, watch: _Watch) -> None:
+        now = self.clock.monotonic()
+        due = now - watch.written_at >= EVIDENCE_INTERVAL
+        if not due or watch.mine == watch.written:
+            return
+        watch.written_at = now
+        mine = watch.mine
+        body = json.dumps([evidence.encode(one) for one in mine]).encode()
+        key = f'{_evidence_prefix(watch.order)}{self.node}'
+        outcome = self.table.commit(Transaction(puts=(Put(key, body),)))
+        if isinstance(outcome, Ok):
+            watch.written = mine
+        if self.rank(service) != 0:
+            # The acting node judges the evidence of all nodes, this one its
+            # own, so that a severe fault stops it without the store.
+            self._judge(watch, watch.seen, mine)
+            watch.seen = mine
+
+    def _read_evidence(self, watch: _Watch, plan: Plan) -> None:
+        now = self.clock.monotonic()
+        if now - watch.read_at < EVIDENCE_INTERVAL:
+            return
+        watch.read_at = now
+        outcome = self.table.scan(_evidence_prefix(watch.order), EVIDENCE_ROWS)
+        if isinstance(outcome, Err):
+            self.log.event(
+                'evidence_unread',
+                service=plan.service,
+                reason=outcome.err_value.detail,
+            )
+            return
+        parts = [
+            [evidence.decode(one) for one in json.loads(row.body)]
+            for row in outcome.ok_value
+            if not row.key.endswith(f'/{self.node}')
+        ]
+        total = (
+            evidence.total([watch.mine[0], *(one[0] for one in parts)]),
+            evidence.total([watch.mine[1], *(one[1] for one in parts)]),
+        )
+        self._judge(watch, watch.seen, total)
+        watch.seen = total
+
+    def _judge(self, watch: _Watch, before: Pair, total: Pair) -> None:
+        watch.judge.feed(total[0].minus(before[0]), total[1].minus(before[1]))
+        verdict = watch.judge.verdict()
+        if verdict.bad and not watch.halted:
+            watch.halted = True
+            self.log.event(
+                'rollout_halt',
+                service=watch.order.service,
+                target=watch.order.target,
+                measure=verdict.measure.value,
+                statistic=round(verdict.statistic, 1),
+                candidate=evidence.encode(total[0]),
+                control=evidence.encode(total[1]),
+            )
+
+
+def _replaced(plan: Plan, share: float, stage: Stage) -> Plan:
+    return Plan(
+        plan.service,
+        plan.target,
+        plan.order,
+        stage,
+        share,
+        plan.began,
+        plan.withdrawn,
+        plan.reason,
+    )
+
+
+def _evidence_prefix(order: Order) -> str:
+    return f'{EVIDENCE_TABLE}/{order.service}/{order.number}/'
--- /dev/null
+++ b/bronzeglade/forwarding/router.py
@@ -0,0 +1,172 @@
+"""State of a router process that its request handlers share."""
+
+import dataclasses
+import datetime as dt
+import random
+from collections.abc import Callable, Sequence
+
+from bronzeglade.clock import Clock
+from bronzeglade.decisions.placement import Placement
+from bronzeglade.decisions.retry import RetryBudget, RetrySettings
+from bronzeglade.forwarding.endpoint import (
+    Endpoint,
+    EndpointEntry,
+    Registry,
+    connection_limit,
+)
+from bronzeglade.forwarding.journal import Log
+from bronzeglade.forwarding.message import Dialect
+from bronzeglade.forwarding.metrics import Metrics
+from bronzeglade.forwarding.rollouts import Rollouts
+from bronzeglade.forwarding.route import Kind, RouteTable
+from bronzeglade.forwarding.settings import RetryBounds, RouterSettings
+from bronzeglade.forwarding.work import Work
+from bronzeglade.outcome import require
+
+# Part of the shared retry bounds that is used: requests spread unevenly over
+# nodes, and a node does not see those that others received.
+RETRY_PART = 0.5
+# Tries of one request are bounded by its route.
+_UNBOUNDED = 1 << 20
+# Retry-After of a refusal, as a part of the time that the caller has left:
+# callers honour up to a third of it.
+RETRY_AFTER_PART = 0.3
+LONGEST_RETRY_AFTER = dt.timedelta(seconds=1)
+
+
+@dataclasses.dataclass(slots=True)
+class Router:
+    """What one process knows and counts.
+
+    `nodes` returns how many nodes serve callers.
+    """
+
+    settings: RouterSettings
+    clock: Clock
+    random: random.Random
+    dialect: Dialect
+    log: Log
+    metrics: Metrics
+    placement: Placement
+    registry: Registry
+    rollouts: Rollouts
+    nodes: Callable[[], int]
+    table: RouteTable | None = None
+    budgets: dict[str, RetryBudget] = dataclasses.field(default_factory=dict)
+    in_flight: int = 0
+    draining: bool = False
+
+    @property
+    def version(self) -> int:
+        """Version of the active configuration; 0 when there is none."""
+        return 0 if self.table is None else self.table.version
+
+    def adopt(self, table: RouteTable) -> bool:
+        """Put a configuration in force unless it is not newer.
+
+        Args:
+          table: what the store or a peer has.
+        """
+        if table.version <= self.version:
+            return False
+        require(
+            table.version > self.version,
+            'configuration-never-reverts',
+            (self.version, table.version),
+        )
+        self.table = table
+        self.metrics.configuration.set(table.version)
+        self.log.event(
+            'configuration',
+            version=table.version,
+            routes=sum(len(one) for one in table.routes.values()),
+            keys=0 if table.teams is None else len(table.teams),
+        )
+        self.share_connections()
+        return True
+
+    def share_connections(self) -> None:
+        """Divide the connections of each endpoint among the nodes."""
+        if self.table is None:
+            return
+        nodes = self.nodes()
+        self.registry.set_limits(
+            {
+                name: connection_limit(service.max_connections, nodes)
+                for name, service in self.table.services.items()
+            }
+        )
+
+    def update_endpoints(
+        self, entries: Sequence[EndpointEntry], settled: bool
+    ) -> None:
+        """Take the registered endpoints.
+
+        Args:
+          entries: every readable entry.
+          settled: whether a missing entry is surely gone.
+        """
+        before = {
+            name: _state(endpoint.entry)
+            for name, endpoint in self.registry.endpoints.items()
+        }
+        for name in self.registry.update(entries, settled):
+            self.placement.forget(name)
+        after = {
+            name: _state(endpoint.entry)
+            for name, endpoint in self.registry.endpoints.items()
+        }
+        for name in before.keys() | after.keys():
+            if before.get(name) != after.get(name):
+                self.log.event(
+                    'endpoint',
+                    endpoint=name,
+                    before=before.get(name),
+                    after=after.get(name),
+                )
+
+    def candidates(self, work: Work) -> list[Endpoint]:
+        """Return the endpoints that may run a request now."""
+        endpoints = self.registry.serving(work.service)
+        return self.rollouts.select(work, endpoints)
+
+    def model_for(self, work: Work) -> str | None:
+        """Return the model that is to answer, or None when it is named."""
+        sizes = work.route.sizes
+        if work.route.kind is not Kind.STREAM or not sizes:
+            return work.facts.model
+        return sizes[-1]
+
+    def retries(self, service: str) -> RetryBudget:
+        """Return the budget of further tries at a service."""
+        if service not in self.budgets:
+            self.budgets[service] = RetryBudget(
+                retry_settings(self.settings.retry, self.nodes())
+            )
+        return self.budgets[service]
+
+    def retry_after(self, work: Work) -> dt.timedelta:
+        """Return when a refused caller should come back."""
+        left = work.time_left(self.clock.monotonic())
+        if left is None:
+            return LONGEST_RETRY_AFTER
+        part = max(left, dt.timedelta()) * RETRY_AFTER_PART
+        return min(part, LONGEST_RETRY_AFTER)
+
+
+def retry_settings(bounds: RetryBounds, nodes: int) -> RetrySettings:
+    """Return a node's part of the shared retry bounds.
+
+    Args:
+      bounds: of all nodes together.
+      nodes: number of nodes.
+    """
+    return RetrySettings(
+        ratio=bounds.ratio * RETRY_PART,
+        reserve=max(1, bounds.slack * RETRY_PART / max(1, nodes)),
+        attempts=_UNBOUNDED,
+    )
+
+
+def _state(entry: EndpointEntry) -> tuple[str, str, bool]:
+    return entry.service, entry.version, entry.draining
--- /dev/null
+++ b/bronzeglade/forwarding/site.py
@@ -0,0 +1,54 @@
+"""What a router process needs from the platform that it runs on."""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+from result import Result
+
+from bronzeglade.adapters.feed import TableFeed
+from bronzeglade.adapters.table import Put, Row, Table
+from bronzeglade.coordination.canary import Order, Plan
+from bronzeglade.forwarding.endpoint import EndpointEntry
+from bronzeglade.forwarding.message import Dialect
+from bronzeglade.forwarding.route import RouteTable
+from bronzeglade.forwarding.settings import Address, RouterSettings
+
+Application = Callable[..., Iterable[bytes]]
+CountCall = Callable[[str, str], None]
+
+
+class Store(Table, TableFeed, Protocol):
+    """A transactional table service whose changes can be followed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Documents:
+    """Where the operator's and the endpoints' rows are, and their decoding.
+
+    Keys are `TABLE/KEY`. A row that cannot be decoded gives the reason.
+    """
+
+    operator_table: str
+    endpoint_table: str
+    configuration_key: str
+    order_prefix: str
+    read_configuration: Callable[[Row], Result[RouteTable, str]]
+    read_endpoint: Callable[[Row], Result[EndpointEntry, str]]
+    read_order: Callable[[Row], Result[Order, str]]
+    status_row: Callable[[Plan], Put]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Site:
+    """The platform: settings, store, headers, documents and pages."""
+
+    read_settings: Callable[[], Result[RouterSettings, str]]
+    open_store: Callable[[RouterSettings, CountCall], Store]
+    dialect: Dialect
+    documents: Documents
+    readiness: Callable[[Callable[[], bool]], Application]
+    directory: Callable[[Callable[[str, str], list[Address]]], Application]
+
+
+Environ = dict[str, Any]
--- /dev/null
+++ b/bronzeglade/forwarding/wire.py
@@ -0,0 +1,100 @@
+"""TCP connections with time limits and detection of silent links."""
+
+import datetime as dt
+import socket as sockets
+from typing import Any
+
+from eventlet.green import socket
+
+from bronzeglade.clock import Clock
+
+READ_BYTES = 65536
+# A link that has fallen silent is found by probes of the kernel: after the
+# idle time, this many probes an interval apart.
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBE_COUNT = 2
+# Sent bytes that stay unacknowledged this long end the connection.
+UNACKNOWLEDGED_MS = 2500
+# Shortest time limit of a socket call; zero would mean "do not block".
+SHORTEST_S = 0.001
+
+
+def tune(sock: Any) -> None:
+    """Switch off send delays and find silent links within seconds."""
+    sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+    sock.setsockopt(sockets.SOL_SOCKET, sockets.SO_KEEPALIVE, 1)
+    sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_KEEPIDLE, PROBE_IDLE_S)
+    sock.setsockopt(
+        sockets.IPPROTO_TCP, sockets.TCP_KEEPINTVL, PROBE_INTERVAL_S
+    )
+    sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_KEEPCNT, PROBE_COUNT)
+    sock.setsockopt(
+        sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+    )
+
+
+def connect(address: tuple[str, int], limit: dt.timedelta) -> Any:
+    """Return a tuned connection.
+
+    Args:
+      address: IP address and port.
+      limit: longest time to connect.
+
+    Returns:
+      The socket.
+
+    Raises:
+      OSError: there is no connection; nothing was sent.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        tune(sock)
+        sock.settimeout(max(SHORTEST_S, limit.total_seconds()))
+        sock.connect(address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def listen(address: tuple[str, int], backlog: int) -> Any:
+    """Return a listening socket."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
+    sock.listen(backlog)
+    return sock
+
+
+def limit_until(sock: Any, clock: Clock, deadline: dt.timedelta) -> None:
+    """Let the next call on a socket end at a monotonic time."""
+    left = (deadline - clock.monotonic()).total_seconds()
+    sock.settimeout(max(SHORTEST_S, left))
+
+
+def is_quiet(sock: Any) -> bool:
+    """Return whether nothing can be read: neither bytes nor an end."""
+    try:
+        sock.fd.recv(1, sockets.MSG_PEEK | sockets.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def close(sock: Any) -> None:
+    """Close a socket; a peer that is gone already does not matter."""
+    try:
+        sock.close()
+    except OSError:
+        return
+
+
+def abort(sock: Any) -> None:
+    """End a connection at once; a green thread that reads it wakes up."""
+    try:
+        sock.shutdown(sockets.SHUT_RDWR)
+    except OSError:
+        return
--- /dev/null
+++ b/bronzeglade/platform/documents.py
@@ -0,0 +1,248 @@
+"""Documents in the platform's store, decoded once into the product's types."""
+
+import datetime as dt
+import json
+from typing import Any
+
+import pydantic as pd
+from pydantic import Field
+from result import Err, Ok, Result
+
+from bronzeglade.adapters.table import Put, Row
+from bronzeglade.coordination.canary import Order, Plan, Stage
+from bronzeglade.forwarding.endpoint import EndpointEntry
+from bronzeglade.forwarding.route import (
+    EngineTraits,
+    Kind,
+    Limits,
+    Route,
+    RouteTable,
+    Service,
+    Team,
+    WeightedService,
+    index_routes,
+)
+
+OPERATOR_TABLE = 'op'
+ENDPOINT_TABLE = 'servers'
+CONFIGURATION_KEY = 'op/config'
+ORDER_PREFIX = 'op/rollout/'
+STATUS_PREFIX = 'status/rollout/'
+
+_KINDS = {
+    'idempotent': Kind.IDEMPOTENT,
+    'non_idempotent': Kind.NON_IDEMPOTENT,
+    'streaming': Kind.STREAM,
+}
+_STATES = frozenset(('ready', 'draining'))
+_STAGES = {
+    Stage.RUNNING: 'running',
+    Stage.COMPLETED: 'completed',
+    Stage.ROLLED_BACK: 'rolled_back',
+}
+_MILLISECOND = dt.timedelta(milliseconds=1)
+
+
+class _Document(pd.BaseModel):
+    model_config = pd.ConfigDict(extra='ignore', populate_by_name=True)
+
+
+class _Backend(_Document):
+    service: str
+    weight: float = Field(ge=0)
+
+
+class _Route(_Document):
+    name: str
+    host: str = Field(alias='hostname')
+    prefix: str
+    kind: str
+    timeout_ms: float = Field(alias='timeout-ms')
+    objective_ms: float = Field(1000, alias='target-latency-ms')
+    attempts: int = Field(1, alias='max-attempts')
+    priority: int = 0
+    sizes: tuple[str, ...] = ()
+    service: str | None = None
+    backends: tuple[_Backend, ...] = Field((), alias='weighted-backends')
+    public: bool = False
+    resumable: bool = False
+
+
+class _Model(_Document):
+    name: str
+    cost: float = 0
+
+
+class _Engine(_Document):
+    slots: int = 1
+    memory_tokens: int = Field(0, alias='kv-tokens')
+    models: tuple[_Model, ...] = ()
+
+
+class _Service(_Document):
+    name: str
+    health_path: str = Field('/health', alias='health-path')
+    max_connections: int = Field(64, alias='max-connections')
+    engine: _Engine | None = None
+
+
+class _Limits(_Document):
+    header_bytes: int = Field(16384, alias='max-header-bytes')
+    body_bytes: int = Field(4194304, alias='max-body-bytes')
+    header_timeout_ms: float = Field(3000, alias='header-timeout-ms')
+    idle_timeout_ms: float = Field(15000, alias='idle-timeout-ms')
+
+
+class _Tenant(_Document):
+    name: str
+    keys: tuple[str, ...] = Field((), alias='api-keys')
+    priority: int | None = None
+
+
+class _Configuration(_Document):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = _Limits.model_construct()
+    tenants: tuple[_Tenant, ...] | None = None
+
+
+class _Entry(_Document):
+    """What a worker registers; `sequence` only counts its writes."""
+
+    service: str
+    address: str
+    zone: str
+    version: str = ''
+    slots: int = Field(ge=1)
+    state: str
+    cold_remaining_ms: float = Field(0, alias='cold-remaining-ms')
+    born: int = 0
+
+
+class _Order(_Document):
+    service: str
+    # The version that the service is to move to.
+    target: str
+    duration_s: float = Field(alias='duration-s')
+
+
+def read_configuration(row: Row) -> Result[RouteTable, str]:
+    """Decode the operator's configuration."""
+    try:
+        document = _Configuration.model_validate_json(row.body)
+    except pd.ValidationError as error:
+        return Err(_summary(error))
+    routes = tuple(
+        _route(one) for one in document.routes if one.kind in _KINDS
+    )
+    limits = document.limits
+    teams: dict[str, Team] | None = None
+    if document.tenants is not None:
+        teams = {
+            key: Team(tenant.name, tenant.priority)
+            for tenant in document.tenants
+            for key in tenant.keys
+        }
+    return Ok(
+        RouteTable(
+            version=document.version,
+            routes=index_routes(routes),
+            services={one.name: _service(one) for one in document.services},
+            limits=Limits(
+                header_bytes=limits.header_bytes,
+                body_bytes=limits.body_bytes,
+                header_timeout=limits.header_timeout_ms * _MILLISECOND,
+                idle_timeout=limits.idle_timeout_ms * _MILLISECOND,
+            ),
+            teams=teams,
+        )
+    )
+
+
+def read_endpoint(row: Row) -> Result[EndpointEntry, str]:
+    """Decode the entry of a worker; its key is its id."""
+    try:
+        entry = _Entry.model_validate_json(row.body, strict=True)
+    except pd.ValidationError as error:
+        return Err(_summary(error))
+    if entry.state not in _STATES:
+        return Err(f'unknown state {entry.state!r}')
+    host, _, port = entry.address.rpartition(':')
+    if not host or not port.isdigit():
+        return Err(f'malformed address {entry.address!r}')
+    return Ok(
+        EndpointEntry(
+            name=row.key.partition('/')[2],
+            service=entry.service,
+            address=(host, int(port)),
+            failure_domain=entry.zone,
+            version=entry.version,
+            slots=entry.slots,
+            draining=entry.state == 'draining',
+            started=entry.born,
+            warm_in=entry.cold_remaining_ms * _MILLISECOND,
+        )
+    )
+
+
+def read_order(row: Row) -> Result[Order, str]:
+    """Decode the operator's order to move a service to a version."""
+    try:
+        order = _Order.model_validate_json(row.body)
+    except pd.ValidationError as error:
+        return Err(_summary(error))
+    duration = dt.timedelta(seconds=order.duration_s)
+    return Ok(Order(order.service, order.target, duration, row.version))
+
+
+def status_row(plan: Plan) -> Put:
+    """Return the row that tells the operator how a roll-out stands."""
+    document: dict[str, Any] = {
+        'service': plan.service,
+        'state': _STAGES[plan.stage],
+        'target': plan.target,
+    }
+    body = json.dumps(document).encode()
+    return Put(f'{STATUS_PREFIX}{plan.service}', body)
+
+
+def _route(one: _Route) -> Route:
+    backends = tuple(
+        WeightedService(backend.service, backend.weight)
+        for backend in one.backends
+        if backend.weight > 0
+    )
+    if not backends and one.service is not None:
+        backends = (WeightedService(one.service, 1),)
+    return Route(
+        name=one.name,
+        host=one.host,
+        prefix=one.prefix,
+        kind=_KINDS[one.kind],
+        timeout=one.timeout_ms * _MILLISECOND,
+        objective=one.objective_ms * _MILLISECOND,
+        attempts=max(1, one.attempts),
+        priority=one.priority,
+        services=backends,
+        sizes=one.sizes,
+        public=one.public,
+        resumable=one.resumable,
+    )
+
+
+def _service(one: _Service) -> Service:
+    engine = None
+    if one.engine is not None:
+        engine = EngineTraits(
+            slots=one.engine.slots,
+            memory_tokens=one.engine.memory_tokens,
+            costs={model.name: model.cost for model in one.engine.models},
+        )
+    return Service(one.name, one.health_path, one.max_connections, engine)
+
+
+def _summary(error: pd.ValidationError) -> str:
+    first = error.errors(include_url=False, include_input=False)[0]
+    place = '.'.join(str(part) for part in first['loc'])
+    return f'{place}: {first["msg"]}'
