--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -8,6 +8,7 @@
 
 from bronzeglade.decisions.placement import PlacedRequest, PromptShare
 from bronzeglade.decisions.retry import Failure
+from bronzeglade.decisions.sizing import accepts, larger
 from bronzeglade.forwarding import attempt as attempts
 from bronzeglade.forwarding.attempt import Attempt, Failed
 from bronzeglade.forwarding.caller import Caller
@@ -46,6 +47,7 @@
     caller: Caller
     tried: list[str] = dataclasses.field(default_factory=list)
     sent: int = 0
+    model: str | None = None
     run_state: RunState = RunState.NOT_RUN
     last_event: int | None = None
     begun: bool = False
@@ -56,6 +58,7 @@
     def run(self) -> None:
         """Deliver the request; the caller has its final answer afterwards."""
         self.last_event = self.work.facts.last_event
+        self.model = self.router.first_model(self.work)
         self.router.retries(self.work.service).earn()
         while not self.outcome:
             self._try_next()
@@ -97,10 +100,54 @@
         if isinstance(opened, Err):
             return opened.err_value, False
         facts = opened.ok_value
+        self.router.log.event(
+            'answer',
+            request=self.work.request_id,
+            endpoint=attempt.endpoint.name,
+            status=facts.status,
+            model=attempt.model,
+            confidence=facts.confidence,
+            load=None if facts.load is None else facts.load.running,
+            waiting=None if facts.load is None else facts.load.waiting,
+            after_ms=(self.router.clock.monotonic() - attempt.began)
+            // dt.timedelta(milliseconds=1),
+        )
         if self.work.route.kind is Kind.STREAM and facts.succeeded:
+            larger = self._larger_model(facts)
+            if larger is not None:
+                self._escalate(attempt, facts, larger)
+                return None, False
             return self._relay(attempt, facts)
         return self._whole(attempt, facts)
 
+    def _larger_model(self, facts: AnswerFacts) -> str | None:
+        """Return the model that is to answer instead, or None."""
+        if self.begun or self.last_event is not None or not self._has_tries():
+            return None
+        sizing = self.router.sizing
+        if accepts(sizing, facts.confidence, self.work.priority):
+            return None
+        budget = self.router.retries(self.work.service)
+        if not budget.may_retry(1, Failure.REFUSED, repeatable=True):
+            return None
+        return larger(self.work.route.sizes, self.model)
+
+    def _escalate(
+        self, attempt: Attempt, facts: AnswerFacts, model: str
+    ) -> None:
+        self.router.retries(self.work.service).spend()
+        self.router.metrics.escalations.inc()
+        self.router.log.event(
+            'escalation',
+            request=self.work.request_id,
+            dropped=attempt.model,
+            model=model,
+            confidence=facts.confidence,
+        )
+        self.model = model
+        # The endpoint works well; it may run the larger model, too.
+        self.tried.remove(attempt.endpoint.name)
+
     def _whole(
         self, attempt: Attempt, facts: AnswerFacts
     ) -> tuple[Failed | None, bool]:
@@ -189,7 +236,7 @@
         work = self.work
         if self.router.clock.monotonic() >= work.until:
             return None
-        model = self.router.model_for(work)
+        model = self.model
         placed = _placed(work, model)
         offered = self.router.candidates(work)
         place = self.router.placement.choose(offered, placed, self.tried)
--- a/bronzeglade/forwarding/metrics.py
+++ b/bronzeglade/forwarding/metrics.py
@@ -63,6 +63,11 @@
             ('failure',),
             registry=registry,
         )
+        self.escalations = Counter(
+            'bronzeglade_escalations',
+            'Answers that were dropped for one of a larger model.',
+            registry=registry,
+        )
         self.connections = Counter(
             'bronzeglade_endpoint_connections',
             'New connections to endpoints.',
--- a/bronzeglade/forwarding/router.py
+++ b/bronzeglade/forwarding/router.py
@@ -8,6 +8,7 @@
 from bronzeglade.clock import Clock
 from bronzeglade.decisions.placement import Placement
 from bronzeglade.decisions.retry import RetryBudget, RetrySettings
+from bronzeglade.decisions.sizing import SizingSettings
 from bronzeglade.forwarding.endpoint import (
     Endpoint,
     EndpointEntry,
@@ -25,7 +26,7 @@
 
 # Part of the shared retry bounds that is used: requests spread unevenly over
 # nodes, and a node does not see those that others received.
-RETRY_PART = 0.5
+RETRY_PART = 0.8
 # Tries of one request are bounded by its route.
 _UNBOUNDED = 1 << 20
 # Retry-After of a refusal, as a part of the time that the caller has left:
@@ -51,6 +52,7 @@
     registry: Registry
     rollouts: Rollouts
     nodes: Callable[[], int]
+    sizing: SizingSettings = SizingSettings()
     table: RouteTable | None = None
     budgets: dict[str, RetryBudget] = dataclasses.field(default_factory=dict)
     in_flight: int = 0
@@ -130,12 +132,12 @@
         endpoints = self.registry.serving(work.service)
         return self.rollouts.select(work, endpoints)
 
-    def model_for(self, work: Work) -> str | None:
-        """Return the model that is to answer, or None when it is named."""
+    def first_model(self, work: Work) -> str | None:
+        """Return the model that is asked first."""
         sizes = work.route.sizes
         if work.route.kind is not Kind.STREAM or not sizes:
             return work.facts.model
-        return sizes[-1]
+        return sizes[0]
 
     def retries(self, service: str) -> RetryBudget:
         """Return the budget of further tries at a service."""
