--- a/bronzeglade/decisions/sizing.py
+++ b/bronzeglade/decisions/sizing.py
@@ -12,7 +12,7 @@
     work costs more than a run of the largest model, so it needs more.
     """
 
-    thresholds: tuple[float, ...] = (85, 70, 60)
+    thresholds: tuple[float, ...] = (60, 50, 50)
 
 
 def accepts(
--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -52,6 +52,9 @@
     last_event: int | None = None
     begun: bool = False
     first_byte: dt.timedelta | None = None
+    last_byte: dt.timedelta | None = None
+    longest_gap: dt.timedelta = dt.timedelta()
+    events: int = 0
     outcome: str = ''
     detail: str = ''
 
@@ -220,12 +223,20 @@
                 return False
         if not self.begun:
             self._begin(facts)
+        self._count_event()
         self.caller.write(content)
         self.run_state = RunState.RAN
         if number is not None:
             self.last_event = number
         return True
 
+    def _count_event(self) -> None:
+        now = self.router.clock.monotonic()
+        if self.last_byte is not None:
+            self.longest_gap = max(self.longest_gap, now - self.last_byte)
+        self.last_byte = now
+        self.events += 1
+
     def _begin(self, facts: AnswerFacts) -> None:
         self.begun = True
         self.first_byte = self.router.clock.monotonic()
@@ -251,6 +262,7 @@
             number=len(self.tried) + 1,
             endpoint=place.name,
             model=model,
+            failure_domain=endpoint.failure_domain,
             offered=len(offered),
             cost=round(place.cost, 2),
             cached=place.cached_tokens,
