--- a/bronzeglade/coordination/canary.py
+++ b/bronzeglade/coordination/canary.py
@@ -38,8 +38,9 @@
 class Plan:
     """What all nodes do about an order.
 
-    `began` is the store's monotonic time, `share` the part of new work that
-    the target gets, `withdrawn` the versions that were rolled back.
+    `began` and `stepped` are monotonic times of the store: of the order and of
+    the last change. `share` is the part of new work that the target gets,
+    `withdrawn` names the versions that were rolled back.
     """
 
     service: str
@@ -48,6 +49,7 @@
     stage: Stage
     share: float
     began: dt.timedelta
+    stepped: dt.timedelta
     withdrawn: tuple[str, ...] = ()
     reason: str = ''
 
@@ -60,7 +62,7 @@
       now: the store's monotonic time.
       before: the last plan of the service.
     """
-    withdrawn = before.withdrawn if before is not None else ()
+    withdrawn = before.withdrawn if before else ()
     return Plan(
         order.service,
         order.target,
@@ -68,10 +70,25 @@
         Stage.RUNNING,
         0,
         now,
+        now,
         tuple(one for one in withdrawn if one != order.target),
     )
 
 
+def advanced(plan: Plan, share: float, stage: Stage, now: dt.timedelta) -> Plan:
+    """Return the plan after a step, or the same one without a change.
+
+    Args:
+      plan: what holds now.
+      share: part of new work from now on.
+      stage: how the roll-out stands from now on.
+      now: the store's monotonic time.
+    """
+    if share == plan.share and stage is plan.stage:
+        return plan
+    return dataclasses.replace(plan, share=share, stage=stage, stepped=now)
+
+
 def rolled_back(plan: Plan, reason: str) -> Plan:
     """Return the plan after a fault of the target."""
     return dataclasses.replace(
@@ -89,6 +106,7 @@
         **dataclasses.asdict(plan),
         'stage': plan.stage.value,
         'began': plan.began // _MILLISECOND,
+        'stepped': plan.stepped // _MILLISECOND,
     }
     return json.dumps(document).encode()
 
@@ -97,6 +115,7 @@
     """Return the plan of a row that `encode` made."""
     document = json.loads(row.body)
     document['stage'] = Stage(document['stage'])
-    document['began'] = document['began'] * _MILLISECOND
+    for name in ('began', 'stepped'):
+        document[name] = document[name] * _MILLISECOND
     document['withdrawn'] = tuple(document['withdrawn'])
     return Plan(**document)
--- a/bronzeglade/decisions/canary.py
+++ b/bronzeglade/decisions/canary.py
@@ -30,6 +30,8 @@
         (0.76, 1.0),
     )
     complete_at: float = 0.9
+    # Evidence of a step takes this long to reach the node that acts.
+    shortest_step: dt.timedelta = dt.timedelta(milliseconds=1800)
 
 
 def share_at(
@@ -54,6 +56,22 @@
     return share
 
 
+def next_share(
+    settings: CanarySettings, current: float, wanted: float
+) -> float:
+    """Return the next share on the way to a wanted one: one step at a time.
+
+    Args:
+      settings: steps.
+      current: share now.
+      wanted: share by the time that has passed.
+    """
+    steps = [share for _start, share in settings.steps if share > current]
+    if not current or not steps:
+        return max(current, wanted)
+    return max(current, min(wanted, steps[0]))
+
+
 def is_due(
     settings: CanarySettings, elapsed: dt.timedelta, duration: dt.timedelta
 ) -> bool:
--- a/bronzeglade/decisions/placement.py
+++ b/bronzeglade/decisions/placement.py
@@ -137,10 +137,10 @@
         offered = usable or left
         if not offered:
             return None
-        if not request.tokens:
-            places = [self._plain_place(one) for one in offered]
-        else:
+        if request.tokens:
             places = self._prompt_places(offered, request)
+        else:
+            places = [self._plain_place(one) for one in offered]
         return min(places, key=lambda one: (one.cost, self.source.random()))
 
     def started(self, name: str, request: PlacedRequest, unread: int) -> None:
--- a/bronzeglade/forwarding/attempt.py
+++ b/bronzeglade/forwarding/attempt.py
@@ -46,7 +46,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """A request on an endpoint; `unread` are prompt tokens it has to read."""
+    """A request on an endpoint.
+
+    `unread` are prompt tokens that it has to read; `answered_after` is the
+    time from the start to the head of an answer.
+    """
 
     endpoint: Endpoint
     model: str | None
@@ -55,6 +59,7 @@
     connection: EndpointConnection | None = None
     facts: AnswerFacts | None = None
     began: dt.timedelta = dt.timedelta()
+    answered_after: dt.timedelta | None = None
     reading: bool = True
     ended: bool = False
 
@@ -156,6 +161,7 @@
     router: Router, attempt: Attempt, facts: AnswerFacts
 ) -> Result[AnswerFacts, Failed]:
     attempt.facts = facts
+    attempt.answered_after = router.clock.monotonic() - attempt.began
     if facts.load is not None:
         load = Load(
             attempt.endpoint.entry.service,
--- a/bronzeglade/forwarding/copies.py
+++ b/bronzeglade/forwarding/copies.py
@@ -51,7 +51,10 @@
     """One table, and what is done when it changes."""
 
     def __init__(
-        self, context: CopyContext, mirror: Mirror, on_change: Callable[[], None]
+        self,
+        context: CopyContext,
+        mirror: Mirror,
+        on_change: Callable[[], None],
     ) -> None:
         """Follow a table.
 
--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -4,8 +4,9 @@
 import datetime as dt
 import enum
 
-from result import Err, Ok
+from result import Err
 
+from bronzeglade.decisions.evidence import Observation
 from bronzeglade.decisions.placement import PlacedRequest, PromptShare
 from bronzeglade.decisions.retry import Failure
 from bronzeglade.decisions.sizing import accepts, larger
@@ -23,6 +24,7 @@
 # one, when the request may run twice.
 PATIENCE = 0.75
 _SERVER_ERROR = 500
+_MILLISECOND = dt.timedelta(milliseconds=1)
 
 
 class End(enum.Enum):
@@ -84,6 +86,7 @@
                 failed = None
             attempts.end_attempt(self.router, attempt, failed, complete)
         self._log_attempt(attempt, failed)
+        self._observe(attempt, failed)
         if self.caller.left:
             self.outcome = 'abandoned'
         elif failed is not None and not self.outcome:
@@ -112,8 +115,7 @@
             confidence=facts.confidence,
             load=None if facts.load is None else facts.load.running,
             waiting=None if facts.load is None else facts.load.waiting,
-            after_ms=(self.router.clock.monotonic() - attempt.began)
-            // dt.timedelta(milliseconds=1),
+            after_ms=_ms(attempt.answered_after),
         )
         if self.work.route.kind is Kind.STREAM and facts.succeeded:
             larger = self._larger_model(facts)
@@ -341,6 +343,21 @@
         message = 'the endpoint failed'
         return Refusal(502, 'endpoint_failed', message, self.run_state)
 
+    def _observe(self, attempt: Attempt, failed: Failed | None) -> None:
+        """Count the try as evidence about the endpoint's version."""
+        if failed is not None and failed.failure is not Failure.LOST:
+            return
+        ratio = None
+        if attempt.answered_after is not None:
+            ratio = attempt.answered_after / self.work.route.objective
+        elif failed is None:
+            return
+        self.router.rollouts.observe(
+            self.work.service,
+            attempt.endpoint.entry.version,
+            Observation(error=failed is not None, latency_ratio=ratio),
+        )
+
     def _log_attempt(self, attempt: Attempt, failed: Failed | None) -> None:
         if failed is None:
             return
@@ -364,6 +381,10 @@
     caller.respond(refusal.status, headers, refusal.message.encode())
 
 
+def _ms(duration: dt.timedelta | None) -> int | None:
+    return None if duration is None else duration // _MILLISECOND
+
+
 def _abort(attempt: Attempt) -> None:
     if attempt.connection is not None:
         attempt.connection.abort()
--- a/bronzeglade/forwarding/door.py
+++ b/bronzeglade/forwarding/door.py
@@ -4,8 +4,9 @@
 
 from result import Err, Ok, Result
 
-from bronzeglade.forwarding.caller import Caller, IncomingRequest
+from bronzeglade.forwarding.caller import Caller
 from bronzeglade.forwarding.delivery import Delivery, refuse
+from bronzeglade.forwarding.inbound import IncomingRequest
 from bronzeglade.forwarding.message import RequestFacts
 from bronzeglade.forwarding.route import Route, RouteTable, Team
 from bronzeglade.forwarding.router import Router
@@ -61,9 +62,7 @@
     if table is None:
         message = 'no configuration is known yet'
         return Err(
-            Refusal(
-                503, 'starting', message, RunState.NOT_RUN, STARTING_RETRY
-            )
+            Refusal(503, 'starting', message, RunState.NOT_RUN, STARTING_RETRY)
         )
     found = _find(table, incoming, facts.ok_value)
     if isinstance(found, Err):
@@ -106,9 +105,7 @@
     now = router.clock.monotonic()
     first = delivery.first_byte
     outcome = delivery.outcome or 'interrupted'
-    router.metrics.ended(
-        work.route.name, outcome, work.received, first, now
-    )
+    router.metrics.ended(work.route.name, outcome, work.received, first, now)
     router.log.event(
         'request',
         request=work.request_id,
--- a/bronzeglade/forwarding/endpoint.py
+++ b/bronzeglade/forwarding/endpoint.py
@@ -122,8 +122,7 @@
         return [
             endpoint
             for endpoint in self.endpoints.values()
-            if endpoint.entry.service == service
-            and not endpoint.entry.draining
+            if endpoint.entry.service == service and not endpoint.entry.draining
         ]
 
     def close_idle(self) -> None:
--- a/bronzeglade/forwarding/event.py
+++ b/bronzeglade/forwarding/event.py
@@ -42,7 +42,8 @@
             end = self._end()
             if end < 0:
                 return events
-            content, self.rest = self.rest[:end], self.rest[end:]
+            content = self.rest[:end]
+            self.rest = self.rest[end:]
             events.append(StreamEvent(event_number(content), content))
 
     def _end(self) -> int:
--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -20,9 +20,10 @@
 from bronzeglade.coordination.mirror import Mirror
 from bronzeglade.decisions.placement import Placement, PlacementSettings
 from bronzeglade.forwarding import copies, door, roster, wire
-from bronzeglade.forwarding.caller import Caller, CallerConnection, IncomingRequest
+from bronzeglade.forwarding.caller import Caller, CallerConnection
 from bronzeglade.forwarding.copies import Copy, CopyContext
 from bronzeglade.forwarding.endpoint import EndpointEntry, Registry
+from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
 from bronzeglade.forwarding.journal import Log
 from bronzeglade.forwarding.metrics import Metrics
 from bronzeglade.forwarding.rollouts import TICK, Rollouts
@@ -124,12 +125,8 @@
             store=settings.store,
         )
         self._serve_callers(settings.callers)
-        self._serve(
-            settings.readiness, self.site.readiness(self.is_ready)
-        )
-        self._serve(
-            settings.directory, self.site.directory(self.addresses)
-        )
+        self._serve(settings.readiness, self.site.readiness(self.is_ready))
+        self._serve(settings.directory, self.site.directory(self.addresses))
         self._serve(
             settings.control,
             copies.pages((self.orders, self.entries, self.own)),
@@ -275,13 +272,10 @@
         spawn_loop(accept)
 
     def _serve_connection(self, sock: Any) -> None:
-        connection = CallerConnection(
-            sock,
-            self.clock,
-            self._handle,
-            self._limits,
-            lambda: self.router.draining,
+        reader = RequestReader(
+            sock, self.clock, self._limits, lambda: self.router.draining
         )
+        connection = CallerConnection(reader, self._handle)
         self.connections.add(connection)
         try:
             connection.run()
--- a/bronzeglade/forwarding/rollouts.py
+++ b/bronzeglade/forwarding/rollouts.py
@@ -210,16 +210,18 @@
         self._commit(watch, wanted)
 
     def _wanted(self, watch: _Watch, plan: Plan) -> Plan:
-        elapsed = self.own.store_time() - plan.began
+        now = self.own.store_time()
+        elapsed = now - plan.began
         duration = watch.order.duration
-        if canary.is_due(self.settings, elapsed, duration):
-            return _replaced(plan, 1, Stage.COMPLETED)
-        share = canary.share_at(
-            self.settings, elapsed, duration, self.exposure
-        )
+        if plan.share and now - plan.stepped < self.settings.shortest_step:
+            return plan
+        if canary.is_due(self.settings, elapsed, duration) and plan.share == 1:
+            return plans.advanced(plan, 1, Stage.COMPLETED, now)
+        share = canary.share_at(self.settings, elapsed, duration, self.exposure)
         if watch.judge.verdict().suspect:
             share = plan.share
-        return _replaced(plan, max(share, plan.share), Stage.RUNNING)
+        share = canary.next_share(self.settings, plan.share, share)
+        return plans.advanced(plan, share, Stage.RUNNING, now)
 
     def _is_turn(self, watch: _Watch) -> bool:
         """Return whether this node acts now: by rank, others after a while."""
@@ -314,18 +316,5 @@
             )
 
 
-def _replaced(plan: Plan, share: float, stage: Stage) -> Plan:
-    return Plan(
-        plan.service,
-        plan.target,
-        plan.order,
-        stage,
-        share,
-        plan.began,
-        plan.withdrawn,
-        plan.reason,
-    )
-
-
 def _evidence_prefix(order: Order) -> str:
     return f'{EVIDENCE_TABLE}/{order.service}/{order.number}/'
--- a/bronzeglade/forwarding/route.py
+++ b/bronzeglade/forwarding/route.py
@@ -140,11 +140,7 @@
         if not routes:
             return None
         return next(
-            (
-                routes[prefix]
-                for prefix in _prefixes(path)
-                if prefix in routes
-            ),
+            (routes[prefix] for prefix in _prefixes(path) if prefix in routes),
             None,
         )
 
--- a/bronzeglade/forwarding/upstream.py
+++ b/bronzeglade/forwarding/upstream.py
@@ -107,9 +107,7 @@
             event = outcome.ok_value
             if isinstance(event, h11.Response):
                 self.closing = self.closing or _says_close(event)
-                return Ok(
-                    RawHead(event.status_code, event.headers.raw_items())
-                )
+                return Ok(RawHead(event.status_code, event.headers.raw_items()))
             if not isinstance(event, h11.InformationalResponse):
                 return Err(Broken(sent=True, detail='no answer'))
 
--- a/bronzeglade/platform/documents.py
+++ b/bronzeglade/platform/documents.py
@@ -133,9 +133,7 @@
         document = _Configuration.model_validate_json(row.body)
     except pd.ValidationError as error:
         return Err(_summary(error))
-    routes = tuple(
-        _route(one) for one in document.routes if one.kind in _KINDS
-    )
+    routes = tuple(_route(one) for one in document.routes if one.kind in _KINDS)
     limits = document.limits
     teams: dict[str, Team] | None = None
     if document.tenants is not None:
