--- /dev/null
+++ b/bronzeglade/forwarding/builders.py
@@ -0,0 +1,525 @@
+"""Test data of the request path: routers, endpoints, callers on loopback."""
+
+import dataclasses
+import datetime as dt
+import os
+import random
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+import eventlet
+from eventlet.green import socket
+from prometheus_client import CollectorRegistry
+from result import Err, Ok, Result
+
+from bronzeglade.adapters.table import Put, Row
+from bronzeglade.builders import ManualClock, MemoryTable
+from bronzeglade.clock import BootClock
+from bronzeglade.coordination.canary import Order, Plan
+from bronzeglade.coordination.mirror import Mirror
+from bronzeglade.decisions.placement import Placement, PlacementSettings
+from bronzeglade.forwarding import door
+from bronzeglade.forwarding.caller import Caller, CallerConnection
+from bronzeglade.forwarding.endpoint import EndpointEntry, Registry
+from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
+from bronzeglade.forwarding.journal import Log
+from bronzeglade.forwarding.message import (
+    AnswerFacts,
+    Dispatch,
+    Headers,
+    PromptPart,
+    RequestFacts,
+    RequestHead,
+)
+from bronzeglade.forwarding.metrics import Metrics
+from bronzeglade.forwarding.rollouts import Rollouts
+from bronzeglade.forwarding.route import (
+    Kind,
+    Limits,
+    Route,
+    RouteTable,
+    Service,
+    Team,
+    WeightedService,
+    index_routes,
+)
+from bronzeglade.forwarding.router import Router
+from bronzeglade.forwarding.settings import (
+    RetryBounds,
+    RolloutBounds,
+    RouterSettings,
+    StopBounds,
+)
+from bronzeglade.forwarding.site import Documents
+from bronzeglade.outcome import Refusal
+
+HOST = 'api.example'
+KEY = 'key-1'
+TEAM = 'atlas'
+SERVICE = 'workers'
+SECOND = dt.timedelta(seconds=1)
+MILLISECOND = dt.timedelta(milliseconds=1)
+THREE_SECONDS = dt.timedelta(seconds=3)
+LOOPBACK = '127.0.0.1'
+
+
+class PlainDialect:
+    """A dialect of the tests; its names are the product's own words."""
+
+    def read_request(self, head: RequestHead) -> Result[RequestFacts, Refusal]:
+        """Return what the headers of a request say."""
+        fields = _fields(head.headers)
+        limit = fields.get('time-limit-ms')
+        last = fields.get('last-event')
+        parts = tuple(
+            PromptPart(name, 100)
+            for name in fields.get('parts', '').split(',')
+            if name
+        )
+        return Ok(
+            RequestFacts(
+                request_id=fields['id'],
+                host=fields['host'],
+                key=fields.get('key'),
+                time_limit=None if limit is None else int(limit) * MILLISECOND,
+                prompt_tokens=100 * len(parts),
+                parts=parts,
+                last_event=None if last is None else int(last),
+            )
+        )
+
+    def endpoint_headers(
+        self, head: RequestHead, dispatch: Dispatch, length: int
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of a request towards an endpoint."""
+        own = {
+            'instance': dispatch.instance,
+            'team': dispatch.team,
+            'model': dispatch.model,
+            'resume-after': dispatch.resume_after,
+        }
+        passed = [
+            one
+            for one in head.headers
+            if one[0].lower() not in {b'key', b'content-length'}
+        ]
+        added = [
+            (name.encode(), str(content).encode())
+            for name, content in own.items()
+            if content is not None
+        ]
+        return [*passed, *added, (b'Content-Length', str(length).encode())]
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
+        """Return what the head of an endpoint's answer says."""
+        fields = _fields(headers)
+        confidence = fields.get('confidence')
+        return AnswerFacts(
+            status=status,
+            headers=[
+                one
+                for one in headers
+                if one[0].lower()
+                not in {b'content-length', b'transfer-encoding', b'connection'}
+            ],
+            request_id=fields.get('id'),
+            signed='signature' in fields,
+            not_run='not-run' in fields,
+            encoded='content-encoding' in fields,
+            confidence=None if confidence is None else float(confidence),
+        )
+
+    def refusal_headers(
+        self, refusal: Refusal, request_id: str | None
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of a refusal."""
+        if refusal.retry_after is None:
+            return []
+        seconds = str(refusal.retry_after.total_seconds())
+        return [(b'Retry-After', seconds.encode())]
+
+
+def _fields(headers: Headers) -> dict[str, str]:
+    return {
+        name.decode().lower(): content.decode() for name, content in headers
+    }
+
+
+def route(
+    kind: Kind = Kind.IDEMPOTENT,
+    attempts: int = 2,
+    resumable: bool = False,
+    sizes: tuple[str, ...] = (),
+    timeout: dt.timedelta = THREE_SECONDS,
+    objective: dt.timedelta = SECOND,
+    priority: int = 0,
+) -> Route:
+    """Return a route of the tests, below `/KIND/`."""
+    return Route(
+        name=kind.value,
+        host=HOST,
+        prefix=f'/{kind.value}/',
+        kind=kind,
+        timeout=timeout,
+        objective=objective,
+        attempts=attempts,
+        priority=priority,
+        services=(WeightedService(SERVICE, 1),),
+        sizes=sizes,
+        resumable=resumable,
+    )
+
+
+def table(*routes: Route, version: int = 1) -> RouteTable:
+    """Return a configuration with one service and one key."""
+    return RouteTable(
+        version=version,
+        routes=index_routes(routes),
+        services={SERVICE: Service(SERVICE, '/health', 64)},
+        limits=Limits(4096, 65536, SECOND, 5 * SECOND),
+        teams={KEY: Team(TEAM)},
+    )
+
+
+def settings(name: str = 'node-1') -> RouterSettings:
+    """Return settings of the tests; every address is on loopback."""
+    nowhere = (LOOPBACK, 0)
+    return RouterSettings(
+        name=name,
+        failure_domain='a',
+        region='r',
+        failure_domains={'a': 'r', 'b': 'r'},
+        callers=nowhere,
+        readiness=nowhere,
+        directory=nowhere,
+        control=nowhere,
+        peers=(),
+        store=nowhere,
+        retry=RetryBounds(0.9, 50, 10 * SECOND),
+        rollout=RolloutBounds(0.15, 30, 5 * SECOND),
+        stop=StopBounds(8 * SECOND, 3 * SECOND),
+        session_gap=5 * SECOND,
+    )
+
+
+def documents() -> Documents:
+    """Return decoders that find nothing; tests set orders and plans."""
+
+    def nothing(_row: Row) -> Result[Any, str]:
+        return Err('not used')
+
+    def order(row: Row) -> Result[Order, str]:
+        service, target, seconds = row.body.decode().split()
+        duration = dt.timedelta(seconds=float(seconds))
+        return Ok(Order(service, target, duration, row.version))
+
+    def status(plan: Plan) -> Put:
+        return Put(f'status/{plan.service}', plan.stage.value.encode())
+
+    return Documents(
+        operator_table='orders',
+        endpoint_table='endpoints',
+        configuration_key='orders/configuration',
+        order_prefix='orders/rollout/',
+        read_configuration=nothing,
+        read_endpoint=nothing,
+        read_order=order,
+        status_row=status,
+    )
+
+
+def rollouts(
+    clock: ManualClock | BootClock, memory: MemoryTable | None = None
+) -> Rollouts:
+    """Return the roll-outs of a node without orders."""
+    built = Rollouts(
+        memory or MemoryTable(),
+        Mirror('orders', clock),
+        Mirror('bronzeglade', clock),
+        documents(),
+        log(),
+    )
+    built.node = 'node-1'
+    built.exposure = 0.15
+    return built
+
+
+def log() -> Log:
+    """Return a log that goes nowhere."""
+    return Log(os.open(os.devnull, os.O_WRONLY), 'node-1', BootClock())
+
+
+def entry(
+    name: str,
+    port: int = 1,
+    version: str = 'v1',
+    failure_domain: str = 'a',
+    draining: bool = False,
+    started: int = 0,
+) -> EndpointEntry:
+    """Return a registered endpoint on loopback."""
+    return EndpointEntry(
+        name=name,
+        service=SERVICE,
+        address=(LOOPBACK, port),
+        failure_domain=failure_domain,
+        version=version,
+        slots=4,
+        draining=draining,
+        started=started,
+    )
+
+
+def router(*routes: Route) -> Router:
+    """Return the router of a node with one service and no endpoints."""
+    clock = BootClock()
+    source = random.Random(1)
+    built = Router(
+        settings=settings(),
+        clock=clock,
+        random=source,
+        dialect=PlainDialect(),
+        log=log(),
+        metrics=Metrics(CollectorRegistry()),
+        placement=Placement(PlacementSettings(), 'a', clock, source),
+        registry=Registry(clock),
+        rollouts=rollouts(clock),
+        nodes=lambda: 1,
+    )
+    if routes:
+        built.adopt(table(*routes))
+    return built
+
+
+Script = Callable[['Peer'], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """One connection at a scripted endpoint."""
+
+    sock: Any
+    endpoint: 'ScriptedEndpoint'
+    buffer: bytes = b''
+
+    def read_head(self) -> dict[str, str]:
+        """Read a request; return its headers and its first line."""
+        while b'\r\n\r\n' not in self.buffer:
+            received = self.sock.recv(65536)
+            if not received:
+                raise ConnectionError('closed')
+            self.buffer += received
+        head, rest = self.buffer.split(b'\r\n\r\n', 1)
+        self.buffer = rest
+        lines = head.decode().split('\r\n')
+        fields = dict(line.lower().split(': ', 1) for line in lines[1:])
+        fields['line'] = lines[0]
+        return fields
+
+    def read_request(self) -> dict[str, str]:
+        """Read a request with its body and note it."""
+        fields = self.read_head()
+        length = int(fields.get('content-length', '0'))
+        while len(self.buffer) < length:
+            self.buffer += self.sock.recv(65536)
+        fields['body'] = self.buffer[:length].decode('latin-1')
+        self.buffer = self.buffer[length:]
+        self.endpoint.seen.append(fields)
+        return fields
+
+    def send(self, text: str) -> None:
+        """Send bytes."""
+        self.sock.sendall(text.encode())
+
+    def answer(
+        self,
+        request: Mapping[str, str],
+        body: str = 'done',
+        status: int = 200,
+        extra: Sequence[str] = (),
+    ) -> None:
+        """Send a whole signed answer to a request."""
+        lines = [
+            f'HTTP/1.1 {status} Status',
+            f'Id: {request["id"]}',
+            'Signature: s',
+            f'Content-Length: {len(body)}',
+            *extra,
+        ]
+        self.send('\r\n'.join(lines) + '\r\n\r\n' + body)
+
+    def begin_stream(
+        self, request: Mapping[str, str], extra: Sequence[str] = ()
+    ) -> None:
+        """Send the head of a stream."""
+        lines = [
+            'HTTP/1.1 200 OK',
+            f'Id: {request["id"]}',
+            'Signature: s',
+            'Transfer-Encoding: chunked',
+            *extra,
+        ]
+        self.send('\r\n'.join(lines) + '\r\n\r\n')
+
+    def chunk(self, text: str) -> None:
+        """Send a chunk of a stream; an empty one ends it."""
+        self.send(f'{len(text):x}\r\n{text}\r\n')
+
+    def event(self, number: int) -> None:
+        """Send a whole event."""
+        self.chunk(event_text(number))
+
+    def reset(self) -> None:
+        """Reset the connection."""
+        self.sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, b'\1\0\0\0\0\0\0\0'
+        )
+        self.sock.close()
+
+
+def event_text(number: int) -> str:
+    """Return the text of an event."""
+    return f'id: {number}\ndata: piece {number}\n\n'
+
+
+class ScriptedEndpoint:
+    """An endpoint on loopback that follows a script on each connection."""
+
+    def __init__(self, script: Script) -> None:
+        """Listen on a free port; `seen` holds the requests read."""
+        self.script = script
+        self.seen: list[dict[str, str]] = []
+        self.connections = 0
+        self.ended = 0
+        self.listener = eventlet.listen((LOOPBACK, 0))
+        self.port = self.listener.getsockname()[1]
+        eventlet.spawn(self._accept)
+
+    def _accept(self) -> None:
+        while True:
+            sock, _peer = self.listener.accept()
+            self.connections += 1
+            eventlet.spawn(self._serve, sock)
+
+    def _serve(self, sock: Any) -> None:
+        try:
+            self.script(Peer(sock, self))
+        except (ConnectionError, OSError):
+            # The router closed the connection.
+            self.ended += 1
+
+
+def serve(built: Router) -> int:
+    """Serve callers on loopback; return the port."""
+    listener = eventlet.listen((LOOPBACK, 0))
+
+    def limits() -> Limits | None:
+        return None if built.table is None else built.table.limits
+
+    def is_stopping() -> bool:
+        return built.draining
+
+    def handle(incoming: IncomingRequest, caller: Caller) -> None:
+        door.handle(built, incoming, caller)
+
+    def accept() -> None:
+        while True:
+            sock, _peer = listener.accept()
+            reader = RequestReader(sock, built.clock, limits, is_stopping)
+            eventlet.spawn(CallerConnection(reader, handle).run)
+
+    eventlet.spawn(accept)
+    port: int = listener.getsockname()[1]
+    return port
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller received until the connection ended or was idle."""
+
+    status: int
+    headers: dict[str, str]
+    body: str
+    whole: bool
+
+
+class Client:
+    """A caller on loopback that shows what is on the wire."""
+
+    def __init__(self, port: int) -> None:
+        """Connect."""
+        self.sock = eventlet.connect((LOOPBACK, port))
+        self.buffer = b''
+
+    def send(
+        self,
+        kind: Kind,
+        request_id: str = 'r1',
+        body: str = '',
+        extra: Sequence[str] = (),
+        key: str = KEY,
+    ) -> None:
+        """Send a request to the route of a kind."""
+        lines = [
+            f'POST /{kind.value}/x?q=1 HTTP/1.1',
+            f'Host: {HOST}',
+            f'Id: {request_id}',
+            f'Key: {key}',
+            f'Content-Length: {len(body)}',
+            *extra,
+        ]
+        self.sock.sendall(('\r\n'.join(lines) + '\r\n\r\n' + body).encode())
+
+    def read(self, limit_s: float = 5) -> Answer:
+        """Read one answer."""
+        head = self._until(b'\r\n\r\n', limit_s)
+        lines = head.decode().split('\r\n')
+        headers = dict(line.lower().split(': ', 1) for line in lines[1:])
+        status = int(lines[0].split(' ')[1])
+        length = headers.get('content-length')
+        if length is None:
+            body, whole = self._chunks(limit_s)
+        else:
+            body, whole = self._take(int(length), limit_s)
+        return Answer(status, headers, body.decode(), whole)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.sock.close()
+
+    def _receive(self, limit_s: float) -> bool:
+        self.sock.settimeout(limit_s)
+        try:
+            received = self.sock.recv(65536)
+        except OSError:
+            return False
+        self.buffer += received
+        return bool(received)
+
+    def _until(self, mark: bytes, limit_s: float) -> bytes:
+        while mark not in self.buffer:
+            if not self._receive(limit_s):
+                raise ConnectionError('the connection ended')
+        found, rest = self.buffer.split(mark, 1)
+        self.buffer = rest
+        return found
+
+    def _take(self, length: int, limit_s: float) -> tuple[bytes, bool]:
+        while len(self.buffer) < length:
+            if not self._receive(limit_s):
+                return self.buffer, False
+        taken = self.buffer[:length]
+        self.buffer = self.buffer[length:]
+        return taken, True
+
+    def _chunks(self, limit_s: float) -> tuple[bytes, bool]:
+        blocks: list[bytes] = []
+        try:
+            while True:
+                size = int(self._until(b'\r\n', limit_s), 16)
+                block, whole = self._take(size + 2, limit_s)
+                if not whole or not size:
+                    return b''.join(blocks), whole
+                blocks.append(block[:-2])
+        except ConnectionError:
+            return b''.join(blocks), False
--- a/bronzeglade/forwarding/inbound.py
+++ b/bronzeglade/forwarding/inbound.py
@@ -187,9 +187,8 @@
 
     def _receive(self, deadline: dt.timedelta) -> bool:
         """Read bytes or the end; return False when none came in time."""
-        wire.limit_until(self.sock, self.clock, deadline)
         try:
-            received = self.sock.recv(wire.READ_BYTES)
+            received = wire.receive(self.sock, self.clock, deadline)
         except TimeoutError:
             return False
         self.parser.receive_data(received)
--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -109,6 +109,7 @@
         self.nodes: dict[str, RouterNode] = {}
         self.connections: set[CallerConnection] = set()
         self.listeners: list[Any] = []
+        self.stopped_listening = False
         self.stopped = eventlet.event.Event()
 
     def run(self) -> int:
@@ -264,13 +265,20 @@
         listener = wire.listen(address, BACKLOG)
         self.listeners.append(listener)
 
-        def accept() -> None:
-            sock, _peer = listener.accept()
+        eventlet.spawn(self._accept, listener)
+
+    def _accept(self, listener: Any) -> None:
+        while not self.stopped_listening:
+            try:
+                sock, _peer = listener.accept()
+            except OSError as error:
+                if not self.stopped_listening:
+                    self.log.event('accept_failed', detail=repr(error))
+                    eventlet.sleep(STOP_POLL.total_seconds())
+                continue
             wire.tune(sock)
             eventlet.spawn(self._serve_connection, sock)
 
-        spawn_loop(accept)
-
     def _serve_connection(self, sock: Any) -> None:
         reader = RequestReader(
             sock, self.clock, self._limits, lambda: self.router.draining
@@ -341,6 +349,7 @@
         deadline = began + settings.stop.grace * STOP_PART
         while self.clock.monotonic() < listed_until:
             eventlet.sleep(STOP_POLL.total_seconds())
+        self.stopped_listening = True
         for listener in self.listeners:
             listener.close()
         while self.router.in_flight and self.clock.monotonic() < deadline:
--- a/bronzeglade/forwarding/upstream.py
+++ b/bronzeglade/forwarding/upstream.py
@@ -225,9 +225,8 @@
                 return Err(Broken(sent=True, detail=f'malformed: {error}'))
             if event is not h11.NEED_DATA:
                 return Ok(event)
-            wire.limit_until(self.sock, self.clock, deadline)
             try:
-                received = self.sock.recv(wire.READ_BYTES)
+                received = wire.receive(self.sock, self.clock, deadline)
             except OSError as error:
                 return Err(Broken(sent=True, detail=repr(error)))
             self.parser.receive_data(received)
--- a/bronzeglade/forwarding/wire.py
+++ b/bronzeglade/forwarding/wire.py
@@ -4,6 +4,7 @@
 import socket as sockets
 from typing import Any
 
+from eventlet import hubs
 from eventlet.green import socket
 
 from bronzeglade.clock import Clock
@@ -73,6 +74,36 @@
     sock.settimeout(max(SHORTEST_S, left))
 
 
+def receive(sock: Any, clock: Clock, deadline: dt.timedelta) -> bytes:
+    """Return bytes, or none at an orderly end.
+
+    The library's own `recv` tells a reset as an orderly end, which would make
+    an answer without a length look whole.
+
+    Args:
+      sock: a connected socket.
+      clock: its monotonic time counts the deadline.
+      deadline: monotonic time at which the wait ends.
+
+    Raises:
+      TimeoutError: nothing came in time.
+      OSError: the connection failed, such as by a reset.
+    """
+    while True:
+        try:
+            received: bytes = sock.fd.recv(READ_BYTES)
+        except BlockingIOError:
+            left = (deadline - clock.monotonic()).total_seconds()
+            hubs.trampoline(
+                sock.fd,
+                read=True,
+                timeout=max(SHORTEST_S, left),
+                timeout_exc=TimeoutError,
+            )
+        else:
+            return received
+
+
 def is_quiet(sock: Any) -> bool:
     """Return whether nothing can be read: neither bytes nor an end."""
     try:
