Let the writer of a roll-out plan go on with it; tests of the request path

Cause: after a takeover each step waited again for the dead node's turn (rollouts_test, failed before). Large heads that arrive at once passed the parser's limit (inbound_test, failed before).

--- a/bronzeglade/coordination/canary.py
+++ b/bronzeglade/coordination/canary.py
@@ -40,7 +40,8 @@
 
     `began` and `stepped` are monotonic times of the store: of the order and of
     the last change. `share` is the part of new work that the target gets,
-    `withdrawn` names the versions that were rolled back.
+    `withdrawn` names the versions that were rolled back, `writer` the node
+    that wrote the plan and goes on with it.
     """
 
     service: str
@@ -52,6 +53,7 @@
     stepped: dt.timedelta
     withdrawn: tuple[str, ...] = ()
     reason: str = ''
+    writer: str = ''
 
 
 def first_plan(order: Order, now: dt.timedelta, before: Plan | None) -> Plan:
--- /dev/null
+++ b/bronzeglade/coordination/mirror_test.py
@@ -0,0 +1,61 @@
+"""Guards that a copy of a table never goes back."""
+
+import datetime as dt
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bronzeglade.adapters.feed import Changes, Snapshot
+from bronzeglade.adapters.table import Row
+from bronzeglade.builders import ManualClock
+from bronzeglade.coordination.mirror import SETTLING, Mirror
+
+
+def snapshot(as_of: int, *keys: str) -> Snapshot:
+    """Return a snapshot whose rows carry its version."""
+    return Snapshot(as_of, {key: Row(key, as_of, b'') for key in keys})
+
+
+def test_older_copy_of_a_peer_is_not_taken() -> None:
+    """A peer that is behind must not bring back a revoked key."""
+    mirror = Mirror('t', ManualClock())
+    mirror.replace(snapshot(7, 't/new'))
+    assert not mirror.replace(snapshot(5, 't/old'))
+    assert list(mirror.rows) == ['t/new']
+
+
+def test_removed_row_is_gone() -> None:
+    """A removed row must not stay in the copy."""
+    mirror = Mirror('t', ManualClock())
+    mirror.replace(snapshot(7, 't/a', 't/b'))
+    assert mirror.apply(Changes(8, {}, frozenset(('t/a',))))
+    assert list(mirror.rows) == ['t/b']
+
+
+def test_table_settles_after_the_store_is_back() -> None:
+    """Rows that lapsed during an outage get time to be written again."""
+    clock = ManualClock()
+    mirror = Mirror('t', clock)
+    mirror.replace(snapshot(7))
+    assert mirror.is_settled()
+    assert mirror.missed()
+    assert not mirror.missed()
+    assert not mirror.is_settled()
+    assert mirror.reached()
+    assert not mirror.is_settled()
+    clock.advance(SETTLING + dt.timedelta(milliseconds=1))
+    assert mirror.is_settled()
+
+
+@given(st.lists(st.tuples(st.booleans(), st.integers(1, 20))))
+def test_version_never_falls(steps: list[tuple[bool, int]]) -> None:
+    """No order of answers and peers may turn a copy back."""
+    mirror = Mirror('t', ManualClock())
+    newest = 0
+    for whole, as_of in steps:
+        if whole:
+            mirror.replace(snapshot(as_of, f't/{as_of}'))
+        else:
+            mirror.apply(Changes(as_of, {}))
+        assert mirror.as_of >= newest
+        newest = mirror.as_of
--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -61,6 +61,7 @@
 MILLISECOND = dt.timedelta(milliseconds=1)
 THREE_SECONDS = dt.timedelta(seconds=3)
 LOOPBACK = '127.0.0.1'
+HOP_HEADERS = frozenset((b'key', b'content-length', b'transfer-encoding'))
 
 
 class PlainDialect:
@@ -99,9 +100,7 @@
             'resume-after': dispatch.resume_after,
         }
         passed = [
-            one
-            for one in head.headers
-            if one[0].lower() not in {b'key', b'content-length'}
+            one for one in head.headers if one[0].lower() not in HOP_HEADERS
         ]
         added = [
             (name.encode(), str(content).encode())
--- a/bronzeglade/forwarding/inbound.py
+++ b/bronzeglade/forwarding/inbound.py
@@ -84,7 +84,7 @@
         if raw is None:
             return Ok(None)
         received = self.clock.monotonic()
-        refusal = head_refusal(raw)
+        refusal = head_refusal(raw, self._limits().header_bytes)
         if refusal is not None:
             return Err(refusal)
         if self.parser.they_are_waiting_for_100_continue:
@@ -199,12 +199,20 @@
         self.sock.sendall(self.parser.send(interim))
 
 
-def head_refusal(head: h11.Request) -> Refusal | None:
-    """Return the refusal of a head that two parsers may read differently.
+def head_refusal(head: h11.Request, limit: int) -> Refusal | None:
+    """Return the refusal of a head that is too large or ambiguous.
+
+    Two parsers may read a body of ambiguous length differently, so a request
+    could hide in it.
 
     Args:
       head: as the parser took it.
+      limit: largest number of bytes of its headers.
     """
+    size = sum(len(name) + len(content) for name, content in head.headers)
+    if size > limit:
+        message = f'the headers have more than {limit} bytes'
+        return Refusal(431, 'headers_too_large', message)
     names = [name for name, _content in head.headers]
     both = b'content-length' in names and b'transfer-encoding' in names
     if both or names.count(b'content-length') > 1:
--- /dev/null
+++ b/bronzeglade/forwarding/inbound_test.py
@@ -0,0 +1,111 @@
+"""Guards what is read from callers: within limits, and unambiguous."""
+
+import dataclasses
+import datetime as dt
+
+import eventlet
+import pytest
+
+from bronzeglade.forwarding import builders
+from bronzeglade.forwarding.builders import Client, Peer, ScriptedEndpoint
+from bronzeglade.forwarding.route import Kind
+from bronzeglade.forwarding.router import Router
+
+
+def answering(peer: Peer) -> None:
+    """Answer every request."""
+    while True:
+        peer.answer(peer.read_request())
+
+
+def serving() -> tuple[Router, ScriptedEndpoint, int]:
+    """Return a router with one endpoint and its port."""
+    router = builders.router(builders.route())
+    endpoint = ScriptedEndpoint(answering)
+    router.update_endpoints([builders.entry('e', endpoint.port)], settled=True)
+    return router, endpoint, builders.serve(router)
+
+
+HEAD = 'POST /idempotent/x HTTP/1.1\r\nHost: api.example\r\nId: r\r\nKey: key-1'
+
+
+@pytest.mark.parametrize(
+    'framing',
+    [
+        'Content-Length: 3\r\nTransfer-Encoding: chunked',
+        'Content-Length: 3\r\nContent-Length: 4',
+        'Transfer-Encoding: gzip',
+        'Content-Length: +3',
+    ],
+)
+def test_ambiguous_length_is_refused(framing: str) -> None:
+    """A request that hides another one must not reach an endpoint."""
+    _router, endpoint, port = serving()
+    client = Client(port)
+    client.sock.sendall(f'{HEAD}\r\n{framing}\r\n\r\n0\r\n\r\n'.encode())
+    assert client.read().status in {400, 501}
+    assert not endpoint.seen
+
+
+def test_chunked_body_arrives_whole() -> None:
+    """Chunks are a frame of one connection, not part of the body."""
+    _router, endpoint, port = serving()
+    client = Client(port)
+    client.sock.sendall(
+        f'{HEAD}\r\nTransfer-Encoding: chunked\r\n\r\n'
+        '3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'.encode()
+    )
+    assert client.read().status == 200
+    assert endpoint.seen[0]['body'] == 'abcde'
+    assert 'transfer-encoding' not in endpoint.seen[0]
+
+
+def test_pipelined_requests_are_answered_in_order() -> None:
+    """A request behind another one must get its own answer."""
+    _router, endpoint, port = serving()
+    client = Client(port)
+    client.send(Kind.IDEMPOTENT, 'r1')
+    client.send(Kind.IDEMPOTENT, 'r2')
+    assert client.read().headers['id'] == 'r1'
+    assert client.read().headers['id'] == 'r2'
+    assert [one['id'] for one in endpoint.seen] == ['r1', 'r2']
+
+
+def test_large_head_and_body_are_refused() -> None:
+    """What is above the limits must cost neither memory nor an endpoint."""
+    _router, endpoint, port = serving()
+    client = Client(port)
+    client.send(Kind.IDEMPOTENT, extra=(f'Pad: {"x" * 9000}',))
+    assert client.read().status == 431
+    client = Client(port)
+    client.send(Kind.IDEMPOTENT, body='x' * 70000)
+    assert client.read().status == 413
+    assert not endpoint.seen
+
+
+def test_slow_head_is_refused_as_not_run() -> None:
+    """A caller that stops in the middle of a head must not hold a place."""
+    router, _endpoint, port = serving()
+    assert router.table is not None
+    limits = dataclasses.replace(
+        router.table.limits, header_timeout=dt.timedelta(milliseconds=100)
+    )
+    router.table = dataclasses.replace(router.table, limits=limits)
+    client = Client(port)
+    client.sock.sendall(HEAD.encode())
+    assert client.read().status == 408
+
+
+def test_stopping_node_ends_idle_connections_only() -> None:
+    """A request that is there is answered; idle connections end."""
+    router, _endpoint, port = serving()
+    client = Client(port)
+    router.draining = True
+    client.send(Kind.IDEMPOTENT)
+    answer = client.read()
+    assert answer.status == 200
+    assert answer.headers['connection'] == 'close'
+    idle = Client(port)
+    eventlet.sleep(0.1)
+    idle.sock.settimeout(3)
+    assert idle.sock.recv(10) == b''
--- a/bronzeglade/forwarding/rollouts.py
+++ b/bronzeglade/forwarding/rollouts.py
@@ -1,5 +1,6 @@
 """Roll-outs on one node: which version a request gets, evidence, progress."""
 
+import dataclasses
 import datetime as dt
 import json
 from collections.abc import Callable, Sequence
@@ -92,6 +93,9 @@
 
     def refresh(self) -> None:
         """Take the orders and plans of the copies."""
+        for key, row in self.own.rows.items():
+            if key.startswith(plans.PLAN_PREFIX):
+                self._take_plan(plans.decode(row))
         for key, row in self.orders_mirror.rows.items():
             if key.startswith(self.documents.order_prefix):
                 order = self.documents.read_order(row)
@@ -101,9 +105,6 @@
                     )
                 else:
                     self._take_order(order.ok_value)
-        for key, row in self.own.rows.items():
-            if key.startswith(plans.PLAN_PREFIX):
-                self._take_plan(plans.decode(row))
 
     def select(
         self, work: Work, endpoints: Sequence[Endpoint]
@@ -188,7 +189,7 @@
         return watch is not None and watch.halted
 
     def _begin(self, watch: _Watch, before: Plan | None) -> None:
-        if self.own.loaded and self._is_turn(watch):
+        if self.own.loaded and self._is_turn(watch, ''):
             now = self.own.store_time()
             self._commit(watch, plans.first_plan(watch.order, now, before))
 
@@ -199,10 +200,10 @@
         wanted = self._wanted(watch, plan)
         if wanted == plan:
             watch.lagging_since = None
-            if self.rank(plan.service) == 0:
+            if plan.writer == self.node:
                 self._read_evidence(watch, plan)
             return
-        if not self._is_turn(watch):
+        if not self._is_turn(watch, plan.writer):
             return
         self._read_evidence(watch, plan)
         if watch.halted:
@@ -223,17 +224,24 @@
         share = canary.next_share(self.settings, plan.share, share)
         return plans.advanced(plan, share, Stage.RUNNING, now)
 
-    def _is_turn(self, watch: _Watch) -> bool:
-        """Return whether this node acts now: by rank, others after a while."""
+    def _is_turn(self, watch: _Watch, writer: str) -> bool:
+        """Return whether this node acts now.
+
+        The node that wrote the plan goes on; the others follow by rank, each
+        after a while.
+        """
         now = self.clock.monotonic()
         if watch.lagging_since is None:
             watch.lagging_since = now
-        rank = self.rank(watch.order.service)
+        if writer == self.node:
+            return True
+        rank = self.rank(watch.order.service) + bool(writer)
         return now - watch.lagging_since >= TAKEOVER * rank
 
     def _commit(self, watch: _Watch, plan: Plan) -> None:
         if self.clock.monotonic() < watch.paused_until:
             return
+        plan = dataclasses.replace(plan, writer=self.node)
         key = plans.PLAN_PREFIX + plan.service
         row = self.own.rows.get(key)
         check = Check(key, 0 if row is None else row.version)
@@ -269,7 +277,8 @@
         outcome = self.table.commit(Transaction(puts=(Put(key, body),)))
         if isinstance(outcome, Ok):
             watch.written = mine
-        if self.rank(service) != 0:
+        plan = self.plans.get(service)
+        if plan is None or plan.writer != self.node:
             # The acting node judges the evidence of all nodes, this one its
             # own, so that a severe fault stops it without the store.
             self._judge(watch, watch.seen, mine)
--- /dev/null
+++ b/bronzeglade/forwarding/rollouts_test.py
@@ -0,0 +1,171 @@
+"""Guards which version gets work, and who moves a roll-out."""
+
+import datetime as dt
+
+from bronzeglade.adapters.feed import Snapshot
+from bronzeglade.adapters.table import Row
+from bronzeglade.builders import ManualClock, MemoryTable
+from bronzeglade.coordination.canary import Stage
+from bronzeglade.decisions.evidence import Observation
+from bronzeglade.forwarding import builders
+from bronzeglade.forwarding.endpoint import Endpoint
+from bronzeglade.forwarding.inbound import IncomingRequest
+from bronzeglade.forwarding.message import RequestFacts, RequestHead
+from bronzeglade.forwarding.rollouts import Rollouts
+from bronzeglade.forwarding.upstream import ConnectionPool
+from bronzeglade.forwarding.work import Work
+
+TICK = dt.timedelta(milliseconds=250)
+DURATION_S = 20
+ORDER = Row('orders/rollout/workers', 5, f'workers v2 {DURATION_S}'.encode())
+
+
+class Fleet:
+    """Nodes that share one store."""
+
+    def __init__(self, nodes: int) -> None:
+        """Create nodes that know no order."""
+        self.clock = ManualClock()
+        self.memory = MemoryTable()
+        self.nodes: list[Rollouts] = []
+        for number in range(nodes):
+            node = builders.rollouts(self.clock, self.memory)
+            node.node = f'node-{number}'
+            node.rank = lambda _service, rank=number: rank  # type: ignore
+            node.own.replace(Snapshot(1, {}))
+            self.nodes.append(node)
+
+    def order(self) -> None:
+        """Give every node the order."""
+        for node in self.nodes:
+            node.orders_mirror.replace(Snapshot(9, {ORDER.key: ORDER}))
+            node.refresh()
+
+    def run(self, seconds: float, *acting: int) -> None:
+        """Let time pass; only some nodes act, all read the store."""
+        for _ in range(int(seconds / TICK.total_seconds())):
+            self.clock.advance(TICK)
+            for number in acting or range(len(self.nodes)):
+                self.nodes[number].tick()
+            self.share()
+
+    def share(self) -> None:
+        """Give every node the rows of the store."""
+        rows = self.memory.scan('bronzeglade/', 100).ok() or []
+        for node in self.nodes:
+            version = node.own.as_of + 1
+            node.own.replace(Snapshot(version, {row.key: row for row in rows}))
+            node.refresh()
+
+    def observe(self, version: str, failed: int, passed: int) -> None:
+        """Count outcomes on the last node."""
+        for number in range(failed + passed):
+            self.nodes[-1].observe(
+                builders.SERVICE, version, Observation(number < failed, 0.5)
+            )
+
+    def stage(self) -> tuple[Stage, float]:
+        """Return the stage and the share that the first node knows."""
+        plan = self.nodes[0].plans[builders.SERVICE]
+        return plan.stage, plan.share
+
+
+def versions(node: Rollouts, requests: int = 400) -> list[str]:
+    """Return the versions that requests may use, by request."""
+    clock = ManualClock()
+    endpoints = [
+        Endpoint(
+            builders.entry(name, version=version),
+            ConnectionPool(('127.0.0.1', 1), 1, clock),
+        )
+        for name, version in (('old', 'v1'), ('new', 'v2'))
+    ]
+    found: list[str] = []
+    for number in range(requests):
+        selected = node.select(work(f'r{number}'), endpoints)
+        found.append(','.join(one.entry.version for one in selected))
+    return found
+
+
+def work(request_id: str) -> Work:
+    """Return an accepted request."""
+    head = RequestHead(b'GET', b'/', ())
+    incoming = IncomingRequest(head, b'', dt.timedelta())
+    return Work(
+        head=incoming.head,
+        body=b'',
+        facts=RequestFacts(request_id, builders.HOST),
+        route=builders.route(),
+        service=builders.SERVICE,
+        team=None,
+        received=dt.timedelta(),
+        until=dt.timedelta(seconds=1),
+    )
+
+
+def test_new_version_gets_nothing_before_its_plan() -> None:
+    """Endpoints of a target may register before anybody watches them."""
+    fleet = Fleet(1)
+    fleet.order()
+    assert set(versions(fleet.nodes[0])) == {'v1'}
+
+
+def test_good_version_gets_all_before_the_deadline() -> None:
+    """A version without faults must be complete in time."""
+    fleet = Fleet(3)
+    fleet.order()
+    fleet.run(3)
+    early = versions(fleet.nodes[1]).count('v2')
+    assert 0 < early < 400 * 0.15
+    fleet.run(DURATION_S - 3.5)
+    assert fleet.stage() == (Stage.COMPLETED, 1)
+    assert set(versions(fleet.nodes[2])) == {'v2'}
+    status = fleet.memory.read(['status/workers']).ok() or {}
+    assert status['status/workers'].body == b'completed'
+
+
+def test_bad_version_is_rolled_back_on_evidence_of_another_node() -> None:
+    """The acting node may see none of the failures itself."""
+    fleet = Fleet(3)
+    fleet.order()
+    fleet.run(3)
+    fleet.observe('v2', failed=8, passed=8)
+    fleet.observe('v1', failed=0, passed=80)
+    fleet.run(3)
+    assert fleet.stage()[0] is Stage.ROLLED_BACK
+    assert set(versions(fleet.nodes[1])) == {'v1'}
+
+
+def test_failures_of_both_versions_are_no_reason_to_halt() -> None:
+    """A fault of the platform hits both versions alike."""
+    fleet = Fleet(2)
+    fleet.order()
+    fleet.run(3)
+    fleet.observe('v2', failed=6, passed=6)
+    fleet.observe('v1', failed=60, passed=60)
+    fleet.run(3)
+    assert fleet.stage()[0] is Stage.RUNNING
+
+
+def test_another_node_goes_on_when_the_acting_one_is_gone() -> None:
+    """A dead node's turn must not stop a roll-out."""
+    fleet = Fleet(3)
+    fleet.order()
+    fleet.run(DURATION_S, 1, 2)
+    assert fleet.stage() == (Stage.COMPLETED, 1)
+
+
+def test_restarted_node_follows_the_plan() -> None:
+    """A node without memory must not give work to a withdrawn version."""
+    fleet = Fleet(2)
+    fleet.order()
+    fleet.run(3)
+    fleet.observe('v2', failed=10, passed=6)
+    fleet.observe('v1', failed=0, passed=80)
+    fleet.run(3)
+    started = builders.rollouts(fleet.clock, fleet.memory)
+    fleet.nodes.append(started)
+    started.orders_mirror.replace(Snapshot(9, {ORDER.key: ORDER}))
+    fleet.share()
+    assert set(versions(started)) == {'v1'}
+    assert not started.watches
--- /dev/null
+++ b/bronzeglade/forwarding/route_test.py
@@ -0,0 +1,48 @@
+"""Guards the choice of route and service."""
+
+import collections
+import dataclasses
+
+from bronzeglade.forwarding import builders
+from bronzeglade.forwarding.route import Kind, WeightedService
+
+
+def test_longest_prefix_wins() -> None:
+    """A request of a narrow route must not run at the wide one's service."""
+    wide = dataclasses.replace(builders.route(), name='wide', prefix='/')
+    narrow = dataclasses.replace(
+        builders.route(), name='narrow', prefix='/a/b/'
+    )
+    table = builders.table(wide, narrow)
+    found = {
+        path: table.find(builders.HOST, path)
+        for path in ('/a/b/c', '/a/b/', '/a/b', '/a/bc/d', '/')
+    }
+    names = {path: one.name for path, one in found.items() if one is not None}
+    assert names == {
+        '/a/b/c': 'narrow',
+        '/a/b/': 'narrow',
+        '/a/b': 'wide',
+        '/a/bc/d': 'wide',
+        '/': 'wide',
+    }
+
+
+def test_other_host_has_no_route() -> None:
+    """Routes of one host must not answer for another."""
+    table = builders.table(builders.route())
+    assert table.find('other.example', '/idempotent/x') is None
+    assert table.find(builders.HOST.upper(), '/idempotent/x') is not None
+
+
+def test_weights_divide_requests() -> None:
+    """A split route sends each service its part, and none without weight."""
+    route = dataclasses.replace(
+        builders.route(Kind.IDEMPOTENT),
+        services=(WeightedService('old', 3), WeightedService('new', 1)),
+    )
+    counts = collections.Counter(
+        route.service_of(f'r{number}') for number in range(4000)
+    )
+    assert 900 < counts['new'] < 1100
+    assert counts['old'] + counts['new'] == 4000
