Bound further tries by a sliding window; size models by latency

Patience also gave up endpoints when no other try was allowed, and a busy large model was asked although its answer would be late. Change: WindowBudget (tests in retry_test), patience by what was heard from the endpoint, escalation threshold falls with the large model's latency, roll-outs judged by failures that the service itself answered.

--- a/bronzeglade/decisions/canary.py
+++ b/bronzeglade/decisions/canary.py
@@ -20,18 +20,19 @@
     Until the first step the new version gets `first_share` of the exposure
     that is allowed. Each step gives the time and the share from then on. It is
     complete at `complete_at`, so that the status is written before the
-    deadline.
+    deadline. From `nearly` on a lack of evidence holds nothing back.
     """
 
     first_share: float = 0.5
     steps: tuple[tuple[float, float], ...] = (
-        (0.6, 0.2),
+        (0.55, 0.2),
         (0.68, 0.5),
-        (0.76, 1.0),
+        (0.78, 1.0),
     )
     complete_at: float = 0.9
+    nearly: float = 0.6
     # Evidence of a step takes this long to reach the node that acts.
-    shortest_step: dt.timedelta = dt.timedelta(milliseconds=1800)
+    shortest_step: dt.timedelta = dt.timedelta(milliseconds=2000)
 
 
 def share_at(
@@ -90,3 +91,10 @@
     """
     digest = xxhash.xxh3_64_intdigest(f'{order} {unit}'.encode())
     return digest / _HASH_RANGE
+
+
+def is_nearly_due(
+    settings: CanarySettings, elapsed: dt.timedelta, duration: dt.timedelta
+) -> bool:
+    """Return whether the last steps have to be taken to be complete in time."""
+    return elapsed / duration >= settings.nearly
--- a/bronzeglade/decisions/retry.py
+++ b/bronzeglade/decisions/retry.py
@@ -1,8 +1,11 @@
 """Retries: what a failed try proves, and a budget for further tries."""
 
+import collections
 import dataclasses
+import datetime as dt
 import enum
 
+from bronzeglade.clock import Clock
 from bronzeglade.outcome import RunState
 
 
@@ -95,3 +98,68 @@
     def spend(self) -> None:
         """Count a retry."""
         self.balance -= 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WindowSettings:
+    """A node's part of a bound on further tries that all nodes share.
+
+    In any `window` there are at most `ratio` further tries for each request,
+    and `slack` more. Tries that only improve an answer leave `kept` of that
+    to tries that replace a lost one.
+    """
+
+    ratio: float
+    slack: float
+    window: dt.timedelta
+    kept: float = 0.25
+
+
+class WindowBudget:
+    """Further tries in proportion to the requests of the same window.
+
+    Unlike a balance, the window lets the unused part of some seconds serve
+    the burst of tries that follows the loss of an endpoint. Bounds of this
+    form add up: when each node keeps its part, all together keep the whole.
+    """
+
+    def __init__(self, settings: WindowSettings, clock: Clock) -> None:
+        """Create a budget without requests.
+
+        Args:
+          settings: bounds.
+          clock: monotonic time.
+        """
+        self.settings = settings
+        self.clock = clock
+        self.requests: collections.deque[dt.timedelta] = collections.deque()
+        self.tries: collections.deque[dt.timedelta] = collections.deque()
+
+    def earn(self) -> None:
+        """Count a request."""
+        self._expire()
+        self.requests.append(self.clock.monotonic())
+
+    def spend(self) -> None:
+        """Count a further try."""
+        self._expire()
+        self.tries.append(self.clock.monotonic())
+
+    def allows(self, improving: bool = False) -> bool:
+        """Return whether another further try is within the bounds.
+
+        Args:
+          improving: whether it only improves an answer.
+        """
+        self._expire()
+        settings = self.settings
+        bound = settings.ratio * len(self.requests) + settings.slack
+        if improving:
+            bound *= 1 - settings.kept
+        return len(self.tries) + 1 <= bound
+
+    def _expire(self) -> None:
+        oldest = self.clock.monotonic() - self.settings.window
+        for times in (self.requests, self.tries):
+            while times and times[0] < oldest:
+                times.popleft()
--- a/bronzeglade/decisions/retry_test.py
+++ b/bronzeglade/decisions/retry_test.py
@@ -1,13 +1,17 @@
 """Guards against retry waves and against untrue run states."""
 
+import datetime as dt
 import random
 
 import pytest
 
+from bronzeglade.builders import ManualClock
 from bronzeglade.decisions.retry import (
     Failure,
     RetryBudget,
     RetrySettings,
+    WindowBudget,
+    WindowSettings,
     failure_of_status,
 )
 from bronzeglade.outcome import RunState
@@ -59,3 +63,51 @@
     assert not budget.may_retry(1, Failure.LOST, False)
     assert budget.may_retry(1, Failure.REFUSED, False)
     assert not budget.may_retry(1, Failure.REJECTED, True)
+
+
+def window_budget(clock: ManualClock) -> WindowBudget:
+    """Return a budget of half a try for each request, and two more."""
+    settings = WindowSettings(0.5, 2, dt.timedelta(seconds=10))
+    return WindowBudget(settings, clock)
+
+
+def test_unused_tries_of_the_window_serve_a_burst() -> None:
+    """Streams that break with their endpoint must all be resumed at once."""
+    clock = ManualClock()
+    budget = window_budget(clock)
+    for _ in range(40):
+        budget.earn()
+        clock.advance(dt.timedelta(milliseconds=200))
+    resumed = 0
+    while budget.allows():
+        budget.spend()
+        resumed += 1
+    assert resumed == 22
+
+
+def test_no_window_holds_more_tries_than_its_requests_allow() -> None:
+    """Tries above the shared bound add load to endpoints in trouble."""
+    clock = ManualClock()
+    budget = window_budget(clock)
+    spent: list[dt.timedelta] = []
+    for number in range(400):
+        if number % 3 == 0:
+            budget.earn()
+        if budget.allows():
+            budget.spend()
+            spent.append(clock.monotonic())
+        clock.advance(dt.timedelta(milliseconds=100))
+    for end in spent:
+        start = end - dt.timedelta(seconds=10)
+        count = sum(start < one <= end for one in spent)
+        assert count <= 0.5 * 34 + 2
+
+
+def test_improving_tries_leave_room_for_lost_ones() -> None:
+    """Larger models must not use up what replaces broken streams."""
+    budget = window_budget(ManualClock())
+    for _ in range(40):
+        budget.earn()
+    while budget.allows(improving=True):
+        budget.spend()
+    assert budget.allows()
--- a/bronzeglade/decisions/sizing.py
+++ b/bronzeglade/decisions/sizing.py
@@ -1,6 +1,7 @@
 """Which of several model sizes answers: the smallest that is sure enough."""
 
 import dataclasses
+import datetime as dt
 from collections.abc import Sequence
 
 
@@ -13,22 +14,53 @@
     """
 
     thresholds: tuple[float, ...] = (60, 50, 50)
+    # Part of the time left that the larger model may take before the
+    # threshold falls; it is zero when nothing of that time would be left.
+    relaxed_part: float = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Alternative:
+    """The larger model: its expected time to the first event.
+
+    `left` is the time until the answer is late.
+    """
+
+    expected: dt.timedelta
+    left: dt.timedelta
 
 
 def accepts(
-    settings: SizingSettings, confidence: float | None, priority: int
+    settings: SizingSettings,
+    confidence: float | None,
+    priority: int,
+    alternative: Alternative,
 ) -> bool:
     """Return whether an answer is kept instead of asking a larger model.
 
+    When the larger model is so busy that its answer would be late, a less
+    sure answer in time is worth more, and the larger model keeps its capacity
+    for the requests that need it most.
+
     Args:
       settings: thresholds.
       confidence: the model's opinion of its answer, or None for no opinion.
       priority: rank of the request; 0 is the most urgent.
+      alternative: what asking the larger model would take.
     """
     if confidence is None:
         return True
     last = len(settings.thresholds) - 1
-    return confidence >= settings.thresholds[min(max(0, priority), last)]
+    threshold = settings.thresholds[min(max(0, priority), last)]
+    return confidence >= threshold * _slack(settings, alternative)
+
+
+def _slack(settings: SizingSettings, alternative: Alternative) -> float:
+    """Return 1 while the larger model is fast enough, 0 when it is late."""
+    if alternative.left <= dt.timedelta():
+        return 0
+    used = alternative.expected / alternative.left
+    return min(1, max(0, (1 - used) / (1 - settings.relaxed_part)))
 
 
 def larger(sizes: Sequence[str], model: str | None) -> str | None:
--- a/bronzeglade/forwarding/attempt.py
+++ b/bronzeglade/forwarding/attempt.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import datetime as dt
+from collections.abc import Callable
+from typing import TypeVar
 
 from result import Err, Ok, Result
 
@@ -12,6 +14,7 @@
 from bronzeglade.forwarding.message import AnswerFacts, Dispatch
 from bronzeglade.forwarding.router import Router
 from bronzeglade.forwarding.upstream import (
+    Broken,
     EndpointConnection,
     OutgoingRequest,
     idle_time,
@@ -30,6 +33,8 @@
 # Time to read the rest of a refusal, so that its connection can be kept.
 REFUSAL_REST = dt.timedelta(milliseconds=100)
 
+Read = TypeVar('Read')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failed:
@@ -63,12 +68,21 @@
     reading: bool = True
     ended: bool = False
 
+    @property
+    def kind(self) -> tuple[str, str | None]:
+        """What latencies are compared by: the service and the model."""
+        return self.endpoint.entry.service, self.model
+
+
+# Returns the monotonic time at which a read ends, or None to give up.
+Wait = Callable[[], dt.timedelta | None]
+
 
 def open_attempt(
     router: Router,
     work: Work,
     attempt: Attempt,
-    deadline: dt.timedelta,
+    wait: Wait,
     resume_after: int | None,
 ) -> Result[AnswerFacts, Failed]:
     """Send a request to an endpoint and read the head of its answer.
@@ -77,7 +91,7 @@
       router: state of this process.
       work: the request.
       attempt: the endpoint; `end_attempt` has to follow in every case.
-      deadline: monotonic time at which the head must be there.
+      wait: tells until when the head is waited for.
       resume_after: last event that the caller has, if it has one.
 
     Returns:
@@ -88,7 +102,7 @@
         attempt.endpoint.name, attempt.placed, attempt.unread
     )
     longest_idle = None if work.route.repeatable else FRESH_IDLE
-    limit = min(CONNECT_LIMIT, deadline - attempt.began)
+    limit = min(CONNECT_LIMIT, work.until - attempt.began)
     taken = attempt.endpoint.pool.take(limit, longest_idle)
     if isinstance(taken, Err):
         broken = taken.err_value
@@ -100,10 +114,31 @@
         router.metrics.connections.inc()
     now = router.clock.monotonic()
     outgoing = _outgoing(router, work, attempt, now, resume_after)
-    sent = taken.ok_value.send(outgoing, deadline)
+    sent = taken.ok_value.send(outgoing, work.until)
     if isinstance(sent, Err):
         return Err(Failed(Failure.LOST, sent.err_value.detail))
-    return _read_answer(router, work, attempt, deadline)
+    return _read_answer(router, work, attempt, wait)
+
+
+def read_patiently(
+    read: Callable[[dt.timedelta], Result[Read, Broken]], wait: Wait
+) -> Result[Read, Broken]:
+    """Read until something comes, the connection breaks or patience ends.
+
+    Args:
+      read: reads until a monotonic time.
+      wait: tells until when to read, again after each time-out.
+    """
+    deadline = wait()
+    if deadline is None:
+        return Err(Broken(True, 'no time is left', timed_out=True))
+    while True:
+        outcome = read(deadline)
+        if isinstance(outcome, Ok) or not outcome.err_value.timed_out:
+            return outcome
+        deadline = wait()
+        if deadline is None:
+            return outcome
 
 
 def _outgoing(
@@ -130,13 +165,13 @@
 
 
 def _read_answer(
-    router: Router, work: Work, attempt: Attempt, deadline: dt.timedelta
+    router: Router, work: Work, attempt: Attempt, wait: Wait
 ) -> Result[AnswerFacts, Failed]:
     connection = attempt.connection
     if connection is None:
         return Err(Failed(Failure.NOT_CONNECTED, 'there is no connection'))
     for _ in range(SURPLUS_LIMIT):
-        head = connection.read_head(deadline)
+        head = read_patiently(connection.read_head, wait)
         if isinstance(head, Err):
             return Err(Failed(Failure.LOST, head.err_value.detail))
         facts = router.dialect.read_answer(
@@ -150,7 +185,7 @@
             endpoint=attempt.endpoint.name,
             answered=facts.request_id,
         )
-        rest = connection.read_body(deadline, LARGEST_WHOLE_BODY)
+        rest = connection.read_body(work.until, LARGEST_WHOLE_BODY)
         if isinstance(rest, Err):
             return Err(Failed(Failure.LOST, rest.err_value.detail))
         connection.skip_answer()
@@ -172,6 +207,8 @@
     connection = attempt.connection
     if connection is not None:
         connection.idle_limit = idle_time(facts.idle_limit)
+    if facts.misdirected:
+        attempt.endpoint.elsewhere = True
     if facts.not_run:
         detail = f'the endpoint refused with status {facts.status}'
         return Err(Failed(Failure.REFUSED, detail, facts.status))
@@ -180,6 +217,7 @@
     if not facts.signed:
         detail = f'unsigned answer with status {facts.status}'
         return Err(Failed(Failure.LOST, detail, facts.status))
+    router.latencies.note(attempt.kind, attempt.answered_after)
     return Ok(facts)
 
 
--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -17,6 +17,7 @@
 from bronzeglade.clock import BootClock
 from bronzeglade.coordination.canary import Order, Plan
 from bronzeglade.coordination.mirror import Mirror
+from bronzeglade.decisions.latency import Latencies, LatencySettings
 from bronzeglade.decisions.placement import Placement, PlacementSettings
 from bronzeglade.forwarding import door
 from bronzeglade.forwarding.caller import Caller, CallerConnection
@@ -283,6 +284,7 @@
         placement=Placement(PlacementSettings(), 'a', clock, source),
         registry=Registry(clock),
         rollouts=rollouts(clock),
+        latencies=Latencies(LatencySettings(), clock),
         nodes=lambda: 1,
     )
     if routes:
--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -3,13 +3,14 @@
 import dataclasses
 import datetime as dt
 import enum
+import functools
 
 from result import Err
 
 from bronzeglade.decisions.evidence import Observation
 from bronzeglade.decisions.placement import PlacedRequest, PromptShare
 from bronzeglade.decisions.retry import Failure
-from bronzeglade.decisions.sizing import accepts, larger
+from bronzeglade.decisions.sizing import Alternative, accepts, larger
 from bronzeglade.forwarding import attempt as attempts
 from bronzeglade.forwarding.attempt import Attempt, Failed
 from bronzeglade.forwarding.caller import Caller
@@ -20,9 +21,15 @@
 from bronzeglade.forwarding.work import Work
 from bronzeglade.outcome import Refusal, RunState
 
-# Part of the objective after which a silent endpoint is given up for another
-# one, when the request may run twice.
+# Part of the objective after which an endpoint that has not begun its answer is
+# given up for another one, when the request may run twice; and the same for an
+# endpoint from which nothing at all was heard meanwhile.
 PATIENCE = 0.75
+SILENT_PATIENCE = 0.5
+# An answer that takes this many times as long as usual is not just queued.
+TYPICAL_TIMES = 3
+# How often it is looked whether another try is allowed by now.
+PATIENCE_CHECK = dt.timedelta(milliseconds=100)
 _SERVER_ERROR = 500
 _MILLISECOND = dt.timedelta(milliseconds=1)
 
@@ -100,7 +107,7 @@
             self.router,
             self.work,
             attempt,
-            self._patience(),
+            functools.partial(self._wait, attempt),
             self.last_event,
         )
         if isinstance(opened, Err):
@@ -129,13 +136,25 @@
         """Return the model that is to answer instead, or None."""
         if self.begun or self.last_event is not None or not self._has_tries():
             return None
-        sizing = self.router.sizing
-        if accepts(sizing, facts.confidence, self.work.priority):
+        model = larger(self.work.route.sizes, self.model)
+        if model is None:
             return None
-        budget = self.router.retries(self.work.service)
-        if not budget.may_retry(1, Failure.REFUSED, repeatable=True):
+        now = self.router.clock.monotonic()
+        kept = accepts(
+            self.router.sizing,
+            facts.confidence,
+            self.work.priority,
+            Alternative(
+                self.router.latencies.typical((self.work.service, model)),
+                self.work.objective_at - now,
+            ),
+        )
+        if kept or not self._may_improve():
             return None
-        return larger(self.work.route.sizes, self.model)
+        return model
+
+    def _may_improve(self) -> bool:
+        return self.router.retries(self.work.service).allows(improving=True)
 
     def _escalate(
         self, attempt: Attempt, facts: AnswerFacts, model: str
@@ -197,11 +216,9 @@
         connection = attempt.connection
         if connection is None:
             return End.BROKEN, 'no connection'
+        wait = functools.partial(self._wait, attempt)
         while not self.caller.left:
-            limit = self.work.until
-            if attempt.reading:
-                limit = self._patience()
-            block = connection.read_block(limit)
+            block = attempts.read_patiently(connection.read_block, wait)
             if isinstance(block, Err):
                 return End.BROKEN, block.err_value.detail
             if block.ok_value is None:
@@ -274,13 +291,32 @@
         )
         return Attempt(endpoint, model, placed, unread)
 
-    def _patience(self) -> dt.timedelta:
-        """Return when a silent endpoint is given up."""
-        work = self.work
+    def _wait(self, attempt: Attempt) -> dt.timedelta | None:
+        """Return until when an answer is waited for; None to give it up.
+
+        An endpoint that has not begun its answer is given up for another one
+        after a while, but only when another try is allowed then.
+        """
+        until = self.work.until
         now = self.router.clock.monotonic()
-        if not work.route.repeatable or not self._has_tries():
-            return work.until
-        return min(work.until, now + work.route.objective * PATIENCE)
+        if now >= until:
+            return None
+        if not attempt.reading or not self.work.route.repeatable:
+            return until
+        give_up_at = attempt.began + self._patience(attempt)
+        if now < give_up_at:
+            return min(until, give_up_at)
+        if self._may_retry(Failed(Failure.LOST, 'no answer')):
+            return None
+        return min(until, now + PATIENCE_CHECK)
+
+    def _patience(self, attempt: Attempt) -> dt.timedelta:
+        """Return how long an endpoint may take to begin its answer."""
+        objective = self.work.route.objective
+        if attempt.endpoint.pool.heard_at < attempt.began:
+            return objective * SILENT_PATIENCE
+        typical = self.router.latencies.typical(attempt.kind)
+        return max(objective * PATIENCE, typical * TYPICAL_TIMES)
 
     def _has_tries(self) -> bool:
         return self.sent < self.work.route.attempts
@@ -297,9 +333,7 @@
         # A connection that was never made is no arrival at an endpoint.
         if failed.failure is Failure.NOT_CONNECTED:
             return True
-        return self.router.retries(self.work.service).may_retry(
-            1, failed.failure, repeatable
-        )
+        return self.router.retries(self.work.service).allows()
 
     def _after_failure(self, failed: Failed) -> None:
         if failed.failure.run_state is not RunState.NOT_RUN:
@@ -347,15 +381,20 @@
         """Count the try as evidence about the endpoint's version."""
         if failed is not None and failed.failure is not Failure.LOST:
             return
-        ratio = None
-        if attempt.answered_after is not None:
-            ratio = attempt.answered_after / self.work.route.objective
-        elif failed is None:
+        if self.caller.left and attempt.answered_after is None:
+            return
+        after = attempt.answered_after
+        if after is None:
+            after = self.router.clock.monotonic() - attempt.began
+            self.router.latencies.note(attempt.kind, after)
+        elif failed is not None and failed.status is None:
             return
+        # A connection that breaks tells of the endpoint, not of its version.
+        error = failed is not None and failed.status is not None
         self.router.rollouts.observe(
             self.work.service,
             attempt.endpoint.entry.version,
-            Observation(error=failed is not None, latency_ratio=ratio),
+            Observation(error, after / self.work.route.objective),
         )
 
     def _log_attempt(self, attempt: Attempt, failed: Failed | None) -> None:
--- a/bronzeglade/forwarding/endpoint.py
+++ b/bronzeglade/forwarding/endpoint.py
@@ -34,11 +34,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Endpoint:
-    """A registered endpoint; `missing` once its entry is gone."""
+    """A registered endpoint.
+
+    `missing` once its entry is gone, `elsewhere` once another endpoint has
+    answered at its address.
+    """
 
     entry: EndpointEntry
     pool: ConnectionPool
     missing: bool = False
+    elsewhere: bool = False
 
     @property
     def name(self) -> str:
--- a/bronzeglade/forwarding/message.py
+++ b/bronzeglade/forwarding/message.py
@@ -85,7 +85,8 @@
     """What the head of an endpoint's answer says.
 
     `request_id` names the request that it answers. `signed` tells that the
-    endpoint's service made it, `not_run` that the request has not run there.
+    endpoint's service made it, `not_run` that the request has not run there,
+    `misdirected` that another endpoint has the address.
     `confidence` is the model's opinion of its answer, 0 to 100. `headers` are
     those that the caller gets.
     """
@@ -97,6 +98,7 @@
     not_run: bool
     encoded: bool
     load: LoadReport | None = None
+    misdirected: bool = False
     confidence: float | None = None
     idle_limit: dt.timedelta | None = None
 
--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -18,6 +18,7 @@
 from bronzeglade.adapters.table import Put, Transaction
 from bronzeglade.clock import BootClock
 from bronzeglade.coordination.mirror import Mirror
+from bronzeglade.decisions.latency import Latencies, LatencySettings
 from bronzeglade.decisions.placement import Placement, PlacementSettings
 from bronzeglade.forwarding import copies, door, roster, wire
 from bronzeglade.forwarding.caller import Caller, CallerConnection
@@ -101,6 +102,7 @@
             ),
             registry=Registry(self.clock),
             rollouts=self.rollouts,
+            latencies=Latencies(LatencySettings(), self.clock),
             nodes=lambda: max(1, len(self.nodes)),
         )
         self.rollouts.node = settings.name
@@ -239,6 +241,7 @@
             self.log.event('nodes', names=sorted(nodes))
         self.nodes = nodes
         self.router.share_connections()
+        self.router.share_retries()
         self.rollouts.refresh()
 
     def _register(self) -> None:
--- a/bronzeglade/forwarding/rollouts.py
+++ b/bronzeglade/forwarding/rollouts.py
@@ -23,17 +23,20 @@
 
 EVIDENCE_TABLE = 'bronzeglade_evidence'
 # Evidence is written and read this often while a roll-out runs.
-EVIDENCE_INTERVAL = dt.timedelta(seconds=1)
+EVIDENCE_INTERVAL = dt.timedelta(milliseconds=700)
 TICK = dt.timedelta(milliseconds=250)
 # Another node acts in place of the one whose turn it is after this time.
-TAKEOVER = dt.timedelta(milliseconds=1500)
+TAKEOVER = dt.timedelta(milliseconds=700)
 # Harm that a new version may do: cold caches make its first answers slower.
 LIMITS = RolloutLimits(
     max_error_increase=0.05, max_latency_ratio=3, max_rating_drop=1
 )
-# The evidence of a handful of requests on one node suffices for a halt; the
-# operator's versions fail half of their requests, not one in a hundred.
-JUDGE = JudgeSettings(threshold=9)
+# A bad version is cheaper to halt early than to keep: at a log likelihood ratio
+# of 6 a good one is halted in about one of 400 looks at the limit of harm.
+JUDGE = JudgeSettings(threshold=6, suspicion=2)
+# Requests on a new version before it gets more than its first share, unless
+# the time of the roll-out is nearly up.
+LEAST_REQUESTS = 10
 EVIDENCE_ROWS = 500
 # Pause after a step that the store did not take.
 COMMIT_PAUSE = dt.timedelta(milliseconds=700)
@@ -219,7 +222,9 @@
         if canary.is_due(self.settings, elapsed, duration) and plan.share == 1:
             return plans.advanced(plan, 1, Stage.COMPLETED, now)
         share = canary.share_at(self.settings, elapsed, duration, self.exposure)
-        if watch.judge.verdict().suspect:
+        early = not canary.is_nearly_due(self.settings, elapsed, duration)
+        unproved = watch.seen[0].errors.count < LEAST_REQUESTS and early
+        if plan.share and (unproved or watch.judge.verdict().suspect):
             share = plan.share
         share = canary.next_share(self.settings, plan.share, share)
         return plans.advanced(plan, share, Stage.RUNNING, now)
--- a/bronzeglade/forwarding/router.py
+++ b/bronzeglade/forwarding/router.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable, Sequence
 
 from bronzeglade.clock import Clock
+from bronzeglade.decisions.latency import Latencies
 from bronzeglade.decisions.placement import Placement
-from bronzeglade.decisions.retry import RetryBudget, RetrySettings
+from bronzeglade.decisions.retry import WindowBudget, WindowSettings
 from bronzeglade.decisions.sizing import SizingSettings
 from bronzeglade.forwarding.endpoint import (
     Endpoint,
@@ -24,11 +25,9 @@
 from bronzeglade.forwarding.work import Work
 from bronzeglade.outcome import require
 
-# Part of the shared retry bounds that is used: requests spread unevenly over
-# nodes, and a node does not see those that others received.
-RETRY_PART = 0.8
-# Tries of one request are bounded by its route.
-_UNBOUNDED = 1 << 20
+# Part of the shared retry bounds that is used. The rest covers requests that a
+# restarted node has forgotten, and nodes that are not known yet.
+RETRY_PART = 0.85
 # Retry-After of a refusal, as a part of the time that the caller has left:
 # callers honour up to a third of it.
 RETRY_AFTER_PART = 0.3
@@ -51,10 +50,11 @@
     placement: Placement
     registry: Registry
     rollouts: Rollouts
+    latencies: Latencies
     nodes: Callable[[], int]
     sizing: SizingSettings = SizingSettings()
     table: RouteTable | None = None
-    budgets: dict[str, RetryBudget] = dataclasses.field(default_factory=dict)
+    budgets: dict[str, WindowBudget] = dataclasses.field(default_factory=dict)
     in_flight: int = 0
     draining: bool = False
 
@@ -139,13 +139,23 @@
             return work.facts.model
         return sizes[0]
 
-    def retries(self, service: str) -> RetryBudget:
+    def retries(self, service: str) -> WindowBudget:
         """Return the budget of further tries at a service."""
-        if service not in self.budgets:
-            self.budgets[service] = RetryBudget(
-                retry_settings(self.settings.retry, self.nodes())
-            )
-        return self.budgets[service]
+        budget = self.budgets.get(service)
+        if budget is None:
+            settings = self._retry_settings()
+            budget = WindowBudget(settings, self.clock)
+            self.budgets[service] = budget
+        return budget
+
+    def share_retries(self) -> None:
+        """Divide the shared retry bounds among the nodes."""
+        settings = self._retry_settings()
+        for budget in self.budgets.values():
+            budget.settings = settings
+
+    def _retry_settings(self) -> WindowSettings:
+        return retry_settings(self.settings.retry, self.nodes())
 
     def retry_after(self, work: Work) -> dt.timedelta:
         """Return when a refused caller should come back."""
@@ -156,17 +166,17 @@
         return min(part, LONGEST_RETRY_AFTER)
 
 
-def retry_settings(bounds: RetryBounds, nodes: int) -> RetrySettings:
+def retry_settings(bounds: RetryBounds, nodes: int) -> WindowSettings:
     """Return a node's part of the shared retry bounds.
 
     Args:
       bounds: of all nodes together.
       nodes: number of nodes.
     """
-    return RetrySettings(
+    return WindowSettings(
         ratio=bounds.ratio * RETRY_PART,
-        reserve=max(1, bounds.slack * RETRY_PART / max(1, nodes)),
-        attempts=_UNBOUNDED,
+        slack=bounds.slack * RETRY_PART / max(1, nodes),
+        window=bounds.window,
     )
 
 
--- a/bronzeglade/forwarding/upstream.py
+++ b/bronzeglade/forwarding/upstream.py
@@ -27,12 +27,14 @@
     """A connection that failed.
 
     `sent` is false only when no byte of the request left this process.
-    `local` tells that the endpoint has no part in it.
+    `local` tells that the endpoint has no part in it, `timed_out` that the
+    read may be repeated with a later deadline.
     """
 
     sent: bool
     detail: str
     local: bool = False
+    timed_out: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,19 +58,20 @@
 class EndpointConnection:
     """One connection; at most one request is on it."""
 
-    def __init__(self, sock: Any, clock: Clock) -> None:
+    def __init__(self, sock: Any, pool: 'ConnectionPool') -> None:
         """Take over a connected socket.
 
         Args:
           sock: the socket.
-          clock: its monotonic time counts deadlines.
+          pool: that it belongs to.
         """
         self.sock = sock
-        self.clock = clock
+        self.pool = pool
+        self.clock = pool.clock
         self.parser = h11.Connection(h11.CLIENT)
         self.request: OutgoingRequest | None = None
         self.sender: Any = None
-        self.used = clock.monotonic()
+        self.used = self.clock.monotonic()
         self.idle_limit = DEFAULT_IDLE
         self.closing = False
         self.reused = False
@@ -227,8 +230,13 @@
                 return Ok(event)
             try:
                 received = wire.receive(self.sock, self.clock, deadline)
+            except TimeoutError as error:
+                # The kernel's own time-out carries an error number.
+                early = error.errno is None
+                return Err(Broken(True, 'no answer in time', timed_out=early))
             except OSError as error:
                 return Err(Broken(sent=True, detail=repr(error)))
+            self.pool.heard_at = self.clock.monotonic()
             self.parser.receive_data(received)
 
 
@@ -240,7 +248,10 @@
 
 
 class ConnectionPool:
-    """Connections of this node to one endpoint."""
+    """Connections of this node to one endpoint.
+
+    `heard_at` is the monotonic time of the last bytes from the endpoint.
+    """
 
     def __init__(
         self, address: tuple[str, int], limit: int, clock: Clock
@@ -257,6 +268,7 @@
         self.clock = clock
         self.idle: list[EndpointConnection] = []
         self.open = 0
+        self.heard_at = clock.monotonic()
 
     def take(
         self, connect_limit: dt.timedelta, longest_idle: dt.timedelta | None
@@ -286,7 +298,7 @@
         except BaseException:
             self.open -= 1
             raise
-        return Ok(EndpointConnection(sock, self.clock))
+        return Ok(EndpointConnection(sock, self))
 
     def give_back(self, connection: EndpointConnection) -> None:
         """Keep a connection whose exchange is complete, or close it."""
--- a/bronzeglade/platform/headers.py
+++ b/bronzeglade/platform/headers.py
@@ -123,6 +123,7 @@
             request_id=fields.get(b'request-id'),
             signed=b'server-signature' in fields,
             not_run=b'not-executed' in fields or status == _MISDIRECTED,
+            misdirected=status == _MISDIRECTED,
             encoded=fields.get(b'content-encoding', 'identity') != 'identity',
             load=_optional(_load, fields.get(b'server-load')),
             confidence=_optional(float, fields.get(b'confidence')),
