Drop an endpoint at once whose entry goes after the store is back

Ruled out: a late feed; the node had the removal 30 ms after it. Change: only rows removed while the store gave no answer are kept; a peer's copy says itself which are. Tests: mirror_test, failed before.

--- a/bronzeglade/coordination/mirror.py
+++ b/bronzeglade/coordination/mirror.py
@@ -6,6 +6,7 @@
 """
 
 import datetime as dt
+from collections.abc import Iterable
 
 from bronzeglade.adapters.feed import Changes, Snapshot
 from bronzeglade.adapters.table import Row
@@ -32,6 +33,7 @@
         self.as_of = 0
         self.failing_since: dt.timedelta | None = None
         self.settled_at: dt.timedelta | None = None
+        self.lapsed: dict[str, Row] = {}
         self.offset = dt.timedelta()
 
     @property
@@ -39,11 +41,25 @@
         """Whether the table was ever read."""
         return self.as_of > 0
 
-    def replace(self, snapshot: Snapshot) -> bool:
-        """Take a whole table; return whether it is newer than the copy."""
+    def current(self) -> dict[str, Row]:
+        """Return the rows, with those that may only have lapsed."""
+        if self.lapsed and self.is_settled():
+            self.lapsed.clear()
+        return {**self.lapsed, **self.rows}
+
+    def replace(self, snapshot: Snapshot, of_peer: bool = False) -> bool:
+        """Take a whole table; return whether it is newer than the copy.
+
+        Args:
+          snapshot: the table.
+          of_peer: whether it is the copy of a node, which keeps the rows that
+            may only have lapsed.
+        """
         if snapshot.as_of < self.as_of:
             return False
         changed = snapshot.rows != self.rows or not self.loaded
+        if not of_peer:
+            self._keep_lapsed(self.rows.keys() - snapshot.rows.keys())
         self.as_of = max(1, snapshot.as_of)
         self.rows = dict(snapshot.rows)
         self._set_clock(snapshot.now)
@@ -53,6 +69,7 @@
         """Take changes that follow the copy; return whether any counts."""
         if changes.as_of < self.as_of:
             return False
+        self._keep_lapsed(changes.removed)
         self.as_of = changes.as_of
         self._set_clock(changes.now)
         for key in changes.removed:
@@ -87,6 +104,18 @@
             return True
         return self.clock.monotonic() >= self.settled_at
 
+    def _keep_lapsed(self, removed: Iterable[str]) -> None:
+        """Keep rows that were removed while the store gave no answer.
+
+        A row that is removed later was removed on purpose.
+        """
+        if self.failing_since is None:
+            return
+        for key in removed:
+            row = self.rows.get(key)
+            if row is not None:
+                self.lapsed[key] = row
+
     def _set_clock(self, store_time: dt.timedelta) -> None:
         if store_time:
             self.offset = store_time - self.clock.monotonic()
--- a/bronzeglade/coordination/mirror_test.py
+++ b/bronzeglade/coordination/mirror_test.py
@@ -47,6 +47,29 @@
     assert mirror.is_settled()
 
 
+def test_only_rows_removed_during_an_outage_may_have_lapsed() -> None:
+    """A row that is removed once the store is back is gone at once."""
+    clock = ManualClock()
+    mirror = Mirror('t', clock)
+    mirror.replace(snapshot(7, 't/lapsed', 't/left', 't/stays'))
+    mirror.missed()
+    mirror.apply(Changes(9, {}, frozenset(('t/lapsed',))))
+    mirror.reached()
+    mirror.apply(Changes(10, {}, frozenset(('t/left',))))
+    assert set(mirror.current()) == {'t/lapsed', 't/stays'}
+    clock.advance(SETTLING)
+    assert set(mirror.current()) == {'t/stays'}
+
+
+def test_copy_of_a_peer_says_what_is_gone() -> None:
+    """A node that the store turns away must drop what others saw leave."""
+    mirror = Mirror('t', ManualClock())
+    mirror.replace(snapshot(7, 't/a', 't/b'))
+    mirror.missed()
+    mirror.replace(snapshot(8, 't/a'), of_peer=True)
+    assert set(mirror.current()) == {'t/a'}
+
+
 @given(st.lists(st.tuples(st.booleans(), st.integers(1, 20))))
 def test_version_never_falls(steps: list[tuple[bool, int]]) -> None:
     """No order of answers and peers may turn a copy back."""
--- a/bronzeglade/forwarding/copies.py
+++ b/bronzeglade/forwarding/copies.py
@@ -105,7 +105,7 @@
         outcome = self._fetch(peer)
         if isinstance(outcome, Err) or outcome.ok_value is None:
             return
-        if self.mirror.replace(outcome.ok_value):
+        if self.mirror.replace(outcome.ok_value, of_peer=True):
             self.context.log.event(
                 'copy_of_peer',
                 table=self.mirror.table,
@@ -168,7 +168,10 @@
         [
             mirror.as_of,
             mirror.store_time() // _MILLISECOND,
-            [[row.key, row.version, row.body] for row in mirror.rows.values()],
+            [
+                [row.key, row.version, row.body]
+                for row in mirror.current().values()
+            ],
         ]
     )
     return packed
--- a/bronzeglade/forwarding/endpoint.py
+++ b/bronzeglade/forwarding/endpoint.py
@@ -36,13 +36,11 @@
 class Endpoint:
     """A registered endpoint.
 
-    `missing` once its entry is gone, `elsewhere` once another endpoint has
-    answered at its address.
+    `elsewhere` once another endpoint has answered at its address.
     """
 
     entry: EndpointEntry
     pool: ConnectionPool
-    missing: bool = False
     elsewhere: bool = False
 
     @property
@@ -62,11 +60,7 @@
 
 
 class Registry:
-    """Endpoints by service, from the newest entries.
-
-    Entries that vanish while the store is not settled may only have expired:
-    their endpoints stay until the store has been back for a while.
-    """
+    """Endpoints by service, from the newest entries."""
 
     def __init__(self, clock: Clock) -> None:
         """Know no endpoint.
@@ -78,14 +72,11 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.limits: dict[str, int] = {}
 
-    def update(
-        self, entries: Iterable[EndpointEntry], settled: bool
-    ) -> list[str]:
+    def update(self, entries: Iterable[EndpointEntry]) -> list[str]:
         """Take the entries of all endpoints.
 
         Args:
           entries: every readable entry.
-          settled: whether an entry that is missing is surely gone.
 
         Returns:
           Names of the endpoints that are gone or have started anew.
@@ -94,17 +85,11 @@
         ended: list[str] = []
         for name, endpoint in list(self.endpoints.items()):
             entry = current.get(name)
-            if entry is None:
-                endpoint.missing = settled
-                if settled:
-                    ended.append(name)
-                    self._remove(name)
-            elif _is_other(endpoint.entry, entry):
+            if entry is None or _is_other(endpoint.entry, entry):
                 ended.append(name)
                 self._remove(name)
             else:
                 endpoint.entry = entry
-                endpoint.missing = False
         for name, entry in current.items():
             if name not in self.endpoints:
                 self.endpoints[name] = Endpoint(entry, self._pool(entry))
--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -221,7 +221,7 @@
 
     def _entries_changed(self) -> None:
         entries: list[EndpointEntry] = []
-        for row in self.entries.rows.values():
+        for row in self.entries.current().values():
             outcome = self.site.documents.read_endpoint(row)
             if isinstance(outcome, Ok):
                 entries.append(outcome.ok_value)
@@ -229,7 +229,7 @@
                 self.log.event(
                     'unreadable_entry', key=row.key, reason=outcome.err_value
                 )
-        self.router.update_endpoints(entries, self.entries.is_settled())
+        self.router.update_endpoints(entries)
 
     def _own_changed(self) -> None:
         nodes: dict[str, RouterNode] = {}
--- a/bronzeglade/forwarding/router.py
+++ b/bronzeglade/forwarding/router.py
@@ -99,20 +99,17 @@
             }
         )
 
-    def update_endpoints(
-        self, entries: Sequence[EndpointEntry], settled: bool
-    ) -> None:
+    def update_endpoints(self, entries: Sequence[EndpointEntry]) -> None:
         """Take the registered endpoints.
 
         Args:
           entries: every readable entry.
-          settled: whether a missing entry is surely gone.
         """
         before = {
             name: _state(endpoint.entry)
             for name, endpoint in self.registry.endpoints.items()
         }
-        for name in self.registry.update(entries, settled):
+        for name in self.registry.update(entries):
             self.placement.forget(name)
         after = {
             name: _state(endpoint.entry)
