--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,119 @@
+"""Stand-in of a worker on the users' platform: plain answers and streams."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
+
+import eventlet
+from absl import flags
+
+from standins.faults import Faults
+from standins.web import (
+    address_flags,
+    drop_connection,
+    fault_routes,
+    parse_flags,
+    read_body,
+    read_json,
+    send_json,
+    send_reply,
+    serve,
+)
+
+EVENT_S = 0.02  # between two events of a stream
+DEFAULT_EVENTS = 5
+SMALLEST_MODEL = 'small'
+
+
+class Worker:
+    """One worker: what it has run, and its faults."""
+
+    def __init__(self, name: str) -> None:
+        """Create a worker that has run nothing."""
+        self.name = name
+        self.seen: list[dict[str, Any]] = []
+        self.faults = Faults(
+            refuse=0,  # 503, not executed
+            fail=0,  # 500 after the run
+            lose=0,  # connection closed after the run, without an answer
+            cut=0,  # stream closed after two events
+            work_s=0,  # duration of a run
+        )
+
+    def handle(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        """Answer a request."""
+        body = read_body(environ)
+        request_id = environ.get('HTTP_REQUEST_ID', '')
+        expected = environ.get('HTTP_EXPECT_INSTANCE', self.name)
+        if expected != self.name:
+            start('421 Misdirected Request', [('Instance-Id', self.name)])
+            return ()
+        if self.faults.strikes('refuse'):
+            start('503 Service Unavailable', [('Not-Executed', '1')])
+            return ()
+        self.seen.append(_seen(environ, body))
+        eventlet.sleep(self.faults.level('work_s'))
+        headers = [
+            ('Request-Id', request_id),
+            ('Server-Signature', f'{self.name}.{len(self.seen)}'),
+        ]
+        if self.faults.strikes('lose'):
+            drop_connection(environ)
+            return ()
+        if self.faults.strikes('fail'):
+            start('500 Internal Server Error', headers)
+            return (b'failed',)
+        if 'HTTP_TOKEN_COUNT' not in environ:
+            start('200 OK', [*headers, ('Content-Length', '4')])
+            return (b'done',)
+        model = environ.get('HTTP_MODEL', '')
+        confidence = '10' if model == SMALLEST_MODEL else '90'
+        start('200 OK', [*headers, ('Confidence', confidence)])
+        return self._events(environ)
+
+    def _events(self, environ: dict[str, Any]) -> Iterator[bytes]:
+        first = int(environ.get('HTTP_LAST_EVENT_ID') or 0) + 1
+        count = int(environ['HTTP_TOKEN_COUNT'].split(',')[1])
+        cut = self.faults.strikes('cut')
+        for number in range(first, (count or DEFAULT_EVENTS) + 1):
+            if cut and number == first + 2:
+                drop_connection(environ)
+                return
+            eventlet.sleep(EVENT_S)
+            yield f'id: {number}\ndata: piece {number}\n\n'.encode()
+
+
+def _seen(environ: Mapping[str, Any], body: bytes) -> dict[str, Any]:
+    return {
+        'id': environ.get('HTTP_REQUEST_ID', ''),
+        'path': environ['PATH_INFO'],
+        'query': environ.get('QUERY_STRING', ''),
+        'body': body.decode('latin-1'),
+        'tenant': environ.get('HTTP_TENANT'),
+        'credential': environ.get('HTTP_CREDENTIAL'),
+        'model': environ.get('HTTP_MODEL'),
+        'deadline_ms': environ.get('HTTP_DEADLINE_MS'),
+        'last_event': environ.get('HTTP_LAST_EVENT_ID'),
+    }
+
+
+def main() -> None:
+    """Serve a worker."""
+    values = address_flags()
+    flags.DEFINE_string('name', 'worker', 'Its id.', flag_values=values)
+    parse_flags(values)
+    worker = Worker(values.name)
+    admin = fault_routes(worker.faults)
+
+    def application(environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        action = admin.get((environ['REQUEST_METHOD'], environ['PATH_INFO']))
+        if action is not None:
+            return send_reply(environ, start, action(read_json(environ)))
+        if environ['PATH_INFO'] == '/admin/seen':
+            return send_json(start, 200, worker.seen)
+        return worker.handle(environ, start)
+
+    serve(values.host, values.port, application)
+
+
+if __name__ == '__main__':
+    main()
