Follow two of three tables with long waits; write calm evidence seldom

Ruled out: one long wait for all tables, which would notice a store that accepts calls and never answers only after it (copies_test).

--- a/bronzeglade/forwarding/copies.py
+++ b/bronzeglade/forwarding/copies.py
@@ -9,18 +9,27 @@
 import eventlet
 import msgpack
 import urllib3
+from eventlet import hubs
 from result import Err, Ok, Result
 
 from bronzeglade.adapters import transport
-from bronzeglade.adapters.feed import HistoryGone, Snapshot, TableFeed
+from bronzeglade.adapters.feed import (
+    Changes,
+    HistoryGone,
+    Snapshot,
+    TableFeed,
+)
 from bronzeglade.adapters.table import Row, StoreError
 from bronzeglade.coordination.mirror import Mirror
 from bronzeglade.forwarding.journal import Log
 from bronzeglade.forwarding.settings import Address
 
-# How long the store keeps a call waiting for changes. A store that accepts
-# calls and does not answer is noticed after this time and the call's limit.
-FEED_WAIT = dt.timedelta(milliseconds=2000)
+# How long the store keeps a call waiting for changes of the table that is
+# watched closest. A store that accepts calls and does not answer is noticed
+# after this time and the call's limit; the calls for the other tables, which
+# wait longer to save calls, are given up then.
+CLOSE_WAIT = dt.timedelta(seconds=2)
+LONG_WAIT = dt.timedelta(seconds=12)
 # Pauses between calls of a store that gives no answer.
 SHORTEST_PAUSE = dt.timedelta(milliseconds=150)
 LONGEST_PAUSE = dt.timedelta(milliseconds=800)
@@ -47,6 +56,10 @@
     peers: Callable[[], Sequence[Address]]
 
 
+class _GivenUpError(Exception):
+    """The store gives no answer to other calls."""
+
+
 class Copy:
     """One table, and what is done when it changes."""
 
@@ -55,6 +68,7 @@
         context: CopyContext,
         mirror: Mirror,
         on_change: Callable[[], None],
+        wait: dt.timedelta = LONG_WAIT,
     ) -> None:
         """Follow a table.
 
@@ -63,10 +77,14 @@
           mirror: the copy.
           on_change: called after each change, and when rows that are missing
             have become surely gone.
+          wait: how long a call waits for changes.
         """
         self.context = context
         self.mirror = mirror
         self.on_change = on_change
+        self.wait = wait
+        self.on_loss: list[Callable[[], None]] = []
+        self.caller: Any = None
         self.pause = SHORTEST_PAUSE
         self.must_read = True
 
@@ -75,9 +93,7 @@
         if self.must_read:
             self._read_whole()
             return
-        outcome = self.context.store.changes(
-            self.mirror.table, self.mirror.as_of, FEED_WAIT
-        )
+        outcome = self._changes()
         if isinstance(outcome, Ok):
             changed = self.mirror.apply(outcome.ok_value)
             self._reached()
@@ -93,6 +109,13 @@
         else:
             self._missed(error)
 
+    def give_up(self) -> None:
+        """End a call that waits for changes: the store does not answer."""
+        if self.caller is not None:
+            hub = hubs.get_hub()
+            hub.schedule_call_global(0, self.caller.throw, _GivenUpError())
+            self.caller = None
+
     def ask_peer(self) -> None:
         """Take a newer copy of a peer while the store gives no answer."""
         interval = PEER_INTERVAL.total_seconds()
@@ -114,6 +137,17 @@
             )
             self.on_change()
 
+    def _changes(self) -> Result[Changes, StoreError | HistoryGone]:
+        self.caller = eventlet.getcurrent()
+        try:
+            return self.context.store.changes(
+                self.mirror.table, self.mirror.as_of, self.wait
+            )
+        except _GivenUpError:
+            return Err(StoreError('another call had no answer'))
+        finally:
+            self.caller = None
+
     def _fetch(self, peer: Address) -> Result[Snapshot | None, str]:
         table = self.mirror.table
         after = self.mirror.as_of
@@ -157,6 +191,8 @@
             self.context.log.event(
                 'store_lost', table=self.mirror.table, detail=error.detail
             )
+            for action in self.on_loss:
+                action()
         spread = 0.5 + self.context.random.random()
         eventlet.sleep(self.pause.total_seconds() * spread)
         self.pause = min(LONGEST_PAUSE, self.pause * 2)
--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -167,12 +167,15 @@
         context = CopyContext(
             self.store, self.pool, self.log, self.random, self._peers
         )
-        for mirror, action in (
-            (self.orders, self._orders_changed),
-            (self.entries, self._entries_changed),
-            (self.own, self._own_changed),
-        ):
-            copy = Copy(context, mirror, action)
+        orders = Copy(
+            context, self.orders, self._orders_changed, copies.CLOSE_WAIT
+        )
+        others = [
+            Copy(context, self.entries, self._entries_changed),
+            Copy(context, self.own, self._own_changed),
+        ]
+        orders.on_loss = [copy.give_up for copy in others]
+        for copy in (orders, *others):
             spawn_loop(copy.follow_next)
             spawn_loop(copy.ask_peer)
         spawn_loop(self._every(TICK, self.rollouts.tick))
--- a/bronzeglade/forwarding/rollouts.py
+++ b/bronzeglade/forwarding/rollouts.py
@@ -22,8 +22,10 @@
 from bronzeglade.manifest import RolloutLimits
 
 EVIDENCE_TABLE = 'bronzeglade_evidence'
-# Evidence is written and read this often while a roll-out runs.
+# Evidence is written and read this often while a roll-out runs, and written
+# less often by a node that saw no further failure of the new version.
 EVIDENCE_INTERVAL = dt.timedelta(milliseconds=700)
+CALM_INTERVAL = dt.timedelta(milliseconds=2500)
 TICK = dt.timedelta(milliseconds=250)
 # Another node acts in place of the one whose turn it is after this time.
 TAKEOVER = dt.timedelta(milliseconds=700)
@@ -271,9 +273,12 @@
         )
 
     def _write_evidence(self, service: str, watch: _Watch) -> None:
+        if watch.mine == watch.written:
+            return
         now = self.clock.monotonic()
-        due = now - watch.written_at >= EVIDENCE_INTERVAL
-        if not due or watch.mine == watch.written:
+        failed = watch.mine[0].errors.total > watch.written[0].errors.total
+        interval = EVIDENCE_INTERVAL if failed else CALM_INTERVAL
+        if now - watch.written_at < interval:
             return
         watch.written_at = now
         mine = watch.mine
