Ask larger models less while the smallest one is slow

Change: the threshold of an escalation falls with the smallest model's latency against the shortest objective on its engines (sizing_test, failed before).

--- a/bronzeglade/decisions/sizing.py
+++ b/bronzeglade/decisions/sizing.py
@@ -17,17 +17,24 @@
     # Part of the time left that the larger model may take before the
     # threshold falls; it is zero when nothing of that time would be left.
     relaxed_part: float = 0.5
+    # Pressure, as below, up to which the threshold stands, and from which no
+    # larger model is asked.
+    low_pressure: float = 0.15
+    high_pressure: float = 0.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Alternative:
     """The larger model: its expected time to the first event.
 
-    `left` is the time until the answer is late.
+    `left` is the time until the answer is late. `pressure` is the present
+    latency of the smallest model as a part of the shortest objective that its
+    engines serve: what a large run takes there, others wait for.
     """
 
     expected: dt.timedelta
     left: dt.timedelta
+    pressure: float = 0
 
 
 def accepts(
@@ -60,7 +67,10 @@
     if alternative.left <= dt.timedelta():
         return 0
     used = alternative.expected / alternative.left
-    return min(1, max(0, (1 - used) / (1 - settings.relaxed_part)))
+    in_time = (1 - used) / (1 - settings.relaxed_part)
+    span = settings.high_pressure - settings.low_pressure
+    calm = (settings.high_pressure - alternative.pressure) / span
+    return min(1, max(0, min(in_time, calm)))
 
 
 def larger(sizes: Sequence[str], model: str | None) -> str | None:
--- a/bronzeglade/decisions/sizing_test.py
+++ b/bronzeglade/decisions/sizing_test.py
@@ -38,6 +38,18 @@
     assert kept == 0 or not accepts(SETTINGS, kept - 1, 1, alternative)
 
 
+@pytest.mark.parametrize(
+    ('pressure', 'threshold'), [(0.1, 50), (0.375, 25), (0.7, 0)]
+)
+def test_patient_work_yields_to_urgent_work_under_pressure(
+    pressure: float, threshold: float
+) -> None:
+    """Large runs with hours to spare must not delay short objectives."""
+    patient = Alternative(SECOND, 100 * SECOND, pressure)
+    assert accepts(SETTINGS, threshold, 1, patient)
+    assert threshold == 0 or not accepts(SETTINGS, threshold - 1, 1, patient)
+
+
 def test_late_request_keeps_what_it_has() -> None:
     """Nothing is gained by a second run after the objective."""
     assert accepts(SETTINGS, 1, 0, Alternative(SECOND, -SECOND))
--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -147,6 +147,7 @@
             Alternative(
                 self.router.latencies.typical((self.work.service, model)),
                 self.work.objective_at - now,
+                self.router.pressure(self.work.service, self.model or ''),
             ),
         )
         if kept or not self._may_improve():
--- a/bronzeglade/forwarding/router.py
+++ b/bronzeglade/forwarding/router.py
@@ -38,7 +38,8 @@
 class Router:
     """What one process knows and counts.
 
-    `nodes` returns how many nodes serve callers.
+    `nodes` returns how many nodes serve callers. `shortest` is the shortest
+    objective of the streams of each service.
     """
 
     settings: RouterSettings
@@ -55,6 +56,7 @@
     sizing: SizingSettings = SizingSettings()
     table: RouteTable | None = None
     budgets: dict[str, WindowBudget] = dataclasses.field(default_factory=dict)
+    shortest: dict[str, dt.timedelta] = dataclasses.field(default_factory=dict)
     in_flight: int = 0
     draining: bool = False
 
@@ -77,6 +79,7 @@
             (self.version, table.version),
         )
         self.table = table
+        self.shortest = shortest_objectives(table)
         self.metrics.configuration.set(table.version)
         self.log.event(
             'configuration',
@@ -136,6 +139,18 @@
             return work.facts.model
         return sizes[0]
 
+    def pressure(self, service: str, model: str) -> float:
+        """Return the latency of a model as a part of the shortest objective.
+
+        Args:
+          service: whose engines run the model.
+          model: the smallest one.
+        """
+        shortest = self.shortest.get(service)
+        if not shortest:
+            return 0
+        return self.latencies.typical((service, model)) / shortest
+
     def retries(self, service: str) -> WindowBudget:
         """Return the budget of further tries at a service."""
         budget = self.budgets.get(service)
@@ -163,6 +178,19 @@
         return min(part, LONGEST_RETRY_AFTER)
 
 
+def shortest_objectives(table: RouteTable) -> dict[str, dt.timedelta]:
+    """Return the shortest objective of the streams of each service."""
+    shortest: dict[str, dt.timedelta] = {}
+    for routes in table.routes.values():
+        for route in routes.values():
+            if route.kind is not Kind.STREAM:
+                continue
+            for one in route.services:
+                known = shortest.get(one.service, route.objective)
+                shortest[one.service] = min(known, route.objective)
+    return shortest
+
+
 def retry_settings(bounds: RetryBounds, nodes: int) -> WindowSettings:
     """Return a node's part of the shared retry bounds.
 
