Wait briefly at a failing store; find silent store connections

Ruled out: the back-off (at most 1.2 s). Change: a copy that is failing asks with the short wait (copies_test, failed before); connections to the store have the kernel's probes, as those to endpoints have.

--- a/bronzeglade/adapters/transport.py
+++ b/bronzeglade/adapters/transport.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime as dt
+import socket
 from collections.abc import Mapping
 
 import urllib3
@@ -13,6 +14,16 @@
     NewConnectionError,
 )
 
+# A connection that has fallen silent is found by probes of the kernel: after a
+# second, two probes a second apart; or by bytes that stay unacknowledged.
+PROBES = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2500),
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+)
 LARGEST_REPLY = 16 * 1024 * 1024  # bytes; a larger reply is a failure
 
 
@@ -39,7 +50,10 @@
 def new_pool(connections: int = 64) -> urllib3.PoolManager:
     """Return a connection pool that never retries by itself."""
     return urllib3.PoolManager(
-        num_pools=256, maxsize=connections, retries=False
+        num_pools=256,
+        maxsize=connections,
+        retries=False,
+        socket_options=list(PROBES),
     )
 
 
--- a/bronzeglade/forwarding/copies.py
+++ b/bronzeglade/forwarding/copies.py
@@ -138,10 +138,13 @@
             self.on_change()
 
     def _changes(self) -> Result[Changes, StoreError | HistoryGone]:
+        # A store that has just failed may take a call and never answer it.
+        failing = self.mirror.failing_since is not None
+        wait = min(self.wait, CLOSE_WAIT) if failing else self.wait
         self.caller = eventlet.getcurrent()
         try:
             return self.context.store.changes(
-                self.mirror.table, self.mirror.as_of, self.wait
+                self.mirror.table, self.mirror.as_of, wait
             )
         except _GivenUpError:
             return Err(StoreError('another call had no answer'))
--- a/bronzeglade/forwarding/copies_test.py
+++ b/bronzeglade/forwarding/copies_test.py
@@ -25,6 +25,7 @@
     def __init__(self) -> None:
         """Answer with an empty table."""
         self.reads = 0
+        self.waits: list[dt.timedelta] = []
         self.answer: Callable[[], Result[Changes, StoreError | HistoryGone]]
         self.answer = self.silence
 
@@ -38,6 +39,7 @@
         self, table: str, after: int, wait: dt.timedelta
     ) -> Result[Changes, StoreError | HistoryGone]:
         """Wait for changes."""
+        self.waits.append(wait)
         return self.answer()
 
     def silence(self) -> Result[Changes, StoreError | HistoryGone]:
@@ -111,6 +113,17 @@
     copy.give_up()
 
 
+def test_calls_wait_briefly_while_the_store_is_failing() -> None:
+    """A call that a failing store swallows must not outlast the failure."""
+    feed = ScriptedFeed()
+    copy, _seen = copy_of(feed, [])
+    copy.follow_next()
+    feed.answer = lambda: Err(StoreError('status 503'))
+    copy.follow_next()
+    copy.follow_next()
+    assert feed.waits == [copies.LONG_WAIT, copies.CLOSE_WAIT]
+
+
 def test_loss_of_one_table_is_told_to_the_others() -> None:
     """The first call that fails speaks for the whole store."""
     feed = ScriptedFeed()
--- a/bronzeglade/forwarding/wire.py
+++ b/bronzeglade/forwarding/wire.py
@@ -7,32 +7,18 @@
 from eventlet import hubs
 from eventlet.green import socket
 
+from bronzeglade.adapters import transport
 from bronzeglade.clock import Clock
 
 READ_BYTES = 65536
-# A link that has fallen silent is found by probes of the kernel: after the
-# idle time, this many probes an interval apart.
-PROBE_IDLE_S = 1
-PROBE_INTERVAL_S = 1
-PROBE_COUNT = 2
-# Sent bytes that stay unacknowledged this long end the connection.
-UNACKNOWLEDGED_MS = 2500
 # Shortest time limit of a socket call; zero would mean "do not block".
 SHORTEST_S = 0.001
 
 
 def tune(sock: Any) -> None:
     """Switch off send delays and find silent links within seconds."""
-    sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
-    sock.setsockopt(sockets.SOL_SOCKET, sockets.SO_KEEPALIVE, 1)
-    sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_KEEPIDLE, PROBE_IDLE_S)
-    sock.setsockopt(
-        sockets.IPPROTO_TCP, sockets.TCP_KEEPINTVL, PROBE_INTERVAL_S
-    )
-    sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_KEEPCNT, PROBE_COUNT)
-    sock.setsockopt(
-        sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
-    )
+    for level, option, setting in transport.PROBES:
+        sock.setsockopt(level, option, setting)
 
 
 def connect(address: tuple[str, int], limit: dt.timedelta) -> Any:
