--- a/fleet/platform.py
+++ b/fleet/platform.py
@@ -20,6 +20,10 @@
 API_HOST = 'api.example'
 LIMIT_S = 30  # of each wait; generous, so that a busy machine is no failure
 POLL_S = 0.05
+# The interpreter and the libraries of the router processes, when they are not
+# those of the tests.
+ROUTER_PYTHON = os.environ.get('ROUTER_PYTHON', sys.executable)
+ROUTER_PYTHON_PATH = os.environ.get('ROUTER_PYTHONPATH', '')
 HTTP = urllib3.PoolManager(retries=False, maxsize=32)
 
 Document = dict[str, Any]
@@ -154,6 +158,8 @@
             'bronzeglade.platform',
             f'--metrics_port={addresses.metrics}',
             f'--settings={path}',
+            python=ROUTER_PYTHON,
+            python_path=ROUTER_PYTHON_PATH,
         )
 
     def wait_ready(self, name: str) -> None:
@@ -211,13 +217,24 @@
         text = (self.folder / f'{name}.log').read_text()
         return [json.loads(line) for line in text.splitlines()]
 
-    def _spawn(self, name: str, module: str, *words: str) -> None:
+    def _spawn(
+        self,
+        name: str,
+        module: str,
+        *words: str,
+        python: str = sys.executable,
+        python_path: str = '',
+    ) -> None:
         log = (self.folder / f'{name}.log').open('ab')
         self.processes[name] = subprocess.Popen(  # noqa: S603
-            [sys.executable, '-m', module, *words],
+            [python, '-m', module, *words],
             stdout=log,
             stderr=subprocess.STDOUT,
-            env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+            env={
+                **os.environ,
+                'PYTHONUNBUFFERED': '1',
+                'PYTHONPATH': python_path,
+            },
         )
         log.close()
 
