Let one node use the slots that no other node wants; 400 for a bad deadline

Change: what the other nodes do not want may be used at once; shares bind when they want all. A node that has not told its demand keeps an equal part. Tests: admission_test (failed before), launch_test with real processes. X-Deadline-Ms that cannot be read is 400, no longer 422.

--- a/bronzeglade/decisions/shares.py
+++ b/bronzeglade/decisions/shares.py
@@ -2,7 +2,7 @@
 
 import collections
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import xxhash
 
@@ -52,6 +52,26 @@
     return _whole(slots, shares)
 
 
+def free_slots(
+    slots: int, others: Iterable[Demand], silent: int, nodes: int
+) -> int:
+    """Return the slots that no other node wants now.
+
+    Any node may use them at once: a caller that comes to one node must not be
+    refused while the engines are idle. When the others want all slots there
+    are none, and the shares of `capacities` bind.
+
+    Args:
+      slots: slots of all workers of the model.
+      others: demand of the other nodes.
+      silent: nodes whose demand is not known; an equal part is left to each.
+      nodes: number of nodes.
+    """
+    wanted = sum(sum(demand.values()) for demand in others)
+    reserved = silent * slots / max(1, nodes)
+    return max(0, math.floor(slots - wanted - reserved))
+
+
 def _by_rank(
     slots: int,
     totals: Mapping[tuple[int, str], float],
--- a/bronzeglade/entry/admission.py
+++ b/bronzeglade/entry/admission.py
@@ -3,7 +3,7 @@
 import collections
 import datetime as dt
 import random
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 import eventlet
@@ -20,7 +20,7 @@
     Ticket,
     Work,
 )
-from bronzeglade.decisions.shares import capacities
+from bronzeglade.decisions.shares import Demand, capacities, free_slots
 from bronzeglade.entry.peers import Gossip
 from bronzeglade.entry.workers import Worker
 from bronzeglade.manifest import Rank, Team
@@ -198,27 +198,42 @@
         # A node that is live but has not told its demand has a share too.
         told = {origin.rpartition('-')[0] for origin in known}
         silent = [vm for vm in self.others if vm not in told]
-        nodes = {**known, **{vm: {} for vm in silent}}
         for model, slots in self.slots.items():
-            self._set(model, slots, nodes)
-
-    def _set(self, model: str, slots: int, nodes: Mapping[str, Any]) -> None:
-        share = capacities(
-            slots,
-            {
-                node: {
-                    (int(priority), str(team)): float(amount)
-                    for priority, team, amount in document.get(model, ())
-                }
-                for node, document in nodes.items()
-            },
-            self.queue.floors,
-            self.weights,
-        )[self.gossip.origin]
+            demands = {
+                node: _read_demand(document, model)
+                for node, document in known.items()
+            }
+            self._set(model, slots, demands, silent)
+
+    def _set(
+        self,
+        model: str,
+        slots: int,
+        demands: Mapping[str, Demand],
+        silent: Sequence[str],
+    ) -> None:
+        nodes = {**demands, **{vm: {} for vm in silent}}
+        share = capacities(slots, nodes, self.queue.floors, self.weights)[
+            self.gossip.origin
+        ]
         # A lower share counts at once and a higher one only when it has
         # lasted, so that nodes that give and nodes that take do not overlap.
         recent = self.recent.setdefault(
             model, collections.deque(maxlen=SETTLE_TICKS // PUBLISH_TICKS)
         )
         recent.append(share)
-        self._announce(self.queue.set_capacity(model, min(recent)))
+        others = [
+            demand
+            for node, demand in demands.items()
+            if node != self.gossip.origin
+        ]
+        free = free_slots(slots, others, len(silent), len(nodes))
+        capacity = max(min(recent), free)
+        self._announce(self.queue.set_capacity(model, capacity))
+
+
+def _read_demand(document: Mapping[str, Any], model: str) -> Demand:
+    return {
+        (int(priority), str(team)): float(amount)
+        for priority, team, amount in document.get(model, ())
+    }
--- a/bronzeglade/entry/admission_test.py
+++ b/bronzeglade/entry/admission_test.py
@@ -6,13 +6,15 @@
 from typing import Any
 
 import eventlet
+import msgpack
 import pytest
 from result import Err, Ok
 
 from bronzeglade import catalog as catalogs
 from bronzeglade.catalog import Catalog, Configuration
 from bronzeglade.clock import SystemClock
-from bronzeglade.entry.admission import GONE, Admission
+from bronzeglade.coordination.datagram import Document
+from bronzeglade.entry.admission import GONE, TOPIC, Admission
 from bronzeglade.entry.peers import Gossip
 from bronzeglade.entry.workers import Worker
 from fleet import deployments
@@ -82,3 +84,30 @@
     ]
     admission.update(catalog, workers, ['other'])
     assert admission.queue.pools[MODEL].capacity == 8
+
+
+def test_one_node_may_use_what_the_others_leave_free(catalog: Catalog) -> None:
+    """A caller of one node must not be refused while the fleet is idle."""
+    gossip = Gossip('n-1')
+    admission = Admission(gossip, SystemClock(), random.Random(1))
+    workers = [
+        Worker(f'w{n}', '127.0.0.1:1', 'qld-a', 'g', 8, True, MODEL)
+        for n in range(2)
+    ]
+    others = [f'm{number}' for number in range(7)]
+    for name in others:
+        body = msgpack.packb({})
+        gossip.merge(Document(f'{name}-1', TOPIC, 1, body))
+    admission.update(catalog, workers, others)
+    assert admission.queue.pools[MODEL].capacity == 16
+
+
+def test_shares_bind_when_the_others_want_all(catalog: Catalog) -> None:
+    """In a flood a node must not use slots that others wait for."""
+    gossip = Gossip('n-1')
+    admission = Admission(gossip, SystemClock(), random.Random(1))
+    worker = Worker('w', '127.0.0.1:1', 'qld-a', 'g', 16, True, MODEL)
+    body = msgpack.packb({MODEL: [[1, 'team', 40]]})
+    gossip.merge(Document('m-1', TOPIC, 1, body))
+    admission.update(catalog, [worker], ['m'])
+    assert admission.queue.pools[MODEL].capacity < 4
--- a/bronzeglade/entry/deadline.py
+++ b/bronzeglade/entry/deadline.py
@@ -20,7 +20,7 @@
       longest: limit without the header, and its upper bound.
 
     Returns:
-      The limit, or a refusal with status 422.
+      The limit, or a refusal with status 400.
     """
     wanted = request.header('X-Deadline-Ms')
     if wanted is None:
@@ -28,5 +28,5 @@
     digits = wanted.isascii() and wanted.isdecimal()
     if not digits or len(wanted) > _LONGEST_DIGITS or not int(wanted):
         message = 'X-Deadline-Ms: a whole number of milliseconds above 0'
-        return Err(Refusal(422, 'invalid_deadline', message))
+        return Err(Refusal(400, 'invalid_deadline', message))
     return Ok(min(longest, dt.timedelta(milliseconds=int(wanted))))
--- a/fleet/launch_test.py
+++ b/fleet/launch_test.py
@@ -3,6 +3,7 @@
 import json
 import time
 from collections.abc import Iterator
+from concurrent import futures
 from pathlib import Path
 
 import openai
@@ -65,6 +66,32 @@
     ]
 
 
+def test_idle_fleet_serves_one_caller_of_one_node(fleet: Fleet) -> None:
+    """Places that other nodes leave free must be used by the one asked."""
+    asked = client(fleet)
+
+    def ask(number: int) -> str | None:
+        answer = asked.chat.completions.create(
+            model='guide-small',
+            messages=[{'role': 'user', 'content': f'wader {number}'}],
+            max_tokens=5,
+        )
+        return answer.choices[0].message.content
+
+    with futures.ThreadPoolExecutor(8) as callers:
+        assert all(callers.map(ask, range(60)))
+
+
+def test_unreadable_deadline_is_refused(fleet: Fleet) -> None:
+    """A time limit that cannot be read must not be taken for none."""
+    with pytest.raises(openai.BadRequestError):
+        client(fleet).chat.completions.create(
+            model='guide-small',
+            messages=[{'role': 'user', 'content': 'hello'}],
+            extra_headers={'X-Deadline-Ms': 'soon'},
+        )
+
+
 def test_wrong_key_and_forbidden_model_are_refused(fleet: Fleet) -> None:
     """A team must not reach what its manifest entry does not grant."""
     with pytest.raises(openai.AuthenticationError):
