--- /dev/null
+++ b/bronzeglade/forwarding/journal_test.py
@@ -0,0 +1,51 @@
+"""Guards that logging is bounded and never blocks."""
+
+import datetime as dt
+import json
+import os
+
+import eventlet
+
+from bronzeglade.builders import ManualClock
+from bronzeglade.forwarding import journal
+from bronzeglade.forwarding.journal import Log
+
+
+def lines(descriptor: int) -> list[dict[str, object]]:
+    """Return the lines that a pipe holds now."""
+    os.set_blocking(descriptor, False)
+    text = os.read(descriptor, 1 << 20)
+    return [json.loads(line) for line in text.splitlines()]
+
+
+def test_lines_above_the_rate_are_counted() -> None:
+    """A flood of events must not cost more than the rate of lines."""
+    reader, writer = os.pipe()
+    clock = ManualClock()
+    log = Log(writer, 'n', clock)
+    for number in range(journal.LINES_PER_SECOND + 7):
+        log.event('flood', number=number)
+    assert len(log.lines) == journal.LINES_PER_SECOND
+    log.lines.clear()
+    clock.advance(dt.timedelta(seconds=1))
+    log.event('calm')
+    log.flush()
+    assert lines(reader)[0]['dropped_before'] == 7
+
+
+def test_slow_reader_costs_lines_and_no_time() -> None:
+    """A full pipe must not stop the process."""
+    reader, writer = os.pipe()
+    log = Log(writer, 'n', ManualClock())
+    log.start()
+    with eventlet.Timeout(5):
+        for number in range(300):
+            log.event('long', number=number, text='x' * 1000)
+            eventlet.sleep(0)
+    assert log.lines
+    os.read(reader, 1 << 20)
+    eventlet.sleep(0.05)
+    waiting = len(log.lines)
+    os.read(reader, 1 << 20)
+    eventlet.sleep(0.05)
+    assert len(log.lines) < waiting
--- a/bronzeglade/main.py
+++ b/bronzeglade/main.py
@@ -17,6 +17,7 @@
     PublishSettings,
     StatusSettings,
 )
+from bronzeglade.platform import program as platform  # noqa: E402
 from bronzeglade.report import command as report  # noqa: E402
 from bronzeglade.report.command import ReportSettings  # noqa: E402
 from bronzeglade.settings import EntrySettings  # noqa: E402
@@ -158,6 +159,7 @@
     'manifest check': _check,
     'manifest publish': _publish,
     'manifest schema': _schema,
+    'platform': platform.main,
     'report': _report,
     'report request': _request,
     'status': _status,
--- /dev/null
+++ b/bronzeglade/platform/headers_test.py
@@ -0,0 +1,127 @@
+"""Guards the translation of the platform's headers."""
+
+import datetime as dt
+
+import pytest
+from result import Err, Ok
+
+from bronzeglade.forwarding.message import Dispatch, PromptPart, RequestHead
+from bronzeglade.outcome import Refusal
+from bronzeglade.platform.headers import PlatformHeaders
+
+HEADERS = PlatformHeaders()
+HEAD = RequestHead(
+    b'POST',
+    b'/chat/x?q=1',
+    (
+        (b'Host', b'api.example:80'),
+        (b'Request-Id', b'r1'),
+        (b'Credential', b'secret'),
+        (b'Deadline-Ms', b'1500'),
+        (b'Model', b'*'),
+        (b'Token-Count', b'1460,80'),
+        (b'Prompt-Prefix', b'5c1e:800,91bd:410'),
+        (b'Last-Event-Id', b'12'),
+        (b'Tenant', b'forged'),
+        (b'Kv-From', b'10.0.0.1:1/x'),
+        (b'Hold', b'h'),
+        (b'Connection', b'close, X-Hop'),
+        (b'X-Hop', b'1'),
+        (b'X-Kept', b'2'),
+    ),
+)
+
+
+def test_facts_of_a_request() -> None:
+    """Each name of the wire is decoded once, into what it means."""
+    outcome = HEADERS.read_request(HEAD)
+    assert isinstance(outcome, Ok)
+    facts = outcome.ok_value
+    assert facts.host == 'api.example'
+    assert facts.key == 'secret'
+    assert facts.time_limit == dt.timedelta(milliseconds=1500)
+    assert facts.model is None
+    assert (facts.prompt_tokens, facts.output_tokens) == (1460, 80)
+    assert facts.parts == (PromptPart('5c1e', 800), PromptPart('91bd', 410))
+    assert facts.last_event == 12
+
+
+def test_endpoint_gets_what_the_system_sets() -> None:
+    """Callers must not set what is the system's, and keys stay here."""
+    dispatch = Dispatch(
+        instance='i-1',
+        time_left=dt.timedelta(milliseconds=900),
+        team='atlas',
+        model='small',
+        priority=0,
+        resume_after=14,
+    )
+    sent = dict(HEADERS.endpoint_headers(HEAD, dispatch, 5))
+    assert sent[b'Expect-Instance'] == b'i-1'
+    assert sent[b'Deadline-Ms'] == b'900'
+    assert sent[b'Tenant'] == b'atlas'
+    assert sent[b'Model'] == b'small'
+    assert sent[b'Last-Event-Id'] == b'14'
+    assert sent[b'Content-Length'] == b'5'
+    assert sent[b'X-Kept'] == b'2'
+    dropped = {b'Credential', b'Kv-From', b'Hold', b'Connection', b'X-Hop'}
+    assert not dropped & sent.keys()
+    names = [name for name, _ in HEADERS.endpoint_headers(HEAD, dispatch, 5)]
+    assert len(names) == len(set(names))
+
+
+@pytest.mark.parametrize(
+    'header',
+    [
+        (b'Deadline-Ms', b'soon'),
+        (b'Token-Count', b'many'),
+        (b'Last-Event-Id', b'x'),
+        (b'Prompt-Prefix', b'5c1e:'),
+    ],
+)
+def test_unreadable_header_is_refused(header: tuple[bytes, bytes]) -> None:
+    """A header that cannot be read must not be taken for another value."""
+    head = RequestHead(b'GET', b'/', ((b'Request-Id', b'r'), header))
+    outcome = HEADERS.read_request(head)
+    assert isinstance(outcome, Err)
+    assert outcome.err_value.status == 400
+
+
+def test_request_without_id_is_refused() -> None:
+    """Without its id an answer cannot be told from another one."""
+    outcome = HEADERS.read_request(RequestHead(b'GET', b'/', ()))
+    assert isinstance(outcome, Err)
+
+
+def test_facts_of_an_answer() -> None:
+    """What only informs may be unreadable; what decides is taken."""
+    facts = HEADERS.read_answer(
+        503,
+        (
+            (b'Request-Id', b'r1'),
+            (b'Not-Executed', b'1'),
+            (b'Server-Load', b'3,0,8'),
+            (b'Keep-Alive', b'timeout=5'),
+            (b'Confidence', b'unknown'),
+            (b'Transfer-Encoding', b'chunked'),
+        ),
+    )
+    assert facts.not_run
+    assert not facts.signed
+    assert facts.load is not None
+    assert facts.load.slots == 8
+    assert facts.idle_limit == dt.timedelta(seconds=5)
+    assert facts.confidence is None
+    assert (b'Transfer-Encoding', b'chunked') not in facts.headers
+    other = HEADERS.read_answer(421, ((b'Instance-Id', b'i-2'),))
+    assert other.not_run
+    assert other.misdirected
+
+
+def test_refusal_tells_when_to_return() -> None:
+    """Fractions of a second are kept: callers honour them."""
+    wait = dt.timedelta(milliseconds=250)
+    refusal = Refusal(503, 'busy', 'busy', retry_after=wait)
+    headers = dict(HEADERS.refusal_headers(refusal, 'r1'))
+    assert headers[b'Retry-After'] == b'0.250'
+    assert headers[b'Request-Id'] == b'r1'
--- a/bronzeglade/platform/store.py
+++ b/bronzeglade/platform/store.py
@@ -64,7 +64,7 @@
         found: dict[str, Row] = {}
         for key in keys:
             table, _, name = key.partition('/')
-            # The smallest key above `name` ends the range.
+            # The first row from the key on may be that of a later key.
             page = self._page(table, f'from={_q(name)}&limit=1')
             if isinstance(page, Err):
                 return page
