Mend what a last read of the change found; call things by usual names

Found by reading, each with a test that failed first: - an endpoint whose address another one has was marked and still offered - endpoints of a version that was rolled back got work under the next order - the last error of a service, which the caller gets, counted as a good answer of its version, and a broken connection as a good and fast one - a call of the store that had ended could be interrupted by the loss of another - the count of dropped log lines was never raised Removed: settings, fields and constants that nothing read.

--- a/bronzeglade/forwarding/attempt.py
+++ b/bronzeglade/forwarding/attempt.py
@@ -40,13 +40,15 @@
 class Failed:
     """A try without a usable answer.
 
-    `local` tells that the reason lies on this node, not at the endpoint.
+    `local` tells that the reason lies on this node, not at the endpoint,
+    `timed_out` that the endpoint took too long.
     """
 
     failure: Failure
     detail: str
     status: int | None = None
     local: bool = False
+    timed_out: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -173,7 +175,10 @@
     for _ in range(SURPLUS_LIMIT):
         head = read_patiently(connection.read_head, wait)
         if isinstance(head, Err):
-            return Err(Failed(Failure.LOST, head.err_value.detail))
+            broken = head.err_value
+            return Err(
+                Failed(Failure.LOST, broken.detail, timed_out=broken.timed_out)
+            )
         facts = router.dialect.read_answer(
             head.ok_value.status, head.ok_value.headers
         )
--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -23,7 +23,7 @@
 from bronzeglade.forwarding.caller import Caller, CallerConnection
 from bronzeglade.forwarding.endpoint import EndpointEntry, Registry
 from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
-from bronzeglade.forwarding.journal import Log
+from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.message import (
     AnswerFacts,
     Dispatch,
@@ -175,7 +175,7 @@
     return RouteTable(
         version=version,
         routes=index_routes(routes),
-        services={SERVICE: Service(SERVICE, '/health', 64)},
+        services={SERVICE: Service(SERVICE, 64)},
         limits=Limits(4096, 65536, SECOND, 5 * SECOND),
         teams={KEY: Team(TEAM)},
     )
@@ -196,9 +196,8 @@
         peers=(),
         store=nowhere,
         retry=RetryBounds(0.9, 50, 10 * SECOND),
-        rollout=RolloutBounds(0.15, 30, 5 * SECOND),
+        rollout=RolloutBounds(0.15),
         stop=StopBounds(8 * SECOND, 3 * SECOND),
-        session_gap=5 * SECOND,
     )
 
 
@@ -445,7 +444,7 @@
 
 
 class Client:
-    """A caller on loopback that shows what is on the wire."""
+    """A caller on loopback that shows what is on the tcp."""
 
     def __init__(self, port: int) -> None:
         """Connect."""
--- a/bronzeglade/forwarding/caller.py
+++ b/bronzeglade/forwarding/caller.py
@@ -10,7 +10,7 @@
 from eventlet import hubs
 from result import Err
 
-from bronzeglade.forwarding import wire
+from bronzeglade.forwarding import tcp
 from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
 from bronzeglade.forwarding.message import Headers
 from bronzeglade.outcome import Refusal
@@ -110,8 +110,8 @@
             self.broken = True
         finally:
             if self.broken:
-                wire.abort(self.sock)
-            wire.close(self.sock)
+                tcp.abort(self.sock)
+            tcp.close(self.sock)
 
     def send(self, event: h11.Event) -> bool:
         """Write a part of an answer; return whether it was written."""
--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -379,19 +379,22 @@
         return Refusal(502, 'endpoint_failed', message, self.run_state)
 
     def _observe(self, attempt: Attempt, failed: Failed | None) -> None:
-        """Count the try as evidence about the endpoint's version."""
-        if failed is not None and failed.failure is not Failure.LOST:
-            return
-        if self.caller.left and attempt.answered_after is None:
-            return
+        """Count the try as evidence about the endpoint's version.
+
+        A connection that breaks tells of the endpoint, not of its version.
+        """
+        facts = attempt.facts
         after = attempt.answered_after
-        if after is None:
+        error = False
+        if facts is None or after is None:
+            if failed is None or not failed.timed_out:
+                return
             after = self.router.clock.monotonic() - attempt.began
             self.router.latencies.note(attempt.kind, after)
-        elif failed is not None and failed.status is None:
+        elif facts.not_run:
             return
-        # A connection that breaks tells of the endpoint, not of its version.
-        error = failed is not None and failed.status is not None
+        else:
+            error = facts.status >= _SERVER_ERROR
         self.router.rollouts.observe(
             self.work.service,
             attempt.endpoint.entry.version,
--- a/bronzeglade/forwarding/delivery_test.py
+++ b/bronzeglade/forwarding/delivery_test.py
@@ -3,6 +3,8 @@
 import eventlet
 import pytest
 
+from bronzeglade.adapters.feed import Snapshot
+from bronzeglade.adapters.table import Row
 from bronzeglade.forwarding import builders
 from bronzeglade.forwarding.builders import (
     Client,
@@ -330,6 +332,42 @@
     assert not endpoints[1].seen
 
 
+def observed(router: Router) -> tuple[float, float]:
+    """Return requests and failures that are evidence, after four requests.
+
+    The endpoints have the old version; the new one is counted the same way.
+    """
+    row = Row('orders/rollout/workers', 5, b'workers v2 20')
+    router.rollouts.operator_rows.replace(Snapshot(9, {row.key: row}))
+    router.rollouts.own.replace(Snapshot(9, {}))
+    router.rollouts.refresh()
+    for _ in range(4):
+        client = Client(builders.serve(router))
+        client.send(Kind.NON_IDEMPOTENT)
+        client.read()
+    counted = router.rollouts.watches[builders.SERVICE].mine[1].errors
+    return counted.count, counted.total
+
+
+def test_broken_connections_are_no_evidence_against_a_version() -> None:
+    """Noise of crashes in the control hides the failures of a bad version."""
+    route = builders.route(Kind.NON_IDEMPOTENT, attempts=1)
+    router = fleet(route, resetting)[0]
+    assert observed(router) == (0, 0)
+
+
+def test_failures_of_the_service_are_evidence_against_a_version() -> None:
+    """A version that answers with errors must be found out."""
+
+    def failing(peer: Peer) -> None:
+        while True:
+            peer.answer(peer.read_request(), 'failed', 500)
+
+    route = builders.route(Kind.NON_IDEMPOTENT, attempts=1)
+    router = fleet(route, failing)[0]
+    assert observed(router) == (4, 4)
+
+
 def test_unsure_answer_of_a_small_model_is_replaced() -> None:
     """A wrong answer is worth little; nothing of it may reach the caller."""
 
--- a/bronzeglade/forwarding/endpoint.py
+++ b/bronzeglade/forwarding/endpoint.py
@@ -1,7 +1,6 @@
 """Endpoints that are registered, and connections to them."""
 
 import dataclasses
-import datetime as dt
 from collections.abc import Iterable
 
 from bronzeglade.clock import Clock
@@ -17,8 +16,7 @@
 class EndpointEntry:
     """An endpoint as it registers itself.
 
-    `started` is when its process began; the same id may begin again. `warm_in`
-    is how long it stays slow after its start.
+    `started` is when its process began; the same id may begin again.
     """
 
     name: str
@@ -29,7 +27,6 @@
     slots: int
     draining: bool
     started: int = 0
-    warm_in: dt.timedelta = dt.timedelta()
 
 
 @dataclasses.dataclass(slots=True)
@@ -112,7 +109,9 @@
         return [
             endpoint
             for endpoint in self.endpoints.values()
-            if endpoint.entry.service == service and not endpoint.entry.draining
+            if endpoint.entry.service == service
+            and not endpoint.entry.draining
+            and not endpoint.elsewhere
         ]
 
     def close_idle(self) -> None:
--- a/bronzeglade/forwarding/endpoint_test.py
+++ b/bronzeglade/forwarding/endpoint_test.py
@@ -30,6 +30,17 @@
     assert registry.endpoints['e1'].pool is not before
 
 
+def test_endpoint_whose_address_another_one_has_gets_no_work() -> None:
+    """A request that is misdirected once must not be sent there again."""
+    registry = Registry(ManualClock())
+    registry.update([builders.entry('e1'), builders.entry('e2')])
+    registry.endpoints['e1'].elsewhere = True
+    registry.update([builders.entry('e1'), builders.entry('e2')])
+    assert serving(registry) == ['e2']
+    registry.update([builders.entry('e1', started=2), builders.entry('e2')])
+    assert set(serving(registry)) == {'e1', 'e2'}
+
+
 def test_nodes_share_the_connections_of_an_endpoint() -> None:
     """All nodes together must stay below what an endpoint accepts."""
     for nodes in (1, 8, 79, 330):
--- a/bronzeglade/forwarding/copies.py
+++ b/bronzeglade/forwarding/follower.py
@@ -21,7 +21,7 @@
 )
 from bronzeglade.adapters.table import Row, StoreError
 from bronzeglade.coordination.mirror import Mirror
-from bronzeglade.forwarding.journal import Log
+from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.settings import Address
 
 # How long the store keeps a call waiting for changes of the table that is
@@ -37,13 +37,12 @@
 PEER_INTERVAL = dt.timedelta(milliseconds=700)
 PEER_TIMEOUT = dt.timedelta(milliseconds=400)
 COPY_PATH = '/copy/'
-_NO_CONTENT = 204
 _OK = 200
 _MILLISECOND = dt.timedelta(milliseconds=1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CopyContext:
+class FollowerContext:
     """What the copies of a node work with.
 
     `peers` returns control addresses of other nodes.
@@ -60,12 +59,12 @@
     """The store gives no answer to other calls."""
 
 
-class Copy:
+class Follower:
     """One table, and what is done when it changes."""
 
     def __init__(
         self,
-        context: CopyContext,
+        context: FollowerContext,
         mirror: Mirror,
         on_change: Callable[[], None],
         wait: dt.timedelta = LONG_WAIT,
@@ -111,10 +110,12 @@
 
     def give_up(self) -> None:
         """End a call that waits for changes: the store does not answer."""
-        if self.caller is not None:
-            hub = hubs.get_hub()
-            hub.schedule_call_global(0, self.caller.throw, _GivenUpError())
-            self.caller = None
+        hubs.get_hub().schedule_call_global(0, self._interrupt, self.caller)
+
+    def _interrupt(self, caller: Any) -> None:
+        # The call may have ended since it was given up.
+        if caller is not None and caller is self.caller:
+            caller.throw(_GivenUpError())
 
     def ask_peer(self) -> None:
         """Take a newer copy of a peer while the store gives no answer."""
--- a/bronzeglade/forwarding/copies_test.py
+++ b/bronzeglade/forwarding/follower_test.py
@@ -15,8 +15,8 @@
 from bronzeglade.adapters.table import Row, StoreError
 from bronzeglade.clock import BootClock
 from bronzeglade.coordination.mirror import Mirror
-from bronzeglade.forwarding import builders, copies
-from bronzeglade.forwarding.copies import Copy, CopyContext
+from bronzeglade.forwarding import builders, follower
+from bronzeglade.forwarding.follower import Follower, FollowerContext
 
 
 class ScriptedFeed:
@@ -48,18 +48,20 @@
         return Err(StoreError('the test is over'))
 
 
-def copy_of(feed: ScriptedFeed, peers: list[int]) -> tuple[Copy, list[int]]:
-    """Return a copy of a table, and the versions at its changes."""
+def follower_of(
+    feed: ScriptedFeed, peers: list[int]
+) -> tuple[Follower, list[int]]:
+    """Return the follower of a table, and the versions at its changes."""
     mirror = Mirror('t', BootClock())
     seen: list[int] = []
-    context = CopyContext(
+    context = FollowerContext(
         feed,
         urllib3.PoolManager(retries=False),
         builders.log(),
         random.Random(1),
         lambda: [(builders.LOOPBACK, port) for port in peers],
     )
-    return Copy(context, mirror, lambda: seen.append(mirror.as_of)), seen
+    return Follower(context, mirror, lambda: seen.append(mirror.as_of)), seen
 
 
 class CopyPage(server.BaseHTTPRequestHandler):
@@ -69,7 +71,7 @@
 
     def do_GET(self) -> None:
         """Send the copy."""
-        body = copies.pack_copy(self.mirror)
+        body = follower.pack_copy(self.mirror)
         self.send_response(200)
         self.send_header('Content-Length', str(len(body)))
         self.end_headers()
@@ -90,27 +92,50 @@
 def test_lost_history_leads_to_a_whole_read() -> None:
     """Changes that the store has dropped must not be missed."""
     feed = ScriptedFeed()
-    copy, seen = copy_of(feed, [])
-    copy.follow_next()
+    subject, seen = follower_of(feed, [])
+    subject.follow_next()
     feed.answer = lambda: Err(HistoryGone())
-    copy.follow_next()
-    copy.follow_next()
+    subject.follow_next()
+    subject.follow_next()
     assert seen == [1, 2]
-    assert list(copy.mirror.rows) == ['t/read-2']
+    assert list(subject.mirror.rows) == ['t/read-2']
 
 
 def test_waiting_call_ends_when_another_one_has_no_answer() -> None:
     """A long wait at a silent store must not outlast the silence."""
     feed = ScriptedFeed()
-    copy, _seen = copy_of(feed, [])
-    copy.follow_next()
-    waiting = eventlet.spawn(copy.follow_next)
+    subject, _seen = follower_of(feed, [])
+    subject.follow_next()
+    waiting = eventlet.spawn(subject.follow_next)
     eventlet.sleep(0.05)
-    copy.give_up()
+    subject.give_up()
     with eventlet.Timeout(5):
         waiting.wait()
-    assert copy.mirror.failing_since is not None
-    copy.give_up()
+    assert subject.mirror.failing_since is not None
+    subject.give_up()
+
+
+def test_giving_up_does_not_strike_a_call_that_has_ended() -> None:
+    """What follows an answered call must not be interrupted."""
+    feed = ScriptedFeed()
+    subject, seen = follower_of(feed, [])
+    subject.follow_next()
+    answered = eventlet.event.Event()
+    feed.answer = answered.wait
+    after = eventlet.event.Event()
+
+    def follow() -> None:
+        subject.follow_next()
+        eventlet.sleep(0.05)
+        after.send('done')
+
+    eventlet.spawn(follow)
+    eventlet.sleep(0)
+    answered.send(Ok(Changes(5, {'t/a': Row('t/a', 5, b'')})))
+    subject.give_up()
+    with eventlet.Timeout(5):
+        assert after.wait() == 'done'
+    assert seen == [1, 5]
 
 
 def test_calls_do_not_wait_while_the_store_is_failing() -> None:
@@ -119,27 +144,27 @@
     The rows that such a change removes did not lapse during the outage.
     """
     feed = ScriptedFeed()
-    copy, _seen = copy_of(feed, [])
-    copy.follow_next()
+    subject, _seen = follower_of(feed, [])
+    subject.follow_next()
     feed.answer = lambda: Err(StoreError('status 503'))
-    copy.follow_next()
+    subject.follow_next()
     feed.answer = lambda: Ok(Changes(1, {}))
-    copy.follow_next()
-    copy.follow_next()
+    subject.follow_next()
+    subject.follow_next()
     none = dt.timedelta()
-    assert feed.waits == [copies.LONG_WAIT, none, copies.LONG_WAIT]
+    assert feed.waits == [follower.LONG_WAIT, none, follower.LONG_WAIT]
 
 
 def test_loss_of_one_table_is_told_to_the_others() -> None:
     """The first call that fails speaks for the whole store."""
     feed = ScriptedFeed()
-    copy, _seen = copy_of(feed, [])
-    copy.follow_next()
+    subject, _seen = follower_of(feed, [])
+    subject.follow_next()
     told: list[str] = []
-    copy.on_loss = [lambda: told.append('lost')]
+    subject.on_loss = [lambda: told.append('lost')]
     feed.answer = lambda: Err(StoreError('status 503'))
-    copy.follow_next()
-    copy.follow_next()
+    subject.follow_next()
+    subject.follow_next()
     assert told == ['lost']
 
 
@@ -149,10 +174,10 @@
     other.replace(Snapshot(9, {'t/new': Row('t/new', 9, b'x')}))
     port = serve_copy(other)
     feed = ScriptedFeed()
-    copy, seen = copy_of(feed, [port])
-    copy.follow_next()
-    copy.mirror.missed()
-    copy.ask_peer()
-    copy.ask_peer()
+    subject, seen = follower_of(feed, [port])
+    subject.follow_next()
+    subject.mirror.missed()
+    subject.ask_peer()
+    subject.ask_peer()
     assert seen == [1, 9]
-    assert list(copy.mirror.rows) == ['t/new']
+    assert list(subject.mirror.rows) == ['t/new']
--- a/bronzeglade/forwarding/inbound.py
+++ b/bronzeglade/forwarding/inbound.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from bronzeglade.clock import Clock
-from bronzeglade.forwarding import wire
+from bronzeglade.forwarding import tcp
 from bronzeglade.forwarding.message import RequestHead
 from bronzeglade.forwarding.route import Limits
 from bronzeglade.outcome import Refusal, RunState
@@ -104,7 +104,7 @@
           False when the caller has closed the connection.
         """
         try:
-            received: bytes = self.sock.fd.recv(wire.READ_BYTES)
+            received: bytes = self.sock.fd.recv(tcp.READ_BYTES)
         except BlockingIOError:
             return True
         except OSError:
@@ -149,7 +149,7 @@
 
     def _may_end(self) -> bool:
         # An idle connection of a stopping process ends without a request.
-        return self.is_stopping() and wire.is_quiet(self.sock)
+        return self.is_stopping() and tcp.is_quiet(self.sock)
 
     def _read_body(self) -> Result[bytes, Refusal | None]:
         limit = self._limits().body_bytes
@@ -188,7 +188,7 @@
     def _receive(self, deadline: dt.timedelta) -> bool:
         """Read bytes or the end; return False when none came in time."""
         try:
-            received = wire.receive(self.sock, self.clock, deadline)
+            received = tcp.receive(self.sock, self.clock, deadline)
         except TimeoutError:
             return False
         self.parser.receive_data(received)
--- a/bronzeglade/forwarding/journal.py
+++ b/bronzeglade/forwarding/log.py
@@ -4,6 +4,7 @@
 import datetime as dt
 import json
 import os
+from collections.abc import Callable
 from typing import Any
 
 import eliot
@@ -41,6 +42,7 @@
         self.second = -1
         self.written = 0
         self.dropped = 0
+        self.on_drop: Callable[[], object] = bool
 
     def start(self) -> None:
         """Begin to write; also what other parts log by eliot."""
@@ -90,6 +92,7 @@
         full = len(self.lines) >= WAITING_LINES
         if full or self.written > LINES_PER_SECOND:
             self.dropped += 1
+            self.on_drop()
             return
         self.lines.append(json.dumps(line, default=str).encode() + b'\n')
         self.waiting.release()
--- a/bronzeglade/forwarding/journal_test.py
+++ b/bronzeglade/forwarding/log_test.py
@@ -7,8 +7,8 @@
 import eventlet
 
 from bronzeglade.builders import ManualClock
-from bronzeglade.forwarding import journal
-from bronzeglade.forwarding.journal import Log
+from bronzeglade.forwarding import log as logs
+from bronzeglade.forwarding.log import Log
 
 
 def lines(descriptor: int) -> list[dict[str, object]]:
@@ -23,9 +23,12 @@
     reader, writer = os.pipe()
     clock = ManualClock()
     log = Log(writer, 'n', clock)
-    for number in range(journal.LINES_PER_SECOND + 7):
+    dropped: list[int] = []
+    log.on_drop = lambda: dropped.append(1)
+    for number in range(logs.LINES_PER_SECOND + 7):
         log.event('flood', number=number)
-    assert len(log.lines) == journal.LINES_PER_SECOND
+    assert len(dropped) == 7
+    assert len(log.lines) == logs.LINES_PER_SECOND
     log.lines.clear()
     clock.advance(dt.timedelta(seconds=1))
     log.event('calm')
--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -20,15 +20,16 @@
 from bronzeglade.coordination.mirror import Mirror
 from bronzeglade.decisions.latency import Latencies, LatencySettings
 from bronzeglade.decisions.placement import Placement, PlacementSettings
-from bronzeglade.forwarding import copies, door, roster, wire
+from bronzeglade.forwarding import door, follower, roster, tcp
 from bronzeglade.forwarding.caller import Caller, CallerConnection
-from bronzeglade.forwarding.copies import Copy, CopyContext
+from bronzeglade.forwarding.follower import Follower, FollowerContext
 from bronzeglade.forwarding.endpoint import EndpointEntry, Registry
 from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
-from bronzeglade.forwarding.journal import Log
+from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.metrics import Metrics
 from bronzeglade.forwarding.rollouts import TICK, Rollouts
 from bronzeglade.forwarding.roster import RouterNode
+from bronzeglade.forwarding.route import Limits
 from bronzeglade.forwarding.router import Router
 from bronzeglade.forwarding.settings import Address, RouterSettings
 from bronzeglade.forwarding.site import Application, Site
@@ -75,17 +76,18 @@
         self.random = random.Random(secrets.randbits(64))
         self.log = Log(sys.stdout.fileno(), settings.name, self.clock)
         metrics = Metrics(CollectorRegistry())
+        self.log.on_drop = metrics.dropped_lines.inc
         self.pool = transport.new_pool()
         self.store = site.open_store(
             settings,
             lambda call, end: metrics.store_calls.labels(call, end).inc(),
         )
         documents = site.documents
-        self.orders = Mirror(documents.operator_table, self.clock)
+        self.operator_rows = Mirror(documents.operator_table, self.clock)
         self.entries = Mirror(documents.endpoint_table, self.clock)
         self.own = Mirror(OWN_TABLE, self.clock)
         self.rollouts = Rollouts(
-            self.store, self.orders, self.own, documents, self.log
+            self.store, self.operator_rows, self.own, documents, self.log
         )
         self.router = Router(
             settings=settings,
@@ -109,7 +111,6 @@
         self.rollouts.exposure = settings.rollout.share
         self.rollouts.rank = self._rank
         self.nodes: dict[str, RouterNode] = {}
-        self.connections: set[CallerConnection] = set()
         self.listeners: list[Any] = []
         self.stopped_listening = False
         self.stopped = eventlet.event.Event()
@@ -132,7 +133,7 @@
         self._serve(settings.directory, self.site.directory(self.addresses))
         self._serve(
             settings.control,
-            copies.pages((self.orders, self.entries, self.own)),
+            follower.pages((self.operator_rows, self.entries, self.own)),
         )
         self._serve(
             (settings.callers[0], self.metrics_port), self._metrics_page
@@ -164,20 +165,23 @@
         )
 
     def _start_loops(self) -> None:
-        context = CopyContext(
+        context = FollowerContext(
             self.store, self.pool, self.log, self.random, self._peers
         )
-        orders = Copy(
-            context, self.orders, self._orders_changed, copies.CLOSE_WAIT
+        operator = Follower(
+            context,
+            self.operator_rows,
+            self._orders_changed,
+            follower.CLOSE_WAIT,
         )
         others = [
-            Copy(context, self.entries, self._entries_changed),
-            Copy(context, self.own, self._own_changed),
+            Follower(context, self.entries, self._entries_changed),
+            Follower(context, self.own, self._own_changed),
         ]
-        orders.on_loss = [copy.give_up for copy in others]
-        for copy in (orders, *others):
-            spawn_loop(copy.follow_next)
-            spawn_loop(copy.ask_peer)
+        operator.on_loss = [one.give_up for one in others]
+        for one in (operator, *others):
+            spawn_loop(one.follow_next)
+            spawn_loop(one.ask_peer)
         spawn_loop(self._every(TICK, self.rollouts.tick))
         spawn_loop(self._every(HOUSEKEEPING, self._housekeep))
         spawn_loop(self._every(SETTINGS_CHECK, self.reload))
@@ -211,7 +215,7 @@
         return names.index(self.router.settings.name)
 
     def _orders_changed(self) -> None:
-        row = self.orders.rows.get(self.site.documents.configuration_key)
+        row = self.operator_rows.rows.get(self.site.documents.configuration_key)
         if row is not None:
             outcome = self.site.documents.read_configuration(row)
             if isinstance(outcome, Ok):
@@ -268,9 +272,8 @@
             eventlet.sleep(REGISTER_PAUSE.total_seconds())
 
     def _serve_callers(self, address: Address) -> None:
-        listener = wire.listen(address, BACKLOG)
+        listener = tcp.listen(address, BACKLOG)
         self.listeners.append(listener)
-
         eventlet.spawn(self._accept, listener)
 
     def _accept(self, listener: Any) -> None:
@@ -282,29 +285,24 @@
                     self.log.event('accept_failed', detail=repr(error))
                     eventlet.sleep(STOP_POLL.total_seconds())
                 continue
-            wire.tune(sock)
+            tcp.tune(sock)
             eventlet.spawn(self._serve_connection, sock)
 
     def _serve_connection(self, sock: Any) -> None:
         reader = RequestReader(
             sock, self.clock, self._limits, lambda: self.router.draining
         )
-        connection = CallerConnection(reader, self._handle)
-        self.connections.add(connection)
-        try:
-            connection.run()
-        finally:
-            self.connections.discard(connection)
+        CallerConnection(reader, self._handle).run()
 
     def _handle(self, incoming: IncomingRequest, caller: Caller) -> None:
         door.handle(self.router, incoming, caller)
 
-    def _limits(self) -> Any:
+    def _limits(self) -> Limits | None:
         table = self.router.table
         return None if table is None else table.limits
 
     def _serve(self, address: Address, application: Application) -> None:
-        listener = wire.listen(address, BACKLOG)
+        listener = tcp.listen(address, BACKLOG)
         eventlet.spawn(
             wsgi.server,
             listener,
--- a/bronzeglade/forwarding/rollouts.py
+++ b/bronzeglade/forwarding/rollouts.py
@@ -16,7 +16,7 @@
 from bronzeglade.decisions.evidence import Evidence, Observation
 from bronzeglade.decisions.rollout import Judge, JudgeSettings
 from bronzeglade.forwarding.endpoint import Endpoint
-from bronzeglade.forwarding.journal import Log
+from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.site import Documents
 from bronzeglade.forwarding.work import Work
 from bronzeglade.manifest import RolloutLimits
@@ -83,7 +83,7 @@
           log: of the node.
         """
         self.table = table
-        self.orders_mirror = orders
+        self.operator_rows = orders
         self.own = own
         self.documents = documents
         self.log = log
@@ -97,11 +97,11 @@
         self.watches: dict[str, _Watch] = {}
 
     def refresh(self) -> None:
-        """Take the orders and plans of the copies."""
+        """Take the orders and plans of the follower."""
         for key, row in self.own.rows.items():
             if key.startswith(plans.PLAN_PREFIX):
                 self._take_plan(plans.decode(row))
-        for key, row in self.orders_mirror.rows.items():
+        for key, row in self.operator_rows.rows.items():
             if key.startswith(self.documents.order_prefix):
                 order = self.documents.read_order(row)
                 if isinstance(order, Err):
@@ -120,7 +120,12 @@
         if order is None:
             return list(endpoints)
         target = [one for one in endpoints if one.entry.version == order.target]
-        others = [one for one in endpoints if one.entry.version != order.target]
+        withdrawn = plan.withdrawn if plan else ()
+        others = [
+            one
+            for one in endpoints
+            if one.entry.version not in {order.target, *withdrawn}
+        ]
         if plan is None or plan.order != order.number:
             return others
         if plan.stage is Stage.COMPLETED:
--- a/bronzeglade/forwarding/rollouts_test.py
+++ b/bronzeglade/forwarding/rollouts_test.py
@@ -38,7 +38,7 @@
     def order(self) -> None:
         """Give every node the order."""
         for node in self.nodes:
-            node.orders_mirror.replace(Snapshot(9, {ORDER.key: ORDER}))
+            node.operator_rows.replace(Snapshot(9, {ORDER.key: ORDER}))
             node.refresh()
 
     def run(self, seconds: float, *acting: int) -> None:
@@ -136,6 +136,23 @@
     assert set(versions(fleet.nodes[1])) == {'v1'}
 
 
+def test_version_that_was_rolled_back_stays_out_of_the_next_order() -> None:
+    """Endpoints of a bad version may still be there when another one comes."""
+    fleet = Fleet(1)
+    fleet.order()
+    fleet.run(3)
+    fleet.observe('v2', failed=8, passed=8)
+    fleet.observe('v1', failed=0, passed=80)
+    fleet.run(3)
+    node = fleet.nodes[0]
+    later = Row(ORDER.key, 20, f'workers v3 {DURATION_S}'.encode())
+    node.operator_rows.replace(Snapshot(99, {later.key: later}))
+    node.refresh()
+    assert set(versions(node)) == {'v1'}
+    fleet.run(1)
+    assert set(versions(node)) == {'v1'}
+
+
 def test_failures_of_both_versions_are_no_reason_to_halt() -> None:
     """A fault of the platform hits both versions alike."""
     fleet = Fleet(2)
@@ -165,7 +182,7 @@
     fleet.run(3)
     started = builders.rollouts(fleet.clock, fleet.memory)
     fleet.nodes.append(started)
-    started.orders_mirror.replace(Snapshot(9, {ORDER.key: ORDER}))
+    started.operator_rows.replace(Snapshot(9, {ORDER.key: ORDER}))
     fleet.share()
     assert set(versions(started)) == {'v1'}
     assert not started.watches
--- a/bronzeglade/forwarding/route.py
+++ b/bronzeglade/forwarding/route.py
@@ -73,18 +73,6 @@
         return self.services[-1].service
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineTraits:
-    """What a service of model engines has.
-
-    `costs` are prices of 1,000 generated tokens by model.
-    """
-
-    slots: int
-    memory_tokens: int
-    costs: Mapping[str, float]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A kind of endpoints.
@@ -93,9 +81,7 @@
     """
 
     name: str
-    health_path: str
     max_connections: int
-    engine: EngineTraits | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bronzeglade/forwarding/router.py
+++ b/bronzeglade/forwarding/router.py
@@ -16,7 +16,7 @@
     Registry,
     connection_limit,
 )
-from bronzeglade.forwarding.journal import Log
+from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.message import Dialect
 from bronzeglade.forwarding.metrics import Metrics
 from bronzeglade.forwarding.rollouts import Rollouts
--- a/bronzeglade/forwarding/settings.py
+++ b/bronzeglade/forwarding/settings.py
@@ -21,15 +21,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RolloutBounds:
-    """How much of a service's requests a bad version may get.
-
-    At most `share` of all, and `slack` more; none that is sent later than
-    `reaction` after its 50th bad answer.
-    """
+    """The part of a service's requests that a bad version may get."""
 
     share: float
-    slack: float
-    reaction: dt.timedelta
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,4 +55,3 @@
     retry: RetryBounds
     rollout: RolloutBounds
     stop: StopBounds
-    session_gap: dt.timedelta
--- a/bronzeglade/forwarding/site.py
+++ b/bronzeglade/forwarding/site.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 from collections.abc import Callable, Iterable
-from typing import Any, Protocol
+from typing import Protocol
 
 from result import Result
 
@@ -49,6 +49,3 @@
     documents: Documents
     readiness: Callable[[Callable[[], bool]], Application]
     directory: Callable[[Callable[[str, str], list[Address]]], Application]
-
-
-Environ = dict[str, Any]
--- a/bronzeglade/forwarding/upstream.py
+++ b/bronzeglade/forwarding/upstream.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from bronzeglade.clock import Clock
-from bronzeglade.forwarding import wire
+from bronzeglade.forwarding import tcp
 from bronzeglade.forwarding.message import Headers
 
 # A body above this size is sent beside the reading of the answer: an endpoint
@@ -87,7 +87,7 @@
         """
         self.request = request
         packed = self._pack(request)
-        wire.limit_until(self.sock, self.clock, deadline)
+        tcp.limit_until(self.sock, self.clock, deadline)
         if len(packed) > BODY_AT_ONCE:
             self.sender = eventlet.spawn(self._send_quietly, packed)
             return Ok(None)
@@ -188,18 +188,18 @@
     def is_usable(self) -> bool:
         """Return whether an idle connection may take a request."""
         idle = self.clock.monotonic() - self.used
-        return idle < self.idle_limit and wire.is_quiet(self.sock)
+        return idle < self.idle_limit and tcp.is_quiet(self.sock)
 
     def abort(self) -> None:
         """End the exchange at once; the endpoint stops its work."""
-        wire.abort(self.sock)
+        tcp.abort(self.sock)
 
     def close(self) -> None:
         """Close the connection."""
         if self.sender is not None and not self.sender.dead:
             self.sender.kill()
-        wire.abort(self.sock)
-        wire.close(self.sock)
+        tcp.abort(self.sock)
+        tcp.close(self.sock)
 
     def _pack(self, request: OutgoingRequest) -> bytes:
         head = h11.Request(
@@ -229,7 +229,7 @@
             if event is not h11.NEED_DATA:
                 return Ok(event)
             try:
-                received = wire.receive(self.sock, self.clock, deadline)
+                received = tcp.receive(self.sock, self.clock, deadline)
             except TimeoutError as error:
                 # The kernel's own time-out carries an error number.
                 early = error.errno is None
@@ -291,7 +291,7 @@
             return Err(Broken(False, 'no connection is free', local=True))
         self.open += 1
         try:
-            sock = wire.connect(self.address, connect_limit)
+            sock = tcp.connect(self.address, connect_limit)
         except OSError as error:
             self.open -= 1
             return Err(Broken(sent=False, detail=repr(error)))
--- a/bronzeglade/platform/documents.py
+++ b/bronzeglade/platform/documents.py
@@ -12,7 +12,6 @@
 from bronzeglade.coordination.canary import Order, Plan, Stage
 from bronzeglade.forwarding.endpoint import EndpointEntry
 from bronzeglade.forwarding.route import (
-    EngineTraits,
     Kind,
     Limits,
     Route,
@@ -68,22 +67,9 @@
     resumable: bool = False
 
 
-class _Model(_Document):
-    name: str
-    cost: float = 0
-
-
-class _Engine(_Document):
-    slots: int = 1
-    memory_tokens: int = Field(0, alias='kv-tokens')
-    models: tuple[_Model, ...] = ()
-
-
 class _Service(_Document):
     name: str
-    health_path: str = Field('/health', alias='health-path')
     max_connections: int = Field(64, alias='max-connections')
-    engine: _Engine | None = None
 
 
 class _Limits(_Document):
@@ -116,7 +102,6 @@
     version: str = ''
     slots: int = Field(ge=1)
     state: str
-    cold_remaining_ms: float = Field(0, alias='cold-remaining-ms')
     born: int = 0
 
 
@@ -146,7 +131,10 @@
         RouteTable(
             version=document.version,
             routes=index_routes(routes),
-            services={one.name: _service(one) for one in document.services},
+            services={
+                one.name: Service(one.name, one.max_connections)
+                for one in document.services
+            },
             limits=Limits(
                 header_bytes=limits.header_bytes,
                 body_bytes=limits.body_bytes,
@@ -179,7 +167,6 @@
             slots=entry.slots,
             draining=entry.state == 'draining',
             started=entry.born,
-            warm_in=entry.cold_remaining_ms * _MILLISECOND,
         )
     )
 
@@ -229,17 +216,6 @@
     )
 
 
-def _service(one: _Service) -> Service:
-    engine = None
-    if one.engine is not None:
-        engine = EngineTraits(
-            slots=one.engine.slots,
-            memory_tokens=one.engine.memory_tokens,
-            costs={model.name: model.cost for model in one.engine.models},
-        )
-    return Service(one.name, one.health_path, one.max_connections, engine)
-
-
 def _summary(error: pd.ValidationError) -> str:
     first = error.errors(include_url=False, include_input=False)[0]
     place = '.'.join(str(part) for part in first['loc'])
--- a/bronzeglade/platform/documents_test.py
+++ b/bronzeglade/platform/documents_test.py
@@ -35,7 +35,6 @@
     assert isinstance(outcome, Ok)
     entry = outcome.ok_value
     assert (entry.name, entry.address) == ('i-1', ('10.0.0.9', 8080))
-    assert entry.warm_in == dt.timedelta(milliseconds=250)
     assert entry.started == 17
     assert not entry.draining
 
--- a/bronzeglade/platform/headers.py
+++ b/bronzeglade/platform/headers.py
@@ -53,8 +53,6 @@
         b'request-priority',
     )
 )
-# Headers of a worker's answer that only this hop reads.
-_HOP_ANSWER = _CONNECTION
 
 Parsed = TypeVar('Parsed')
 
@@ -116,7 +114,7 @@
             name.lower(): content.decode('latin-1').strip()
             for name, content in headers
         }
-        dropped = _HOP_ANSWER | _named_by_connection(headers)
+        dropped = _CONNECTION | _named_by_connection(headers)
         return AnswerFacts(
             status=status,
             headers=[one for one in headers if one[0].lower() not in dropped],
--- a/bronzeglade/platform/settings.py
+++ b/bronzeglade/platform/settings.py
@@ -38,9 +38,6 @@
     budget_window_s: float = Field(10, alias='budget-window-s')
     budget_slack: float = Field(10, alias='budget-slack')
     expose_share: float = Field(0.1, alias='expose-share')
-    expose_slack: float = Field(10, alias='expose-slack')
-    rollback_ms: float = Field(5000, alias='rollback-ms')
-    session_s: float = Field(5, alias='session-s')
 
 
 class _Store(_Document):
@@ -100,16 +97,11 @@
             bounds.budget_slack,
             dt.timedelta(seconds=bounds.budget_window_s),
         ),
-        rollout=RolloutBounds(
-            bounds.expose_share,
-            bounds.expose_slack,
-            dt.timedelta(milliseconds=bounds.rollback_ms),
-        ),
+        rollout=RolloutBounds(bounds.expose_share),
         stop=StopBounds(
             dt.timedelta(seconds=bounds.grace_s),
             dt.timedelta(seconds=LISTING_TTL_S * _KEPT_TIMES),
         ),
-        session_gap=dt.timedelta(seconds=bounds.session_s),
     )
 
 
