--- a/bronzeglade/forwarding/rollouts_test.py
+++ b/bronzeglade/forwarding/rollouts_test.py
@@ -64,6 +64,13 @@
                 builders.SERVICE, version, Observation(number < failed, 0.5)
             )
 
+    def find_target_bad(self) -> None:
+        """Let the last node see half of the new version's requests fail."""
+        self.run(3)
+        self.observe('v2', failed=8, passed=8)
+        self.observe('v1', failed=0, passed=80)
+        self.run(3)
+
     def stage(self) -> tuple[Stage, float]:
         """Return the stage and the share that the first node knows."""
         plan = self.nodes[0].plans[builders.SERVICE]
@@ -128,10 +135,7 @@
     """The acting node may see none of the failures itself."""
     fleet = Fleet(3)
     fleet.order()
-    fleet.run(3)
-    fleet.observe('v2', failed=8, passed=8)
-    fleet.observe('v1', failed=0, passed=80)
-    fleet.run(3)
+    fleet.find_target_bad()
     assert fleet.stage()[0] is Stage.ROLLED_BACK
     assert set(versions(fleet.nodes[1])) == {'v1'}
 
@@ -140,10 +144,7 @@
     """Endpoints of a bad version may still be there when another one comes."""
     fleet = Fleet(1)
     fleet.order()
-    fleet.run(3)
-    fleet.observe('v2', failed=8, passed=8)
-    fleet.observe('v1', failed=0, passed=80)
-    fleet.run(3)
+    fleet.find_target_bad()
     node = fleet.nodes[0]
     later = Row(ORDER.key, 20, f'workers v3 {DURATION_S}'.encode())
     node.operator_rows.replace(Snapshot(99, {later.key: later}))
@@ -176,10 +177,7 @@
     """A node without memory must not give work to a withdrawn version."""
     fleet = Fleet(2)
     fleet.order()
-    fleet.run(3)
-    fleet.observe('v2', failed=10, passed=6)
-    fleet.observe('v1', failed=0, passed=80)
-    fleet.run(3)
+    fleet.find_target_bad()
     started = builders.rollouts(fleet.clock, fleet.memory)
     fleet.nodes.append(started)
     started.operator_rows.replace(Snapshot(9, {ORDER.key: ORDER}))
