Pause after a change, longer the more nodes there are

Cause: every change of a table wakes the waiting calls of all nodes. Ruled out: the idle calls (0.67 a second and node by the code, a quarter). Change: after a change a node pauses up to 10 ms for each node, 600 ms at most.

--- a/bronzeglade/forwarding/follower.py
+++ b/bronzeglade/forwarding/follower.py
@@ -33,6 +33,11 @@
 # Pauses between calls of a store that gives no answer.
 SHORTEST_PAUSE = dt.timedelta(milliseconds=150)
 LONGEST_PAUSE = dt.timedelta(milliseconds=800)
+# Every change wakes the waiting calls of all nodes. After one a node pauses for
+# longer the more nodes there are, so that changes in quick succession cost all
+# nodes together about a hundred calls a second and table.
+GATHERING_PER_NODE = dt.timedelta(milliseconds=10)
+LONGEST_GATHERING = dt.timedelta(milliseconds=600)
 # A node that cannot reach the store asks a peer this often.
 PEER_INTERVAL = dt.timedelta(milliseconds=700)
 PEER_TIMEOUT = dt.timedelta(milliseconds=400)
@@ -45,7 +50,8 @@
 class FollowerContext:
     """What the copies of a node work with.
 
-    `peers` returns control addresses of other nodes.
+    `peers` returns control addresses of other nodes, `nodes` how many nodes
+    follow the tables.
     """
 
     store: TableFeed
@@ -53,6 +59,7 @@
     log: Log
     random: random.Random
     peers: Callable[[], Sequence[Address]]
+    nodes: Callable[[], int]
 
 
 class _GivenUpError(Exception):
@@ -98,6 +105,7 @@
             self._reached()
             if changed:
                 self.on_change()
+                self._gather()
             return
         error = outcome.err_value
         if isinstance(error, HistoryGone):
@@ -154,6 +162,14 @@
         finally:
             self.caller = None
 
+    def _gather(self) -> None:
+        """Let further changes come together before the next call."""
+        pause = min(
+            LONGEST_GATHERING, GATHERING_PER_NODE * self.context.nodes()
+        )
+        spread = 0.5 + self.context.random.random()
+        eventlet.sleep(pause.total_seconds() * spread)
+
     def _fetch(self, peer: Address) -> Result[Snapshot | None, str]:
         table = self.mirror.table
         after = self.mirror.as_of
--- a/bronzeglade/forwarding/follower_test.py
+++ b/bronzeglade/forwarding/follower_test.py
@@ -49,7 +49,7 @@
 
 
 def follower_of(
-    feed: ScriptedFeed, peers: list[int]
+    feed: ScriptedFeed, peers: list[int], nodes: int = 1
 ) -> tuple[Follower, list[int]]:
     """Return the follower of a table, and the versions at its changes."""
     mirror = Mirror('t', BootClock())
@@ -60,6 +60,7 @@
         builders.log(),
         random.Random(1),
         lambda: [(builders.LOOPBACK, port) for port in peers],
+        lambda: nodes,
     )
     return Follower(context, mirror, lambda: seen.append(mirror.as_of)), seen
 
@@ -181,3 +182,32 @@
     subject.ask_peer()
     assert seen == [1, 9]
     assert list(subject.mirror.rows) == ['t/new']
+
+
+def calls_during_changes(nodes: int) -> int:
+    """Return a node's calls in a second in which a row changes all the time."""
+    feed = ScriptedFeed()
+    subject, _seen = follower_of(feed, [], nodes)
+    subject.follow_next()
+
+    def change() -> Result[Changes, StoreError | HistoryGone]:
+        eventlet.sleep(0.005)
+        version = subject.mirror.as_of + 1
+        return Ok(Changes(version, {'t/a': Row('t/a', version, b'')}))
+
+    feed.answer = change
+    with eventlet.Timeout(1, exception=False):
+        while True:
+            subject.follow_next()
+    return len(feed.waits)
+
+
+def test_many_nodes_do_not_call_the_store_for_each_change_alone() -> None:
+    """A series of changes must not cost calls for every node and change."""
+    assert calls_during_changes(nodes=60) <= 4
+    assert calls_during_changes(nodes=300) <= 4
+
+
+def test_few_nodes_take_changes_without_delay() -> None:
+    """Revoked keys and leaving endpoints must reach a small fleet at once."""
+    assert calls_during_changes(nodes=4) >= 10
--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -166,7 +166,12 @@
 
     def _start_loops(self) -> None:
         context = FollowerContext(
-            self.store, self.pool, self.log, self.random, self._peers
+            self.store,
+            self.pool,
+            self.log,
+            self.random,
+            self._peers,
+            self.router.nodes,
         )
         operator = Follower(
             context,
