Let sessions join a roll-out in its second half, and all nodes step at once

Ruled out: telling sessions apart by whether they are new (no node knows). Change: sessions take part from half of the duration on, requests without one as before; a step is written a little before it holds, in the store's time.

--- a/bronzeglade/coordination/canary.py
+++ b/bronzeglade/coordination/canary.py
@@ -39,7 +39,9 @@
     """What all nodes do about an order.
 
     `began` and `stepped` are monotonic times of the store: of the order and of
-    the last change. `share` is the part of new work that the target gets,
+    the last step. `share` is the part of new work that the target gets from
+    `stepped` on, `share_before` the part until then: the step lies a little
+    ahead when it is written, so that all nodes take it at the same moment.
     `withdrawn` names the versions that were rolled back, `writer` the node
     that wrote the plan and goes on with it.
     """
@@ -54,6 +56,11 @@
     withdrawn: tuple[str, ...] = ()
     reason: str = ''
     writer: str = ''
+    share_before: float = 0
+
+    def share_at(self, now: dt.timedelta) -> float:
+        """Return the part of new work that the target gets at a time."""
+        return self.share if now >= self.stepped else self.share_before
 
 
 def first_plan(order: Order, now: dt.timedelta, before: Plan | None) -> Plan:
@@ -77,18 +84,20 @@
     )
 
 
-def advanced(plan: Plan, share: float, stage: Stage, now: dt.timedelta) -> Plan:
+def advanced(plan: Plan, share: float, stage: Stage, at: dt.timedelta) -> Plan:
     """Return the plan after a step, or the same one without a change.
 
     Args:
       plan: what holds now.
-      share: part of new work from now on.
-      stage: how the roll-out stands from now on.
-      now: the store's monotonic time.
+      share: part of new work after the step.
+      stage: how the roll-out stands then.
+      at: the store's monotonic time of the step.
     """
     if share == plan.share and stage is plan.stage:
         return plan
-    return dataclasses.replace(plan, share=share, stage=stage, stepped=now)
+    return dataclasses.replace(
+        plan, share=share, share_before=plan.share, stage=stage, stepped=at
+    )
 
 
 def rolled_back(plan: Plan, reason: str) -> Plan:
--- a/bronzeglade/decisions/canary.py
+++ b/bronzeglade/decisions/canary.py
@@ -20,7 +20,9 @@
     Until the first step the new version gets `first_share` of the exposure
     that is allowed. Each step gives the time and the share from then on. It is
     complete at `complete_at`, so that the status is written before the
-    deadline. From `nearly` on a lack of evidence holds nothing back.
+    deadline. From `nearly` on a lack of evidence holds nothing back. Sessions
+    take part from `sessions_from` on: one that is under way when a step comes
+    changes its version, and only its next requests tell that it was under way.
     """
 
     first_share: float = 0.5
@@ -30,7 +32,8 @@
         (0.78, 1.0),
     )
     complete_at: float = 0.9
-    nearly: float = 0.6
+    nearly: float = 0.55
+    sessions_from: float = 0.5
     # Evidence of a step takes this long to reach the node that acts.
     shortest_step: dt.timedelta = dt.timedelta(milliseconds=2000)
 
@@ -98,3 +101,10 @@
 ) -> bool:
     """Return whether the last steps have to be taken to be complete in time."""
     return elapsed / duration >= settings.nearly
+
+
+def takes_sessions(
+    settings: CanarySettings, elapsed: dt.timedelta, duration: dt.timedelta
+) -> bool:
+    """Return whether sessions may use the new version by now."""
+    return elapsed / duration >= settings.sessions_from
--- a/bronzeglade/forwarding/follower.py
+++ b/bronzeglade/forwarding/follower.py
@@ -36,8 +36,10 @@
 # Every change wakes the waiting calls of all nodes. After one a node pauses for
 # longer the more nodes there are, so that changes in quick succession cost all
 # nodes together about a hundred calls a second and table.
-GATHERING_PER_NODE = dt.timedelta(milliseconds=10)
-LONGEST_GATHERING = dt.timedelta(milliseconds=600)
+GATHERING_PER_NODE = dt.timedelta(milliseconds=12)
+LONGEST_GATHERING = dt.timedelta(milliseconds=400)
+# Longest time of a call that has changes to tell, on a calm day.
+LONGEST_CALL = dt.timedelta(milliseconds=100)
 # A node that cannot reach the store asks a peer this often.
 PEER_INTERVAL = dt.timedelta(milliseconds=700)
 PEER_TIMEOUT = dt.timedelta(milliseconds=400)
@@ -164,11 +166,9 @@
 
     def _gather(self) -> None:
         """Let further changes come together before the next call."""
-        pause = min(
-            LONGEST_GATHERING, GATHERING_PER_NODE * self.context.nodes()
-        )
-        spread = 0.5 + self.context.random.random()
-        eventlet.sleep(pause.total_seconds() * spread)
+        longest = gathering(self.context.nodes())
+        spread = 0.3 + 0.7 * self.context.random.random()
+        eventlet.sleep(longest.total_seconds() * spread)
 
     def _fetch(self, peer: Address) -> Result[Snapshot | None, str]:
         table = self.mirror.table
@@ -220,6 +220,24 @@
         self.pause = min(LONGEST_PAUSE, self.pause * 2)
 
 
+def gathering(nodes: int) -> dt.timedelta:
+    """Return the longest pause after a change.
+
+    Args:
+      nodes: how many nodes follow the tables.
+    """
+    return min(LONGEST_GATHERING, GATHERING_PER_NODE * nodes)
+
+
+def notice(nodes: int) -> dt.timedelta:
+    """Return the time in which a change reaches all nodes of a calm fleet.
+
+    Args:
+      nodes: how many nodes follow the tables.
+    """
+    return gathering(nodes) + LONGEST_CALL
+
+
 def pack_copy(mirror: Mirror) -> bytes:
     """Return a copy for a peer."""
     packed: bytes = msgpack.packb(
--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -110,6 +110,7 @@
         self.rollouts.node = settings.name
         self.rollouts.exposure = settings.rollout.share
         self.rollouts.rank = self._rank
+        self.rollouts.notice = lambda: follower.notice(self.router.nodes())
         self.nodes: dict[str, RouterNode] = {}
         self.listeners: list[Any] = []
         self.stopped_listening = False
--- a/bronzeglade/forwarding/rollouts.py
+++ b/bronzeglade/forwarding/rollouts.py
@@ -90,6 +90,8 @@
         self.clock = own.clock
         self.settings = CanarySettings()
         self.exposure = 0.1
+        # How long a step takes to reach all nodes.
+        self.notice: Callable[[], dt.timedelta] = dt.timedelta
         self.node = ''
         self.rank: Callable[[str], int] = lambda _service: 0
         self.orders: dict[str, Order] = {}
@@ -132,8 +134,13 @@
             return target or others
         if plan.stage is Stage.ROLLED_BACK or self._is_halted(work.service):
             return others
+        now = self.own.store_time()
+        if work.facts.session is not None and not canary.takes_sessions(
+            self.settings, now - plan.began, order.duration
+        ):
+            return others or target
         unit = f'{plan.service} {plan.order}'
-        if canary.position(unit, work.unit) < plan.share:
+        if canary.position(unit, work.unit) < plan.share_at(now):
             return target or others
         return others or target
 
@@ -234,7 +241,7 @@
         if plan.share and (unproved or watch.judge.verdict().suspect):
             share = plan.share
         share = canary.next_share(self.settings, plan.share, share)
-        return plans.advanced(plan, share, Stage.RUNNING, now)
+        return plans.advanced(plan, share, Stage.RUNNING, now + self.notice())
 
     def _is_turn(self, watch: _Watch, writer: str) -> bool:
         """Return whether this node acts now.
--- a/bronzeglade/forwarding/rollouts_test.py
+++ b/bronzeglade/forwarding/rollouts_test.py
@@ -49,10 +49,10 @@
                 self.nodes[number].tick()
             self.share()
 
-    def share(self) -> None:
-        """Give every node the rows of the store."""
+    def share(self, *nodes: Rollouts) -> None:
+        """Give some nodes, or all, the rows of the store."""
         rows = self.memory.scan('bronzeglade/', 100).ok() or []
-        for node in self.nodes:
+        for node in nodes or self.nodes:
             version = node.own.as_of + 1
             node.own.replace(Snapshot(version, {row.key: row for row in rows}))
             node.refresh()
@@ -77,8 +77,16 @@
         return plan.stage, plan.share
 
 
-def versions(node: Rollouts, requests: int = 400) -> list[str]:
-    """Return the versions that requests may use, by request."""
+def versions(
+    node: Rollouts, requests: int = 400, session: str | None = None
+) -> list[str]:
+    """Return the versions that requests may use, by request.
+
+    Args:
+      node: the router's part.
+      requests: how many.
+      session: what the names of the sessions begin with, if there are any.
+    """
     clock = ManualClock()
     endpoints = [
         Endpoint(
@@ -89,19 +97,20 @@
     ]
     found: list[str] = []
     for number in range(requests):
-        selected = node.select(work(f'r{number}'), endpoints)
+        named = None if session is None else f'{session}{number}'
+        selected = node.select(work(f'r{number}', named), endpoints)
         found.append(','.join(one.entry.version for one in selected))
     return found
 
 
-def work(request_id: str) -> Work:
+def work(request_id: str, session: str | None = None) -> Work:
     """Return an accepted request."""
     head = RequestHead(b'GET', b'/', ())
     incoming = IncomingRequest(head, b'', dt.timedelta())
     return Work(
         head=incoming.head,
         body=b'',
-        facts=RequestFacts(request_id, builders.HOST),
+        facts=RequestFacts(request_id, builders.HOST, session=session),
         route=builders.route(),
         service=builders.SERVICE,
         team=None,
@@ -131,6 +140,36 @@
     assert status['status/workers'].body == b'completed'
 
 
+def test_sessions_stay_on_the_old_version_in_the_first_half() -> None:
+    """A session that is under way at the first step must not change."""
+    fleet = Fleet(1)
+    fleet.order()
+    fleet.run(DURATION_S / 2 - 0.5)
+    assert 'v2' in versions(fleet.nodes[0])
+    assert set(versions(fleet.nodes[0], session='s')) == {'v1'}
+    fleet.run(1)
+    assert 'v2' in versions(fleet.nodes[0], session='s')
+
+
+def test_nodes_take_a_step_at_the_same_moment() -> None:
+    """A session must not go back when its next request meets another node."""
+    fleet = Fleet(2)
+    early, late = fleet.nodes
+    early.notice = late.notice = lambda: TICK * 3
+    fleet.order()
+    fleet.run(DURATION_S * 0.6)
+    steps: set[float] = set()
+    for _ in range(10):
+        for _ in range(2):  # the late node learns of a step two ticks later
+            fleet.clock.advance(TICK)
+            early.tick()
+            fleet.share(early)
+            assert versions(early, session='s') == versions(late, session='s')
+        fleet.share(late)
+        steps.add(late.plans[builders.SERVICE].share)
+    assert len(steps) > 1
+
+
 def test_bad_version_is_rolled_back_on_evidence_of_another_node() -> None:
     """The acting node may see none of the failures itself."""
     fleet = Fleet(3)
