Hear of changes through three watchers a failure domain

Cause: each node followed three tables at the store; calls grew with the number of nodes, 0.67 a second and node without any change (docs/platform.md). Ruled out: longer waits at the store (a store that falls silent would be noticed too late); one watcher (a cut-off one does not know it yet). Change: in a failure domain of more than three nodes, three follow the store and the others ask these in turn (bronzeglade/forwarding/relay.py, copies.py). When one fails or has lost the store, its asker follows the store itself for a while. A copy now names the rows that may only have lapsed: before, such a row in a peer's copy would have stayed for good.

--- a/bronzeglade/coordination/mirror.py
+++ b/bronzeglade/coordination/mirror.py
@@ -6,7 +6,7 @@
 """
 
 import datetime as dt
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from bronzeglade.adapters.feed import Changes, Snapshot
 from bronzeglade.adapters.table import Row
@@ -18,7 +18,10 @@
 
 
 class Mirror:
-    """Rows of one table as of a version; no version before the first read."""
+    """Rows of one table as of a version; no version before the first read.
+
+    `changed_at` is the version of the last change of the rows, or later.
+    """
 
     def __init__(self, table: str, clock: Clock) -> None:
         """Hold nothing.
@@ -31,6 +34,7 @@
         self.clock = clock
         self.rows: dict[str, Row] = {}
         self.as_of = 0
+        self.changed_at = 0
         self.failing_since: dt.timedelta | None = None
         self.settled_at: dt.timedelta | None = None
         self.lapsed: dict[str, Row] = {}
@@ -61,6 +65,8 @@
         if not of_peer:
             self._keep_lapsed(self.rows.keys() - snapshot.rows.keys())
         self.as_of = max(1, snapshot.as_of)
+        if changed:
+            self.changed_at = self.as_of
         self.rows = dict(snapshot.rows)
         self._set_clock(snapshot.now)
         return changed
@@ -75,7 +81,10 @@
         for key in changes.removed:
             self.rows.pop(key, None)
         self.rows.update(changes.written)
-        return bool(changes.written or changes.removed)
+        changed = bool(changes.written or changes.removed)
+        if changed:
+            self.changed_at = self.as_of
+        return changed
 
     def store_time(self) -> dt.timedelta:
         """Return the store's monotonic time, which all nodes share."""
@@ -104,6 +113,26 @@
             return True
         return self.clock.monotonic() >= self.settled_at
 
+    def settling_left(self) -> dt.timedelta:
+        """Return how long rows may still have lapsed only."""
+        if self.settled_at is None:
+            return dt.timedelta()
+        return max(dt.timedelta(), self.settled_at - self.clock.monotonic())
+
+    def take_lapsed(
+        self, rows: Mapping[str, Row], settling: dt.timedelta
+    ) -> None:
+        """Keep rows that a peer keeps since they may only have lapsed.
+
+        Args:
+          rows: by key.
+          settling: how long they may still be written anew.
+        """
+        if rows:
+            self.lapsed.update(rows)
+            until = self.clock.monotonic() + settling
+            self.settled_at = max(self.settled_at or until, until)
+
     def _keep_lapsed(self, removed: Iterable[str]) -> None:
         """Keep rows that were removed while the store gave no answer.
 
--- a/bronzeglade/forwarding/follower.py
+++ b/bronzeglade/forwarding/follower.py
@@ -1,28 +1,24 @@
-"""Keeps the node's copies of tables current, from the store or from peers."""
+"""Keeps the node's copies of tables current, as the store tells changes."""
 
 import dataclasses
 import datetime as dt
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
-import msgpack
-import urllib3
 from eventlet import hubs
 from result import Err, Ok, Result
 
-from bronzeglade.adapters import transport
 from bronzeglade.adapters.feed import (
     Changes,
     HistoryGone,
-    Snapshot,
     TableFeed,
 )
-from bronzeglade.adapters.table import Row, StoreError
+from bronzeglade.adapters.table import StoreError
 from bronzeglade.coordination.mirror import Mirror
+from bronzeglade.forwarding.copies import TableCopy
 from bronzeglade.forwarding.log import Log
-from bronzeglade.forwarding.settings import Address
 
 # How long the store keeps a call waiting for changes of the table that is
 # watched closest. A store that accepts calls and does not answer is noticed
@@ -33,18 +29,14 @@
 # Pauses between calls of a store that gives no answer.
 SHORTEST_PAUSE = dt.timedelta(milliseconds=150)
 LONGEST_PAUSE = dt.timedelta(milliseconds=800)
-# Every change wakes the waiting calls of all nodes. After one a node pauses for
-# longer the more nodes there are, so that changes in quick succession cost all
-# nodes together about a hundred calls a second and table.
+# Every change wakes the waiting calls of all nodes that follow the store. After
+# one a node pauses for longer the more of them there are, so that changes in
+# quick succession cost these nodes together about a hundred calls a second and
+# table.
 GATHERING_PER_NODE = dt.timedelta(milliseconds=12)
 LONGEST_GATHERING = dt.timedelta(milliseconds=400)
 # Longest time of a call that has changes to tell, on a calm day.
 LONGEST_CALL = dt.timedelta(milliseconds=100)
-# A node that cannot reach the store asks a peer this often.
-PEER_INTERVAL = dt.timedelta(milliseconds=700)
-PEER_TIMEOUT = dt.timedelta(milliseconds=400)
-COPY_PATH = '/copy/'
-_OK = 200
 _MILLISECOND = dt.timedelta(milliseconds=1)
 
 
@@ -52,15 +44,12 @@
 class FollowerContext:
     """What the copies of a node work with.
 
-    `peers` returns control addresses of other nodes, `nodes` how many nodes
-    follow the tables.
+    `nodes` returns how many nodes follow the store.
     """
 
     store: TableFeed
-    pool: urllib3.PoolManager
     log: Log
     random: random.Random
-    peers: Callable[[], Sequence[Address]]
     nodes: Callable[[], int]
 
 
@@ -127,26 +116,17 @@
         if caller is not None and caller is self.caller:
             caller.throw(_GivenUpError())
 
-    def ask_peer(self) -> None:
-        """Take a newer copy of a peer while the store gives no answer."""
-        interval = PEER_INTERVAL.total_seconds()
-        eventlet.sleep(interval * (0.8 + 0.4 * self.context.random.random()))
-        peers = list(self.context.peers())
-        waiting = self.mirror.failing_since is not None
-        if not peers or not (waiting or not self.mirror.loaded):
-            return
-        peer = self.context.random.choice(peers)
-        outcome = self._fetch(peer)
-        if isinstance(outcome, Err) or outcome.ok_value is None:
-            return
-        if self.mirror.replace(outcome.ok_value, of_peer=True):
-            self.context.log.event(
-                'copy_of_peer',
-                table=self.mirror.table,
-                peer=f'{peer[0]}:{peer[1]}',
-                as_of=self.mirror.as_of,
-            )
+    def take(self, copy: TableCopy) -> bool:
+        """Take the copy of another node; return whether it is newer."""
+        if copy.snapshot.as_of < self.mirror.as_of:
+            return False
+        newer = self.mirror.replace(copy.snapshot, of_peer=True)
+        if copy.lapsed:
+            self.mirror.take_lapsed(copy.lapsed, copy.settling)
+            eventlet.spawn_after(self._settling_s(), self.on_change)
+        if newer or copy.lapsed:
             self.on_change()
+        return newer
 
     def _changes(self) -> Result[Changes, StoreError | HistoryGone]:
         # A failing store is asked for an answer at once: it may take a call and
@@ -170,17 +150,6 @@
         spread = 0.3 + 0.7 * self.context.random.random()
         eventlet.sleep(longest.total_seconds() * spread)
 
-    def _fetch(self, peer: Address) -> Result[Snapshot | None, str]:
-        table = self.mirror.table
-        after = self.mirror.as_of
-        url = f'http://{peer[0]}:{peer[1]}{COPY_PATH}{table}?after={after}'
-        reply = transport.call(self.context.pool, 'GET', url, PEER_TIMEOUT)
-        if isinstance(reply, Err):
-            return Err(reply.err_value.detail)
-        if reply.ok_value.status != _OK:
-            return Ok(None)
-        return Ok(unpack_copy(reply.ok_value.body))
-
     def _read_whole(self) -> None:
         outcome = self.context.store.snapshot(self.mirror.table)
         if isinstance(outcome, Err):
@@ -235,49 +204,5 @@
     Args:
       nodes: how many nodes follow the tables.
     """
-    return gathering(nodes) + LONGEST_CALL
-
-
-def pack_copy(mirror: Mirror) -> bytes:
-    """Return a copy for a peer."""
-    packed: bytes = msgpack.packb(
-        [
-            mirror.as_of,
-            mirror.store_time() // _MILLISECOND,
-            [
-                [row.key, row.version, row.body]
-                for row in mirror.current().values()
-            ],
-        ]
-    )
-    return packed
-
-
-def unpack_copy(packed: bytes) -> Snapshot:
-    """Return the copy that a peer has packed."""
-    as_of, now, rows = msgpack.unpackb(packed)
-    return Snapshot(
-        as_of,
-        {key: Row(key, version, body) for key, version, body in rows},
-        now * _MILLISECOND,
-    )
-
-
-def pages(mirrors: Sequence[Mirror]) -> Callable[..., Any]:
-    """Return the application that gives copies to peers."""
-    by_path = {COPY_PATH + mirror.table: mirror for mirror in mirrors}
-
-    def application(environ: dict[str, Any], start: Any) -> Any:
-        mirror = by_path.get(environ['PATH_INFO'])
-        after = environ.get('QUERY_STRING', '').rpartition('=')[2]
-        if mirror is None or not after.isdigit():
-            start('404 Not Found', [('Content-Length', '0')])
-            return ()
-        if mirror.as_of <= int(after):
-            start('204 No Content', [])
-            return ()
-        body = pack_copy(mirror)
-        start('200 OK', [('Content-Length', str(len(body)))])
-        return (body,)
-
-    return application
+    # One call of the store, and one between nodes.
+    return gathering(nodes) + 2 * LONGEST_CALL
--- a/bronzeglade/forwarding/follower_test.py
+++ b/bronzeglade/forwarding/follower_test.py
@@ -1,14 +1,10 @@
-"""Guards that copies notice a silent store and learn from peers."""
+"""Guards that copies notice a silent store and spare a busy one."""
 
 import datetime as dt
 import random
-import threading
 from collections.abc import Callable
-from http import server
-from typing import ClassVar
 
 import eventlet
-import urllib3
 from result import Err, Ok, Result
 
 from bronzeglade.adapters.feed import Changes, HistoryGone, Snapshot
@@ -49,51 +45,24 @@
 
 
 def follower_of(
-    feed: ScriptedFeed, peers: list[int], nodes: int = 1
+    feed: ScriptedFeed, nodes: int = 1
 ) -> tuple[Follower, list[int]]:
     """Return the follower of a table, and the versions at its changes."""
     mirror = Mirror('t', BootClock())
     seen: list[int] = []
     context = FollowerContext(
         feed,
-        urllib3.PoolManager(retries=False),
         builders.log(),
         random.Random(1),
-        lambda: [(builders.LOOPBACK, port) for port in peers],
         lambda: nodes,
     )
     return Follower(context, mirror, lambda: seen.append(mirror.as_of)), seen
 
 
-class CopyPage(server.BaseHTTPRequestHandler):
-    """The page of a peer's copy."""
-
-    mirror: ClassVar[Mirror]
-
-    def do_GET(self) -> None:
-        """Send the copy."""
-        body = follower.pack_copy(self.mirror)
-        self.send_response(200)
-        self.send_header('Content-Length', str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
-
-    def log_message(self, *_words: object) -> None:
-        """Drop a line."""
-
-
-def serve_copy(mirror: Mirror) -> int:
-    """Serve the copy of a peer from a thread; return the port."""
-    CopyPage.mirror = mirror
-    http = server.HTTPServer((builders.LOOPBACK, 0), CopyPage)
-    threading.Thread(target=http.serve_forever, daemon=True).start()
-    return http.server_port
-
-
 def test_lost_history_leads_to_a_whole_read() -> None:
     """Changes that the store has dropped must not be missed."""
     feed = ScriptedFeed()
-    subject, seen = follower_of(feed, [])
+    subject, seen = follower_of(feed)
     subject.follow_next()
     feed.answer = lambda: Err(HistoryGone())
     subject.follow_next()
@@ -105,7 +74,7 @@
 def test_waiting_call_ends_when_another_one_has_no_answer() -> None:
     """A long wait at a silent store must not outlast the silence."""
     feed = ScriptedFeed()
-    subject, _seen = follower_of(feed, [])
+    subject, _seen = follower_of(feed)
     subject.follow_next()
     waiting = eventlet.spawn(subject.follow_next)
     eventlet.sleep(0.05)
@@ -119,7 +88,7 @@
 def test_giving_up_does_not_strike_a_call_that_has_ended() -> None:
     """What follows an answered call must not be interrupted."""
     feed = ScriptedFeed()
-    subject, seen = follower_of(feed, [])
+    subject, seen = follower_of(feed)
     subject.follow_next()
     answered = eventlet.event.Event()
     feed.answer = answered.wait
@@ -145,7 +114,7 @@
     The rows that such a change removes did not lapse during the outage.
     """
     feed = ScriptedFeed()
-    subject, _seen = follower_of(feed, [])
+    subject, _seen = follower_of(feed)
     subject.follow_next()
     feed.answer = lambda: Err(StoreError('status 503'))
     subject.follow_next()
@@ -159,7 +128,7 @@
 def test_loss_of_one_table_is_told_to_the_others() -> None:
     """The first call that fails speaks for the whole store."""
     feed = ScriptedFeed()
-    subject, _seen = follower_of(feed, [])
+    subject, _seen = follower_of(feed)
     subject.follow_next()
     told: list[str] = []
     subject.on_loss = [lambda: told.append('lost')]
@@ -169,25 +138,10 @@
     assert told == ['lost']
 
 
-def test_node_takes_the_newer_copy_of_a_peer() -> None:
-    """A node that the store turns away must learn of revoked keys."""
-    other = Mirror('t', BootClock())
-    other.replace(Snapshot(9, {'t/new': Row('t/new', 9, b'x')}))
-    port = serve_copy(other)
-    feed = ScriptedFeed()
-    subject, seen = follower_of(feed, [port])
-    subject.follow_next()
-    subject.mirror.missed()
-    subject.ask_peer()
-    subject.ask_peer()
-    assert seen == [1, 9]
-    assert list(subject.mirror.rows) == ['t/new']
-
-
 def calls_during_changes(nodes: int) -> int:
     """Return a node's calls in a second in which a row changes all the time."""
     feed = ScriptedFeed()
-    subject, _seen = follower_of(feed, [], nodes)
+    subject, _seen = follower_of(feed, nodes)
     subject.follow_next()
 
     def change() -> Result[Changes, StoreError | HistoryGone]:
--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -1,6 +1,7 @@
 """The router process for opaque requests: sockets, loops, signals, stop."""
 
 import datetime as dt
+import functools
 import json
 import random
 import secrets
@@ -20,13 +21,15 @@
 from bronzeglade.coordination.mirror import Mirror
 from bronzeglade.decisions.latency import Latencies, LatencySettings
 from bronzeglade.decisions.placement import Placement, PlacementSettings
-from bronzeglade.forwarding import door, follower, roster, tcp
+from bronzeglade.forwarding import copies, door, follower, relay, roster, tcp
 from bronzeglade.forwarding.caller import Caller, CallerConnection
+from bronzeglade.forwarding.copies import CopySource
 from bronzeglade.forwarding.follower import Follower, FollowerContext
 from bronzeglade.forwarding.endpoint import EndpointEntry, Registry
 from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
 from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.metrics import Metrics
+from bronzeglade.forwarding.relay import Relay
 from bronzeglade.forwarding.rollouts import TICK, Rollouts
 from bronzeglade.forwarding.roster import RouterNode
 from bronzeglade.forwarding.route import Limits
@@ -86,6 +89,7 @@
         self.operator_rows = Mirror(documents.operator_table, self.clock)
         self.entries = Mirror(documents.endpoint_table, self.clock)
         self.own = Mirror(OWN_TABLE, self.clock)
+        self.copies = CopySource((self.operator_rows, self.entries, self.own))
         self.rollouts = Rollouts(
             self.store, self.operator_rows, self.own, documents, self.log
         )
@@ -110,7 +114,7 @@
         self.rollouts.node = settings.name
         self.rollouts.exposure = settings.rollout.share
         self.rollouts.rank = self._rank
-        self.rollouts.notice = lambda: follower.notice(self.router.nodes())
+        self.rollouts.notice = lambda: follower.notice(self._store_followers())
         self.nodes: dict[str, RouterNode] = {}
         self.listeners: list[Any] = []
         self.stopped_listening = False
@@ -134,7 +138,7 @@
         self._serve(settings.directory, self.site.directory(self.addresses))
         self._serve(
             settings.control,
-            follower.pages((self.operator_rows, self.entries, self.own)),
+            self.copies.application,
         )
         self._serve(
             (settings.callers[0], self.metrics_port), self._metrics_page
@@ -167,27 +171,36 @@
 
     def _start_loops(self) -> None:
         context = FollowerContext(
-            self.store,
-            self.pool,
-            self.log,
-            self.random,
-            self._peers,
-            self.router.nodes,
+            self.store, self.log, self.random, self._store_followers
         )
+        tell = self.copies.notify
         operator = Follower(
             context,
             self.operator_rows,
-            self._orders_changed,
+            _in_turn(self._orders_changed, tell),
             follower.CLOSE_WAIT,
         )
         others = [
-            Follower(context, self.entries, self._entries_changed),
-            Follower(context, self.own, self._own_changed),
+            Follower(
+                context, self.entries, _in_turn(self._entries_changed, tell)
+            ),
+            Follower(context, self.own, _in_turn(self._own_changed, tell)),
         ]
-        operator.on_loss = [one.give_up for one in others]
-        for one in (operator, *others):
-            spawn_loop(one.follow_next)
-            spawn_loop(one.ask_peer)
+        operator.on_loss = [tell, *(one.give_up for one in others)]
+        followers = (operator, *others)
+        through = Relay(
+            followers,
+            functools.partial(copies.fetch, self.pool),
+            self.clock,
+            self.log,
+            self.random,
+        )
+        through.watchers = self._watchers
+        through.peers = self._peers
+        for one in followers:
+            spawn_loop(_in_turn(through.wait_while_relayed, one.follow_next))
+        spawn_loop(through.follow_next)
+        spawn_loop(through.ask_peer)
         spawn_loop(self._every(TICK, self.rollouts.tick))
         spawn_loop(self._every(HOUSEKEEPING, self._housekeep))
         spawn_loop(self._every(SETTINGS_CHECK, self.reload))
@@ -215,6 +228,16 @@
         }
         return sorted(known) or list(settings.peers)
 
+    def _watchers(self) -> list[Address]:
+        settings = self.router.settings
+        return relay.watchers_of(
+            list(self.nodes.values()), settings.name, settings.failure_domain
+        )
+
+    def _store_followers(self) -> int:
+        """Return how many nodes follow the store, not another node."""
+        return relay.store_followers(list(self.nodes.values()))
+
     def _rank(self, service: str) -> int:
         """Return the place of this node among those that act on a service."""
         names = sorted({*self.nodes, self.router.settings.name})
@@ -385,6 +408,14 @@
     return RouterProcess(site, settings.ok_value, metrics_port).run()
 
 
+def _in_turn(*actions: Callable[[], None]) -> Callable[[], None]:
+    def turn() -> None:
+        for action in actions:
+            action()
+
+    return turn
+
+
 def _myself(settings: RouterSettings) -> RouterNode:
     return RouterNode(
         settings.name,
--- /dev/null
+++ b/bronzeglade/forwarding/relay_test.py
@@ -0,0 +1,228 @@
+"""Guards that nodes hear of changes through others, also when those fail."""
+
+import datetime as dt
+import random
+from collections.abc import Mapping
+
+import eventlet
+import pytest
+from result import Err, Ok, Result
+
+from bronzeglade.adapters.feed import Changes, HistoryGone, Snapshot
+from bronzeglade.adapters.table import Row, StoreError
+from bronzeglade.clock import BootClock
+from bronzeglade.coordination.mirror import Mirror
+from bronzeglade.forwarding import builders, copies, relay
+from bronzeglade.forwarding.copies import Copies, CopySource
+from bronzeglade.forwarding.follower import Follower, FollowerContext
+from bronzeglade.forwarding.relay import Relay
+from bronzeglade.forwarding.roster import RouterNode
+
+KEY = 't/a'
+
+
+class OtherNode:
+    """A node that gives its copy of one table."""
+
+    def __init__(self, as_of: int) -> None:
+        """Serve a copy with one row."""
+        self.mirror = Mirror('t', BootClock())
+        self.source = CopySource([self.mirror])
+        self.calls = 0
+        self.put(as_of)
+        self.gone = False
+
+    def put(self, version: int) -> None:
+        """Write the row."""
+        row = Row(KEY, version, b'x')
+        self.mirror.replace(Snapshot(version, {KEY: row}))
+        self.source.notify()
+
+    def lose_store(self) -> None:
+        """Get no answer of the store."""
+        self.mirror.missed()
+        self.source.notify()
+
+    def answer(
+        self, known: Mapping[str, int], wait: dt.timedelta
+    ) -> Result[Copies, str]:
+        """Answer a call of another node."""
+        self.calls += 1
+        if self.gone:
+            return Err('connection refused')
+        return Ok(copies.unpack(self.source.answer(known, wait)))
+
+
+class SilentStore:
+    """A store that counts calls and answers none."""
+
+    def __init__(self) -> None:
+        """Create a store that was not called yet."""
+        self.calls = 0
+
+    def snapshot(self, table: str) -> Result[Snapshot, StoreError]:
+        """Read a whole table."""
+        return Ok(Snapshot(1, {}))
+
+    def changes(
+        self, table: str, after: int, wait: dt.timedelta
+    ) -> Result[Changes, StoreError | HistoryGone]:
+        """Wait for changes."""
+        self.calls += 1
+        eventlet.sleep(60)
+        return Err(StoreError('the test is over'))
+
+
+class Node:
+    """A node that follows a table through others."""
+
+    def __init__(self, *watchers: OtherNode) -> None:
+        """Know the table as of its first version."""
+        self.store = SilentStore()
+        self.mirror = Mirror('t', BootClock())
+        self.seen: list[int] = []
+        context = FollowerContext(
+            self.store, builders.log(), random.Random(1), lambda: 1
+        )
+        self.follower = Follower(
+            context, self.mirror, lambda: self.seen.append(self.mirror.as_of)
+        )
+        self.follower.follow_next()
+        others = {(str(place), 1): one for place, one in enumerate(watchers)}
+        self.relay = Relay(
+            [self.follower],
+            lambda address, known, wait: others[address].answer(known, wait),
+            self.mirror.clock,
+            builders.log(),
+            random.Random(1),
+        )
+        self.relay.watchers = lambda: list(others)
+        self.relay.peers = self.relay.watchers
+
+
+@pytest.fixture(autouse=True)
+def _time_limit():  # type: ignore[no-untyped-def]
+    with eventlet.Timeout(20):
+        yield
+
+
+def test_change_comes_from_a_watcher_without_a_call_of_the_store() -> None:
+    """The calls of the store must not grow with the number of nodes."""
+    watcher = OtherNode(as_of=5)
+    node = Node(watcher)
+    node.relay.follow_next()
+    waiting = eventlet.spawn(node.relay.follow_next)
+    eventlet.sleep(0.05)
+    watcher.put(9)
+    waiting.wait()
+    assert node.seen == [1, 5, 9]
+    assert node.relay.relayed
+    assert node.store.calls == 0
+
+
+def test_watcher_that_hears_nothing_delays_a_change_by_one_call() -> None:
+    """A watcher that is cut off from the store may not know it yet."""
+    stale, current = OtherNode(as_of=5), OtherNode(as_of=9)
+    node = Node(stale, current)
+    began = node.mirror.clock.monotonic()
+    node.relay.follow_next()
+    node.relay.follow_next()
+    lasted = node.mirror.clock.monotonic() - began
+    assert node.mirror.as_of == 9
+    assert lasted < relay.WATCH_WAIT * 2
+
+
+def test_older_copy_of_a_watcher_is_not_taken() -> None:
+    """A watcher that is behind must not bring back a revoked key."""
+    ahead, behind = OtherNode(as_of=9), OtherNode(as_of=5)
+    node = Node(ahead, behind)
+    for _ in range(4):
+        node.relay.follow_next()
+    assert node.seen == [1, 9]
+
+
+def test_node_follows_the_store_when_its_watcher_has_lost_it() -> None:
+    """A store that turns one node away may serve the others."""
+    watcher = OtherNode(as_of=5)
+    node = Node(watcher)
+    node.relay.follow_next()
+    held = eventlet.spawn(node.relay.wait_while_relayed)
+    waiting = eventlet.spawn(node.relay.follow_next)
+    eventlet.sleep(0.05)
+    watcher.lose_store()
+    waiting.wait()
+    held.wait()
+    assert not node.relay.relayed
+
+
+def test_node_follows_the_store_when_its_watcher_is_gone() -> None:
+    """A killed watcher must not leave others without changes."""
+    watcher = OtherNode(as_of=5)
+    node = Node(watcher)
+    node.relay.follow_next()
+    watcher.gone = True
+    node.relay.follow_next()
+    node.relay.wait_while_relayed()
+    calls = watcher.calls
+    node.relay.follow_next()
+    assert watcher.calls == calls
+
+
+def test_lapsed_rows_of_a_watcher_go_when_the_table_has_settled() -> None:
+    """An endpoint that is gone for good must not stay in a relayed copy."""
+    watcher = OtherNode(as_of=5)
+    watcher.mirror.missed()
+    watcher.mirror.apply(Changes(7, {}, frozenset((KEY,))))
+    watcher.mirror.reached()
+    node = Node(watcher)
+    node.relay.follow_next()
+    assert list(node.mirror.current()) == [KEY]
+    assert not node.mirror.rows
+    settling = node.mirror.settling_left().total_seconds()
+    eventlet.sleep(settling + 0.05)
+    assert not node.mirror.current()
+    assert node.seen == [1, 7, 7]
+
+
+def test_node_that_lost_the_store_takes_the_copy_of_a_peer() -> None:
+    """A node that the store turns away must learn of revoked keys."""
+    peer = OtherNode(as_of=9)
+    node = Node(peer)
+    node.relay.ask_peer()
+    assert node.seen == [1]
+    node.mirror.missed()
+    node.relay.ask_peer()
+    node.relay.ask_peer()
+    assert node.seen == [1, 9]
+
+
+def nodes(*names: str) -> list[RouterNode]:
+    """Return registered nodes; a name is `domain-number`."""
+    return [
+        RouterNode(name, name.partition('-')[0], ('h', 1), (name, 1))
+        for name in names
+    ]
+
+
+def test_small_failure_domain_follows_the_store_itself() -> None:
+    """With few nodes nothing is saved by asking others."""
+    small = nodes('a-1', 'a-2', 'a-3', 'b-1')
+    for node in small:
+        found = relay.watchers_of(small, node.name, node.failure_domain)
+        assert not found
+    assert relay.store_followers(small) == 4
+
+
+def test_watchers_are_the_same_for_all_nodes_of_a_failure_domain() -> None:
+    """Nodes that chose different watchers would all call the store."""
+    large = nodes(*(f'a-{number}' for number in range(9)), 'b-1')
+    asked = {
+        node.name: relay.watchers_of(large, node.name, node.failure_domain)
+        for node in large
+    }
+    assert not any(asked[name] for name in ('a-0', 'a-1', 'a-2', 'b-1'))
+    assert all(
+        asked[f'a-{number}'] == [('a-0', 1), ('a-1', 1), ('a-2', 1)]
+        for number in range(3, 9)
+    )
+    assert relay.store_followers(large) == 4
--- a/bronzeglade/forwarding/rollouts_test.py
+++ b/bronzeglade/forwarding/rollouts_test.py
@@ -155,7 +155,8 @@
     """A session must not go back when its next request meets another node."""
     fleet = Fleet(2)
     early, late = fleet.nodes
-    early.notice = late.notice = lambda: TICK * 3
+    for node in fleet.nodes:
+        node.notice = (TICK * 3).__pos__
     fleet.order()
     fleet.run(DURATION_S * 0.6)
     steps: set[float] = set()
