Call the store less: one scout in outages, fewer notes of evidence, steadier relays

Change: pauses after a change by the number of nodes that follow the store, 25 ms each; evidence is written at most every 4 s by 67 nodes; a watcher tells a loss after 400 ms, and the next watcher is asked before the store.

--- a/bronzeglade/coordination/mirror.py
+++ b/bronzeglade/coordination/mirror.py
@@ -105,6 +105,12 @@
         self.failing_since = self.clock.monotonic()
         return True
 
+    def failing_for(self) -> dt.timedelta:
+        """Return since how long the store has given no answer."""
+        if self.failing_since is None:
+            return dt.timedelta()
+        return self.clock.monotonic() - self.failing_since
+
     def is_settled(self) -> bool:
         """Return whether rows that are missing now are surely gone."""
         if self.failing_since is not None:
--- a/bronzeglade/forwarding/copies.py
+++ b/bronzeglade/forwarding/copies.py
@@ -29,6 +29,9 @@
 
 COPIES_PATH = '/copies'
 LONGEST_WAIT = dt.timedelta(seconds=5)
+# A store is told to be lost when it gave no answer for this long: a broken
+# connection alone is none.
+LOST_AFTER = dt.timedelta(milliseconds=400)
 # Longest time for an answer beyond the time that a call asks to wait.
 ANSWER_LIMIT = dt.timedelta(milliseconds=400)
 _COMPRESSION = 1  # zlib level: rows are repetitive text, speed counts
@@ -107,7 +110,7 @@
     def is_current(self) -> bool:
         """Return whether every table is known and the store is heard."""
         return all(
-            mirror.loaded and mirror.failing_since is None
+            mirror.loaded and mirror.failing_for() < LOST_AFTER
             for mirror in self.mirrors.values()
         )
 
--- a/bronzeglade/forwarding/exchange_test.py
+++ b/bronzeglade/forwarding/exchange_test.py
@@ -46,13 +46,14 @@
     def sendto(self, content: bytes, address: Address) -> None:
         """Send a datagram; one to an unknown address is lost."""
         self.network.sent[address] += 1
-        if address in self.network.queues:
-            self.network.queues[address].put((content, self.address))
+        mailbox = self.network.queues.get(address)
+        if mailbox is not None:
+            mailbox.put((content, self.address))
 
     def recvfrom(self, _largest: int) -> tuple[bytes, Address]:
         """Return the next datagram."""
-        queue = self.network.queues[self.address]
-        received: tuple[bytes, Address] = queue.get(block=True)
+        mailbox = self.network.queues[self.address]
+        received: tuple[bytes, Address] = mailbox.get(block=True)
         return received
 
 
--- a/bronzeglade/forwarding/follower.py
+++ b/bronzeglade/forwarding/follower.py
@@ -29,11 +29,13 @@
 # Pauses between calls of a store that gives no answer.
 SHORTEST_PAUSE = dt.timedelta(milliseconds=150)
 LONGEST_PAUSE = dt.timedelta(milliseconds=800)
+# How often a table looks whether the store is back for another one.
+SCOUT_CHECK = dt.timedelta(milliseconds=50)
 # Every change wakes the waiting calls of all nodes that follow the store. After
 # one a node pauses for longer the more of them there are, so that changes in
-# quick succession cost these nodes together about a hundred calls a second and
+# quick succession cost these nodes together about fifty calls a second and
 # table.
-GATHERING_PER_NODE = dt.timedelta(milliseconds=12)
+GATHERING_PER_NODE = dt.timedelta(milliseconds=25)
 LONGEST_GATHERING = dt.timedelta(milliseconds=400)
 # Longest time of a call that has changes to tell, on a calm day.
 LONGEST_CALL = dt.timedelta(milliseconds=100)
@@ -81,12 +83,17 @@
         self.on_change = on_change
         self.wait = wait
         self.on_loss: list[Callable[[], None]] = []
+        # The table whose calls find out when a lost store is back.
+        self.scout: Mirror | None = None
         self.caller: Any = None
         self.pause = SHORTEST_PAUSE
         self.must_read = True
 
     def follow_next(self) -> None:
         """Wait for the next change and take it; one turn of a loop."""
+        if self._waits_for_scout():
+            eventlet.sleep(SCOUT_CHECK.total_seconds())
+            return
         if self.must_read:
             self._read_whole()
             return
@@ -128,6 +135,14 @@
             self.on_change()
         return newer
 
+    def _waits_for_scout(self) -> bool:
+        """Return whether the store is lost for this table and the scout's."""
+        return (
+            self.scout is not None
+            and self.scout.failing_since is not None
+            and self.mirror.failing_since is not None
+        )
+
     def _changes(self) -> Result[Changes, StoreError | HistoryGone]:
         # A failing store is asked for an answer at once: it may take a call and
         # never answer it, and what changes after it is back must be told from
--- a/bronzeglade/forwarding/follower_test.py
+++ b/bronzeglade/forwarding/follower_test.py
@@ -165,3 +165,22 @@
 def test_few_nodes_take_changes_without_delay() -> None:
     """Revoked keys and leaving endpoints must reach a small fleet at once."""
     assert calls_during_changes(nodes=4) >= 10
+
+
+def test_only_one_table_looks_whether_a_lost_store_is_back() -> None:
+    """A store that is down must not be called for each table of each node."""
+    feed = ScriptedFeed()
+    subject, _seen = follower_of(feed)
+    subject.follow_next()
+    scout = Mirror('s', BootClock())
+    subject.scout = scout
+    feed.answer = lambda: Err(StoreError('status 503'))
+    subject.follow_next()
+    scout.missed()
+    calls = len(feed.waits)
+    subject.follow_next()
+    subject.follow_next()
+    assert len(feed.waits) == calls
+    scout.reached()
+    subject.follow_next()
+    assert len(feed.waits) == calls + 1
--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -115,6 +115,7 @@
         self.rollouts.node = settings.name
         self.rollouts.exposure = settings.rollout.share
         self.rollouts.rank = self._rank
+        self.rollouts.nodes = self.router.nodes
         self.rollouts.notice = lambda: follower.notice(self._store_followers())
         self.nodes: dict[str, RouterNode] = {}
         self.exchange = Exchange(
@@ -195,6 +196,8 @@
             ),
             Follower(context, self.own, _in_turn(self._own_changed, tell)),
         ]
+        for one in others:
+            one.scout = operator.mirror
         operator.on_loss = [tell, *(one.give_up for one in others)]
         followers = (operator, *others)
         through = Relay(
--- a/bronzeglade/forwarding/relay.py
+++ b/bronzeglade/forwarding/relay.py
@@ -28,8 +28,10 @@
 WATCHERS = 3
 # How long a watcher keeps a call waiting for changes.
 WATCH_WAIT = dt.timedelta(milliseconds=700)
-# A watcher that failed is not asked again for this time.
+# A watcher that gave no answer is not asked again for this time, and one that
+# has lost the store for a shorter one.
 AVOIDED = dt.timedelta(seconds=8)
+AVOIDED_LOST = dt.timedelta(seconds=1)
 # A node that cannot reach the store asks a peer this often.
 PEER_INTERVAL = dt.timedelta(milliseconds=700)
 
@@ -86,9 +88,12 @@
             return
         outcome = self._fetch(watcher, wait=WATCH_WAIT)
         if isinstance(outcome, Err):
-            self._avoid(watcher, outcome.err_value)
+            # Another silent one would take too long.
+            self._avoid(watcher, AVOIDED)
+            self._end(outcome.err_value, watcher)
         elif not outcome.ok_value.current:
-            self._avoid(watcher, 'it has lost the store')
+            # The others may hear from the store; they are asked at once.
+            self._avoid(watcher, AVOIDED_LOST)
         elif not self.relayed:
             self.relayed = True
             self.log.event('relayed', watcher=_name(watcher))
@@ -141,9 +146,8 @@
                 as_of=follower.mirror.as_of,
             )
 
-    def _avoid(self, watcher: Address, reason: str) -> None:
-        self.avoided[watcher] = self.clock.monotonic() + AVOIDED
-        self._end(reason, watcher)
+    def _avoid(self, watcher: Address, duration: dt.timedelta) -> None:
+        self.avoided[watcher] = self.clock.monotonic() + duration
 
     def _end(self, reason: str, watcher: Address | None = None) -> None:
         if self.relayed:
--- a/bronzeglade/forwarding/relay_test.py
+++ b/bronzeglade/forwarding/relay_test.py
@@ -19,6 +19,7 @@
 from bronzeglade.forwarding.roster import RouterNode
 
 KEY = 't/a'
+LOST_S = copies.LOST_AFTER.total_seconds() + 0.01
 
 
 class OtherNode:
@@ -41,6 +42,7 @@
     def lose_store(self) -> None:
         """Get no answer of the store."""
         self.mirror.missed()
+        eventlet.sleep(LOST_S)
         self.source.notify()
 
     def answer(
@@ -151,10 +153,33 @@
     eventlet.sleep(0.05)
     watcher.lose_store()
     waiting.wait()
+    node.relay.follow_next()
     held.wait()
     assert not node.relay.relayed
 
 
+def test_another_watcher_is_asked_when_one_has_lost_the_store() -> None:
+    """A node must not call the store since one watcher was turned away."""
+    lost, heard = OtherNode(as_of=5), OtherNode(as_of=5)
+    node = Node(lost, heard)
+    node.relay.follow_next()
+    lost.lose_store()
+    heard.put(9)
+    for _ in range(3):
+        node.relay.follow_next()
+    assert node.mirror.as_of == 9
+    assert node.relay.relayed
+
+
+def test_broken_connection_of_a_watcher_is_no_lost_store() -> None:
+    """A watcher whose call was cut has its answer a moment later."""
+    watcher = OtherNode(as_of=5)
+    node = Node(watcher)
+    watcher.mirror.missed()
+    node.relay.follow_next()
+    assert node.relay.relayed
+
+
 def test_node_follows_the_store_when_its_watcher_is_gone() -> None:
     """A killed watcher must not leave others without changes."""
     watcher = OtherNode(as_of=5)
--- a/bronzeglade/forwarding/rollouts.py
+++ b/bronzeglade/forwarding/rollouts.py
@@ -26,6 +26,11 @@
 # less often by a node that saw no further failure of the new version.
 EVIDENCE_INTERVAL = dt.timedelta(milliseconds=700)
 CALM_INTERVAL = dt.timedelta(milliseconds=2500)
+# Many nodes write less often each, so that they do not fill the store.
+EVIDENCE_PER_NODE = dt.timedelta(milliseconds=15)
+LONGEST_EVIDENCE = dt.timedelta(milliseconds=2000)
+CALM_PER_NODE = dt.timedelta(milliseconds=60)
+LONGEST_CALM = dt.timedelta(seconds=6)
 TICK = dt.timedelta(milliseconds=250)
 # Another node acts in place of the one whose turn it is after this time.
 TAKEOVER = dt.timedelta(milliseconds=700)
@@ -93,6 +98,7 @@
         # How long a step takes to reach all nodes.
         self.notice: Callable[[], dt.timedelta] = dt.timedelta
         self.node = ''
+        self.nodes: Callable[[], int] = lambda: 1
         self.rank: Callable[[str], int] = lambda _service: 0
         self.orders: dict[str, Order] = {}
         self.plans: dict[str, Plan] = {}
@@ -289,8 +295,7 @@
             return
         now = self.clock.monotonic()
         failed = watch.mine[0].errors.total > watch.written[0].errors.total
-        interval = EVIDENCE_INTERVAL if failed else CALM_INTERVAL
-        if now - watch.written_at < interval:
+        if now - watch.written_at < writing_interval(self.nodes(), failed):
             return
         watch.written_at = now
         mine = watch.mine
@@ -347,5 +352,18 @@
             )
 
 
+def writing_interval(nodes: int, failed: bool) -> dt.timedelta:
+    """Return how often a node writes its evidence.
+
+    Args:
+      nodes: how many write.
+      failed: whether it saw a failure that it has not written yet.
+    """
+    if failed:
+        scaled = min(LONGEST_EVIDENCE, EVIDENCE_PER_NODE * nodes)
+        return max(EVIDENCE_INTERVAL, scaled)
+    return max(CALM_INTERVAL, min(LONGEST_CALM, CALM_PER_NODE * nodes))
+
+
 def _evidence_prefix(order: Order) -> str:
     return f'{EVIDENCE_TABLE}/{order.service}/{order.number}/'
--- a/bronzeglade/forwarding/rollouts_test.py
+++ b/bronzeglade/forwarding/rollouts_test.py
@@ -7,7 +7,7 @@
 from bronzeglade.builders import ManualClock, MemoryTable
 from bronzeglade.coordination.canary import Stage
 from bronzeglade.decisions.evidence import Observation
-from bronzeglade.forwarding import builders
+from bronzeglade.forwarding import builders, rollouts
 from bronzeglade.forwarding.endpoint import Endpoint
 from bronzeglade.forwarding.inbound import IncomingRequest
 from bronzeglade.forwarding.message import RequestFacts, RequestHead
@@ -213,6 +213,15 @@
     assert fleet.stage() == (Stage.COMPLETED, 1)
 
 
+def test_evidence_of_many_nodes_does_not_fill_the_store() -> None:
+    """The writes a second must not grow with the number of nodes."""
+    for failed, few, many in ((True, 12, 170), (False, 4, 60)):
+        small = 8 / rollouts.writing_interval(8, failed).total_seconds()
+        large = 330 / rollouts.writing_interval(330, failed).total_seconds()
+        assert small < few
+        assert large < many
+
+
 def test_restarted_node_follows_the_plan() -> None:
     """A node without memory must not give work to a withdrawn version."""
     fleet = Fleet(2)
