Send work that may run once on fresh connections only

Ruled out: proving a connection alive first (a round trip, as a new one). Change: such work takes connections that rested 0.1 s at most. The new test failed before.

--- a/bronzeglade/forwarding/attempt.py
+++ b/bronzeglade/forwarding/attempt.py
@@ -26,7 +26,7 @@
 CONNECT_LIMIT = dt.timedelta(milliseconds=250)
 # Work that may run once is not put on a connection that was idle longer: the
 # endpoint may have dropped it, and the outcome would be unknown.
-FRESH_IDLE = dt.timedelta(seconds=1)
+FRESH_IDLE = dt.timedelta(milliseconds=100)
 # Surplus answers to other requests that are skipped on one connection.
 SURPLUS_LIMIT = 3
 LARGEST_WHOLE_BODY = 8 * 1024 * 1024  # bytes
--- a/bronzeglade/forwarding/delivery_test.py
+++ b/bronzeglade/forwarding/delivery_test.py
@@ -28,6 +28,13 @@
     peer.reset()
 
 
+def forgetting(peer: Peer) -> None:
+    """Answer one request, and reset the connection at the next."""
+    peer.answer(peer.read_request())
+    peer.read_request()
+    peer.reset()
+
+
 def refusing(peer: Peer) -> None:
     """Refuse every request without running it."""
     while True:
@@ -124,6 +131,22 @@
     assert [len(one.seen) for one in endpoints] == [1, 0]
 
 
+def test_work_that_may_run_once_avoids_connections_that_rested() -> None:
+    """An endpoint may have dropped a resting connection without notice.
+
+    What is sent on it is reset, and whether it has run stays unknown.
+    """
+    route = builders.route(Kind.NON_IDEMPOTENT)
+    router, (endpoint,) = fleet(route, forgetting)
+    client = Client(builders.serve(router))
+    client.send(Kind.NON_IDEMPOTENT, 'r1')
+    assert client.read().status == 200
+    eventlet.sleep(0.25)
+    client.send(Kind.NON_IDEMPOTENT, 'r2')
+    assert client.read().status == 200
+    assert endpoint.connections == 2
+
+
 def test_refused_request_runs_at_another_endpoint() -> None:
     """A refusal proves that nothing ran, so another endpoint may run it."""
     route = builders.route(Kind.NON_IDEMPOTENT, attempts=2)
