--- a/fleet/platform.py
+++ b/fleet/platform.py
@@ -1,6 +1,8 @@
 """Starts router processes on the platform's stand-ins, on loopback."""
 
+import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import signal
@@ -8,7 +10,7 @@
 import subprocess  # noqa: S404
 import sys
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -26,16 +28,35 @@
 ROUTER_PYTHON_PATH = os.environ.get('ROUTER_PYTHONPATH', '')
 HTTP = urllib3.PoolManager(retries=False, maxsize=32)
 
+# Below the usual range of ephemeral ports.
+FIRST_PORT, END_PORT = 10_000, 32_000
+PORTS_OF_A_RUN = 211
+
 Document = dict[str, Any]
 
 
+def _candidate_ports() -> Iterator[int]:
+    # Runs beside each other begin at different places.
+    start = os.getpid() * PORTS_OF_A_RUN
+    for number in itertools.count(start):
+        yield FIRST_PORT + number % (END_PORT - FIRST_PORT)
+
+
+_candidates = _candidate_ports()
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on now."""
-    held = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
-    return ports
+    """Return ports that nothing listens on now; none is given out twice.
+
+    They lie below those that the system gives to outgoing connections.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = next(_candidates)
+        with contextlib.suppress(OSError):
+            socket.create_server((HOST, port)).close()
+            found.append(port)
+    return found
 
 
 def wait_until(condition: Callable[[], bool], what: str) -> None:
@@ -76,6 +97,8 @@
 class PlatformFleet:
     """A store, workers and router processes; each ended by its id."""
 
+    worker_options: tuple[str, ...] = ()
+
     def __init__(self, folder: Path) -> None:
         """Start the store.
 
@@ -86,6 +109,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.store_port = free_ports(1)[0]
         self.workers: dict[str, int] = {}
+        self.born: dict[str, int] = {}  # Unix milliseconds
         self.routers: dict[str, RouterAddresses] = {}
         self._spawn('store', 'standins.rows', f'--port={self.store_port}')
         wait_until(lambda: self._listens(self.store_port), 'the store')
@@ -114,10 +138,23 @@
         self, name: str, service: str = 'plain', version: str = 'v1'
     ) -> None:
         """Start a worker and register it."""
-        port = free_ports(1)[0]
-        self.workers[name] = port
-        self._spawn(name, 'standins.worker', f'--port={port}', f'--name={name}')
+        self.workers[name] = free_ports(1)[0]
+        self.restart_worker(name, service, version)
+
+    def restart_worker(
+        self, name: str, service: str = 'plain', version: str = 'v1'
+    ) -> None:
+        """Start a worker that has ended again, at its port."""
+        port = self.workers[name]
+        self._spawn(
+            name,
+            'standins.worker',
+            f'--port={port}',
+            f'--name={name}',
+            *self.worker_options,
+        )
         wait_until(lambda: self._listens(port), name)
+        self.born[name] = int(time.time() * 1000)
         self.register(name, service, version)
 
     def register(
@@ -130,13 +167,14 @@
         """Write the entry of a worker."""
         entry = {
             'service': service,
-            'address': f'{HOST}:{self.workers[name]}',
+            'address': f'{HOST}:{self.worker_port_of(name)}',
             'zone': 'a',
             'version': version,
             'slots': 8,
             'state': state,
             'cold-remaining-ms': 0,
             'sequence': 1,
+            'born': self.born[name],
         }
         self.put({f'servers/{name}': entry})
 
@@ -195,6 +233,7 @@
         path: str,
         request_id: str,
         key: str = KEY,
+        body: str = 'b',
         **headers: str,
     ) -> Reply:
         """Send a request through a router."""
@@ -206,9 +245,17 @@
             **{one.replace('_', '-'): text for one, text in headers.items()},
         }
         url = f'http://{HOST}:{self.routers[name].callers}{path}'
-        reply = HTTP.request('POST', url, headers=sent, body='b', timeout=20)
+        reply = HTTP.request('POST', url, headers=sent, body=body, timeout=20)
         return Reply(reply.status, dict(reply.headers), reply.data.decode())
 
+    def store_port_of(self, _router: str) -> int:
+        """Return where a router reaches the store."""
+        return self.store_port
+
+    def worker_port_of(self, name: str) -> int:
+        """Return where routers reach a worker."""
+        return self.workers[name]
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process that this fleet started."""
         self.processes[name].send_signal(number)
@@ -262,7 +309,9 @@
             'internal-ports': [addresses.exchange, addresses.exchange],
             'seeds': seeds[:3],
             'bounds': {'grace-s': 8},
-            'platform': {'address': f'{HOST}:{self.store_port}'},
+            'platform': {
+                'address': f'{HOST}:{self.store_port_of(addresses.name)}'
+            },
         }
 
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,5 +1,7 @@
 """Stand-in of a worker on the users' platform: plain answers and streams."""
 
+import json
+import sys
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
@@ -27,9 +29,16 @@
 class Worker:
     """One worker: what it has run, and its faults."""
 
-    def __init__(self, name: str) -> None:
-        """Create a worker that has run nothing."""
+    def __init__(self, name: str, print_runs: bool = False) -> None:
+        """Create a worker that has run nothing.
+
+        Args:
+          name: its id.
+          print_runs: whether each run is written to the standard output, where
+            it outlasts the process.
+        """
         self.name = name
+        self.print_runs = print_runs
         self.seen: list[dict[str, Any]] = []
         self.faults = Faults(
             refuse=0,  # 503, not executed
@@ -51,6 +60,9 @@
             start('503 Service Unavailable', [('Not-Executed', '1')])
             return ()
         self.seen.append(_seen(environ, body))
+        if self.print_runs:
+            sys.stdout.write(json.dumps(self.seen[-1]) + '\n')
+            sys.stdout.flush()
         eventlet.sleep(self.faults.level('work_s'))
         headers = [
             ('Request-Id', request_id),
@@ -100,8 +112,11 @@
     """Serve a worker."""
     values = address_flags()
     flags.DEFINE_string('name', 'worker', 'Its id.', flag_values=values)
+    flags.DEFINE_bool(
+        'print_runs', False, 'Write each run to the output.', flag_values=values
+    )
     parse_flags(values)
-    worker = Worker(values.name)
+    worker = Worker(values.name, values.print_runs)
     admin = fault_routes(worker.faults)
 
     def application(environ: dict[str, Any], start: Any) -> Iterable[bytes]:
