--- a/bronzeglade/platform/settings.py
+++ b/bronzeglade/platform/settings.py
@@ -51,7 +51,7 @@
     zones: dict[str, str]
     listen: _Listen
     # First and last of the ports for traffic between nodes.
-    internal_ports: tuple[int, int] = Field(alias='internal-ports')
+    internal_ports: tuple[int, int] | None = Field(None, alias='internal-ports')
     seeds: tuple[str, ...] = ()
     bounds: _Bounds
     # The metadata store; the platform itself has other parts.
@@ -82,6 +82,8 @@
     bounds = document.bounds
     listen = document.listen
     own = _address(listen.control)
+    # Without a port of their own, datagrams use the number of the control port.
+    datagram_port = (document.internal_ports or own[1:])[0]
     seeds = (_address(seed) for seed in document.seeds)
     return RouterSettings(
         name=document.name,
@@ -92,7 +94,7 @@
         readiness=_address(listen.ready),
         directory=_address(listen.directory),
         control=own,
-        exchange=(own[0], document.internal_ports[0]),
+        exchange=(own[0], datagram_port),
         peers=tuple(seed for seed in seeds if seed != own),
         store=_address(document.platform.address),
         retry=RetryBounds(
--- /dev/null
+++ b/bronzeglade/platform/settings_test.py
@@ -0,0 +1,59 @@
+"""Guards which settings files start a node, and what they mean."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from result import Result
+
+from bronzeglade.forwarding.settings import RouterSettings
+from bronzeglade.platform.settings import read_settings
+
+FILE: dict[str, Any] = {
+    'node-name': 'node-1',
+    'zone': 'a',
+    'region': 'r',
+    'zones': {'a': 'r', 'b': 'r'},
+    'listen': {
+        'front': '10.0.0.1:80',
+        'ready': '10.0.0.1:81',
+        'directory': '10.0.0.1:82',
+        'control': '10.0.0.1:83',
+    },
+    'internal-ports': [7000, 7015],
+    'seeds': ['10.0.0.1:83', '10.0.0.2:83'],
+    'bounds': {'grace-s': 8, 'budget-ratio': 0.9, 'expose-share': 0.15},
+    'platform': {'address': '10.9.0.1:90'},
+}
+
+
+def read(folder: Path, **changes: Any) -> Result[RouterSettings, str]:
+    """Read a file with changes; None leaves a field out."""
+    document = {**FILE, **changes}
+    kept = {name: one for name, one in document.items() if one is not None}
+    path = folder / 'settings.json'
+    path.write_text(json.dumps(kept))
+    return read_settings(str(path))
+
+
+def test_file_is_decoded(tmp_path: Path) -> None:
+    """Addresses that are mixed up would serve callers at the wrong port."""
+    settings = read(tmp_path).unwrap()
+    assert settings.callers == ('10.0.0.1', 80)
+    assert settings.control == ('10.0.0.1', 83)
+    assert settings.exchange == ('10.0.0.1', 7000)
+    assert settings.peers == (('10.0.0.2', 83),)
+    assert settings.retry.ratio == pytest.approx(0.9)
+
+
+def test_node_starts_without_ports_for_other_nodes(tmp_path: Path) -> None:
+    """A file without a field that only helps must not keep a node down."""
+    settings = read(tmp_path, **{'internal-ports': None}).unwrap()
+    assert settings.exchange == ('10.0.0.1', 83)
+
+
+@pytest.mark.parametrize('name', ['node-name', 'listen', 'platform'])
+def test_missing_field_is_named(name: str, tmp_path: Path) -> None:
+    """A node with half of its settings would serve what nobody wants."""
+    assert name in read(tmp_path, **{name: None}).unwrap_err()
--- a/bronzeglade/reference.py
+++ b/bronzeglade/reference.py
@@ -28,9 +28,9 @@
 def _rows(model: type[pd.BaseModel]) -> Iterator[str]:
     for name, field in model.model_fields.items():
         default = 'required' if field.is_required() else _text(field.default)
-        variable = ENVIRONMENT_PREFIX + name.upper()
+        env_name = ENVIRONMENT_PREFIX + name.upper()
         yield (
-            f'| `--{name}` | `{variable}` | {default} | {field.description} |'
+            f'| `--{name}` | `{env_name}` | {default} | {field.description} |'
         )
 
 
--- a/bronzeglade/report/page.py
+++ b/bronzeglade/report/page.py
@@ -90,7 +90,7 @@
 
 def _row(group: GroupBurn) -> str:
     bars = ''.join(
-        f'<td>{_bar(window.burn_rate)}</td>' for window in group.windows
+        f'<td>{_burn_bar(window.burn_rate)}</td>' for window in group.windows
     )
     refusals = '<br>'.join(
         f'{escape(cause)}: {count}' for cause, count in group.refusals.items()
@@ -102,7 +102,7 @@
     )
 
 
-def _bar(rate: float | None) -> str:
+def _burn_bar(rate: float | None) -> str:
     if rate is None:
         return 'no requests'
     width = min(rate, FULL_SCALE) / FULL_SCALE * BAR_WIDTH
--- a/bronzeglade/settings.py
+++ b/bronzeglade/settings.py
@@ -149,12 +149,12 @@
       values: where the flags are defined.
     """
     for name, field in model.model_fields.items():
-        variable = ENVIRONMENT_PREFIX + name.upper()
+        env_name = ENVIRONMENT_PREFIX + name.upper()
         required = 'required' if field.is_required() else field.default
         flags.DEFINE_string(
             name,
-            os.environ.get(variable),
-            f'{field.description} Variable {variable}. Default: {required}',
+            os.environ.get(env_name),
+            f'{field.description} Variable {env_name}. Default: {required}',
             flag_values=values,
         )
 
--- a/fleet/bench_rollout.py
+++ b/fleet/bench_rollout.py
@@ -200,14 +200,12 @@
             )
             bad_at = self.plan.bad_at
             turned = bad_at is not None and now >= bad_at
-            candidate = version == self.rollout.to_version
-            if candidate and turned:
-                self.exposure += 1
-            quality = self.plan.bad if candidate and turned else Quality()
+            is_bad = turned and version == self.rollout.to_version
+            self.exposure += is_bad
+            quality = self.plan.bad if is_bad else Quality()
             key = (node.identity.vm, version)
             rated[key] = rated.get(key, 0) + 1
-            is_rated = rated[key] <= RATINGS_PER_TICK
-            self._answer(node, version, quality, is_rated)
+            self._answer(node, version, quality, rated[key] <= RATINGS_PER_TICK)
         while self.pending and self.pending[0][0] <= now:
             _at, _serial, node, version, seen = heapq.heappop(self.pending)
             node.versions.observe('m', version, seen)
--- a/fleet/load.py
+++ b/fleet/load.py
@@ -1,6 +1,6 @@
 """Open-loop load: calls are sent when they are due, whatever came before."""
 
-import concurrent.futures
+from concurrent import futures
 import dataclasses
 import random
 import time
@@ -131,8 +131,8 @@
         report(call)
         return call
 
-    with concurrent.futures.ThreadPoolExecutor(MAX_OPEN_CALLS) as pool:
-        pending: list[concurrent.futures.Future[Call]] = []
+    with futures.ThreadPoolExecutor(MAX_OPEN_CALLS) as pool:
+        pending: list[futures.Future[Call]] = []
         for planned in calls:
             time.sleep(max(0, started_at + planned.at - time.monotonic()))
             pending.append(pool.submit(make, planned))
--- a/fleet/soak_callers.py
+++ b/fleet/soak_callers.py
@@ -1,6 +1,6 @@
 """Callers of a soak: threads that keep connections and note what they get."""
 
-import http.client
+from http import client
 import itertools
 import random
 import threading
@@ -56,7 +56,7 @@
 
     def _ask_on(self, seed: int, number: int) -> None:
         source = random.Random(seed * 1000 + number)
-        connections: dict[str, http.client.HTTPConnection] = {}
+        connections: dict[str, client.HTTPConnection] = {}
         for turn in itertools.count():
             if self.stopped.wait(source.uniform(0, 2 * PAUSE_S)):
                 return
@@ -68,7 +68,7 @@
         self,
         source: random.Random,
         router: str,
-        connections: dict[str, http.client.HTTPConnection],
+        connections: dict[str, client.HTTPConnection],
         request_id: str,
     ) -> Asked:
         kind = source.choice(KINDS)
@@ -85,7 +85,7 @@
             headers['Model'] = '*'
         connection = connections.pop(router, None)
         if connection is None:
-            connection = http.client.HTTPConnection(HOST, self.ports[router])
+            connection = client.HTTPConnection(HOST, self.ports[router])
         connection.timeout = deadline_s + GIVE_UP_S
         sent_s = time.monotonic()
         status, answered, signature, body, whole = 0, '', '', b'', False
@@ -99,9 +99,9 @@
             whole = True
             if not answer.will_close:
                 connections[router] = connection
-        except http.client.IncompleteRead as error:
+        except client.IncompleteRead as error:
             body = error.partial
-        except (OSError, http.client.HTTPException):
+        except (OSError, client.HTTPException):
             # The caller knows no more than that there was no whole answer.
             connection.close()
         return Asked(
--- a/scripts/transport_cost.py
+++ b/scripts/transport_cost.py
@@ -67,7 +67,7 @@
 
 
 def _serve_grpc(port: int) -> None:
-    import concurrent.futures  # noqa: PLC0415
+    from concurrent import futures  # noqa: PLC0415
 
     import grpc  # noqa: PLC0415
 
@@ -79,7 +79,7 @@
         request_deserializer=msgpack.unpackb,
         response_serializer=msgpack.packb,
     )
-    server = grpc.server(concurrent.futures.ThreadPoolExecutor(1))
+    server = grpc.server(futures.ThreadPoolExecutor(1))
     server.add_generic_rpc_handlers(
         (
             grpc.method_handlers_generic_handler(
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -32,7 +32,7 @@
           writes_per_s: PUT and DELETE calls a second; 0 means no limit.
           reads_per_s: GET calls a second; 0 means no limit.
         """
-        self.objects: dict[str, bytes] = {}
+        self.stored: dict[str, bytes] = {}
         self.writes = RateLimit(writes_per_s)
         self.reads = RateLimit(reads_per_s)
         self.faults = Faults(outage=0, slow_s=0)
@@ -60,20 +60,20 @@
         self, start: Any, method: str, key: str, body: bytes
     ) -> Iterable[bytes]:
         if method == 'PUT':
-            self.objects[key] = body
+            self.stored[key] = body
             return send_json(start, 200, {})
-        if key not in self.objects:
+        if key not in self.stored:
             return send_json(start, 404, {})
         if method == 'DELETE':
-            self.objects.pop(key)
+            self.stored.pop(key)
             return send_json(start, 200, {})
         start('200 OK', [('Content-Type', 'application/octet-stream')])
-        return (self.objects[key],)
+        return (self.stored[key],)
 
     def _list(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
         query = parse_qs(environ.get('QUERY_STRING', ''))
         wanted = query.get('prefix', [''])[0]
-        keys = sorted(key for key in self.objects if key.startswith(wanted))
+        keys = sorted(key for key in self.stored if key.startswith(wanted))
         return send_json(start, 200, {'keys': keys})
 
 
