Test a planned stop with an order that outlasts the listing

The eight process tests were run against a copy broken on purpose, one fault each: model choice, second run of an order, a configuration not taken, no peer, lost history not read, draining ignored, running work not awaited at a stop, settings not reloaded. Seven failed as they must; the stop passed: its order of 1.5 s ended while the address was still listed (3 s). It takes 4 s now; the test fails on the broken copy and passes here.

--- a/fleet/platform_test.py
+++ b/fleet/platform_test.py
@@ -159,7 +159,8 @@
     """A planned stop leaves the directory and cuts no request."""
     wait_until(lambda: len(fleet.addresses('node-2')) == 2, 'both nodes')
     for name in ('plain-1', 'plain-2'):
-        fleet.fault(fleet.workers[name], work_s=1.5)
+        # Longer than callers may keep the address of the node.
+        fleet.fault(fleet.workers[name], work_s=4)
     replies: list[Reply] = []
     asking = threading.Thread(
         target=lambda: replies.append(fleet.ask('node-1', '/order/x', 'o'))
