Give out the ports of a fleet in one place

Cause: the soak brought a second way to find free ports beside the launcher's. Change: fleet/ports.py serves both; it also asks for the UDP port, which the exchange of load needs and the second way did not check. Ruled out: a port counter shared by runs beside each other (drawn at random, a port is free for both or taken by none). Tests of both fleets pass (launch, platform, operations, entries).

--- a/fleet/launch.py
+++ b/fleet/launch.py
@@ -6,7 +6,6 @@
 import datetime as dt
 import json
 import os
-import random
 import secrets
 import signal
 import socket
@@ -22,16 +21,13 @@
 
 from fleet import deployments
 from fleet.deployments import Deployment, EndpointPlan
+from fleet.ports import HOST, Ports
 
-HOST = '127.0.0.1'
 START_LIMIT = dt.timedelta(seconds=60)
 STOP_LIMIT = dt.timedelta(seconds=20)
 DRAIN_LIMIT = dt.timedelta(minutes=4)  # above the drain limit of an entry
 POLL_S = 0.05
 MS_PER_S = 1000
-# Below the range from which the kernel takes the ports of outgoing
-# connections, so that none of them takes a port before its process listens.
-LISTENING_PORTS = range(10_000, 32_000)
 SEED_COUNT = 3
 PLATFORM = ('table', 'vms', 'ratings', 'objects', 'weights')
 
@@ -72,25 +68,6 @@
     signal.signal(signal.SIGTERM, signal.default_int_handler)
 
 
-class Ports:
-    """Ports for the processes of one fleet."""
-
-    def __init__(self) -> None:
-        """Have given out none."""
-        self.random = random.SystemRandom()
-        self.given: set[int] = set()
-
-    def take(self, count: int) -> list[int]:
-        """Return ports that were free a moment ago, for TCP and UDP."""
-        ports: list[int] = []
-        while len(ports) < count:
-            port = self.random.choice(LISTENING_PORTS)
-            if port not in self.given and _is_free(port):
-                self.given.add(port)
-                ports.append(port)
-        return ports
-
-
 class Fleet:
     """The processes of one deployment."""
 
@@ -416,16 +393,6 @@
     return ','.join(f'{plan.model}@{version}' for version in versions)
 
 
-def _is_free(port: int) -> bool:
-    with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-        try:
-            tcp.bind((HOST, port))
-            udp.bind((HOST, port))
-        except OSError:
-            return False
-    return True
-
-
 def _accepts(port: int) -> bool:
     with socket.socket() as probe:
         probe.settimeout(1)
--- a/fleet/operations_test.py
+++ b/fleet/operations_test.py
@@ -14,7 +14,8 @@
 import urllib3
 
 from fleet import deployments
-from fleet.launch import HOST, Fleet, Program
+from fleet.launch import Fleet, Program
+from fleet.ports import HOST
 
 LIMIT_S = 30.0
 CLOSED = '127.0.0.1:1'
--- a/fleet/platform.py
+++ b/fleet/platform.py
@@ -1,8 +1,6 @@
 """Starts router processes on the platform's stand-ins, on loopback."""
 
-import contextlib
 import dataclasses
-import itertools
 import json
 import os
 import signal
@@ -10,13 +8,14 @@
 import subprocess  # noqa: S404
 import sys
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
 
 import urllib3
 
-HOST = '127.0.0.1'
+from fleet.ports import HOST, Ports
+
 KEY = 'key-1'
 TENANT = 'atlas'
 API_HOST = 'api.example'
@@ -28,37 +27,9 @@
 ROUTER_PYTHON_PATH = os.environ.get('ROUTER_PYTHONPATH', '')
 HTTP = urllib3.PoolManager(retries=False, maxsize=32)
 
-# Below the usual range of ephemeral ports.
-FIRST_PORT, END_PORT = 10_000, 32_000
-PORTS_OF_A_RUN = 211
-
 Document = dict[str, Any]
 
 
-def _candidate_ports() -> Iterator[int]:
-    # Runs beside each other begin at different places.
-    start = os.getpid() * PORTS_OF_A_RUN
-    for number in itertools.count(start):
-        yield FIRST_PORT + number % (END_PORT - FIRST_PORT)
-
-
-_candidates = _candidate_ports()
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on now; none is given out twice.
-
-    They lie below those that the system gives to outgoing connections.
-    """
-    found: list[int] = []
-    while len(found) < count:
-        port = next(_candidates)
-        with contextlib.suppress(OSError):
-            socket.create_server((HOST, port)).close()
-            found.append(port)
-    return found
-
-
 def wait_until(condition: Callable[[], bool], what: str) -> None:
     """Wait for a condition.
 
@@ -106,8 +77,9 @@
           folder: for settings files and logs.
         """
         self.folder = folder
+        self.ports = Ports()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
-        self.store_port = free_ports(1)[0]
+        self.store_port = self.ports.take(1)[0]
         self.workers: dict[str, int] = {}
         self.born: dict[str, int] = {}  # Unix milliseconds
         self.routers: dict[str, RouterAddresses] = {}
@@ -138,7 +110,7 @@
         self, name: str, service: str = 'plain', version: str = 'v1'
     ) -> None:
         """Start a worker and register it."""
-        self.workers[name] = free_ports(1)[0]
+        self.workers[name] = self.ports.take(1)[0]
         self.restart_worker(name, service, version)
 
     def restart_worker(
@@ -187,7 +159,7 @@
     def start_router(self, name: str) -> None:
         """Start a router process, again at its ports when it ran before."""
         if name not in self.routers:
-            ports = free_ports(6)
+            ports = self.ports.take(6)
             self.routers[name] = RouterAddresses(name, *ports)
         addresses = self.routers[name]
         path = self.folder / f'{name}.json'
--- a/fleet/platform_test.py
+++ b/fleet/platform_test.py
@@ -9,7 +9,6 @@
 import pytest
 
 from fleet.platform import (
-    HOST,
     KEY,
     Document,
     PlatformFleet,
@@ -18,6 +17,8 @@
     wait_until,
 )
 
+from fleet.ports import HOST
+
 
 @pytest.fixture
 def fleet(tmp_path: Path) -> Iterator[PlatformFleet]:
--- a/fleet/soak.py
+++ b/fleet/soak.py
@@ -10,15 +10,14 @@
 from pathlib import Path
 
 from fleet.platform import (
-    HOST,
     HTTP,
     KEY,
     TENANT,
     PlatformFleet,
     configuration,
-    free_ports,
     wait_until,
 )
+from fleet.ports import HOST
 from fleet.soak_callers import Callers
 from fleet.soak_plan import Fault, draw
 from fleet.soak_rules import Asked, Ran, broken_rules
@@ -53,14 +52,14 @@
         """Start the store and the proxy."""
         self.links: dict[str, int] = {}
         super().__init__(folder)
-        self.proxy_port = free_ports(1)[0]
+        self.proxy_port = self.ports.take(1)[0]
         self._spawn('proxy', 'fleet.links', f'--port={self.proxy_port}')
         wait_until(lambda: self._listens(self.proxy_port), 'the proxy')
 
     def link(self, name: str, target: int) -> int:
         """Return the port of a link, which is made at the first call."""
         if name not in self.links:
-            self.links[name] = free_ports(1)[0]
+            self.links[name] = self.ports.take(1)[0]
             document = {name: [self.links[name], target]}
             self.post(self.proxy_port, '/links', document)
         return self.links[name]
--- a/fleet/soak_callers.py
+++ b/fleet/soak_callers.py
@@ -7,7 +7,8 @@
 import time
 from collections.abc import Callable, Mapping
 
-from fleet.platform import API_HOST, HOST
+from fleet.platform import API_HOST
+from fleet.ports import HOST
 from fleet.soak_rules import CHAT, EVENTS, ORDER, READ, Asked
 
 DEADLINES_S = (1.0, 2.0, 4.0)
