Start the WSGI server in one place

Cause: three programs switched off its access log each with a class of its own. The stand-ins keep theirs: they share no code with the product. Same tests as before the change.

--- a/bronzeglade/entry/process.py
+++ b/bronzeglade/entry/process.py
@@ -8,8 +8,8 @@
 
 import eventlet
 from eliot import write_traceback
-from eventlet import wsgi
 
+from bronzeglade import serving
 from bronzeglade.entry import (
     callers,
     chat,
@@ -34,13 +34,6 @@
 POLL_INTERVAL = dt.timedelta(milliseconds=50)
 
 
-class _NoLog:
-    """Drops the access log of the WSGI server; requests have their own."""
-
-    def write(self, text: str) -> None:
-        """Drop a line."""
-
-
 def run(settings: EntrySettings) -> int:
     """Serve until a signal, then stop gracefully.
 
@@ -79,18 +72,15 @@
 ) -> None:
     listener = eventlet.listen((settings.host, port), backlog=BACKLOG)
     eventlet.spawn(
-        wsgi.server,
+        serving.serve,
         listener,
         application,
-        log=_NoLog(),
-        log_output=False,
         max_size=MAX_CONNECTIONS,
         protocol=protocol.bounded(settings.receive_timeout),
         # Each part of a stream is written when it is there; the default
         # gathers 4,096 bytes first, which delays tokens.
         minimum_chunk_size=1,
         socket_timeout=SOCKET_TIMEOUT.total_seconds(),
-        debug=False,
     )
 
 
--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -11,10 +11,10 @@
 from typing import Any
 
 import eventlet
-from eventlet import wsgi
 from prometheus_client import CollectorRegistry, generate_latest
 from result import Err, Ok
 
+from bronzeglade import serving
 from bronzeglade.adapters import transport
 from bronzeglade.adapters.table import Put, Transaction
 from bronzeglade.clock import BootClock
@@ -54,13 +54,6 @@
 EXIT_INVALID_SETTINGS = 2
 
 
-class _NoLog:
-    """Drops the access log of the page servers."""
-
-    def write(self, text: str) -> None:
-        """Drop a line."""
-
-
 class RouterProcess:
     """One router process."""
 
@@ -348,13 +341,10 @@
     def _serve(self, address: Address, application: Application) -> None:
         listener = tcp.listen(address, BACKLOG)
         eventlet.spawn(
-            wsgi.server,
+            serving.serve,
             listener,
             application,
-            log=_NoLog(),
-            log_output=False,
             socket_timeout=PAGE_TIMEOUT_S,
-            debug=False,
         )
 
     def _metrics_page(self, environ: dict[str, Any], start: Any) -> Any:
--- a/fleet/journal_cost.py
+++ b/fleet/journal_cost.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 
 import eventlet
-from eventlet import wsgi
 
+from bronzeglade import serving
 from bronzeglade.adapters import transport
 from bronzeglade.adapters.vms import ENTRY_GROUP, Vm, VmState
 from bronzeglade.builders import MemoryTable
@@ -36,11 +36,6 @@
 MILLISECOND = 1000
 
 
-class _NoLog:
-    def write(self, text: str) -> None:
-        """Drop a line of the access log."""
-
-
 def new_bill() -> Bill:
     """Return a record of the usual size."""
     return Bill(
@@ -86,9 +81,7 @@
         reply = peers.receive(name, body).unwrap()
         return Response(200, (reply,), {'Content-Length': str(len(reply))})
 
-    eventlet.spawn(
-        wsgi.server, listener, http.wsgi(handle), log=_NoLog(), log_output=False
-    )
+    eventlet.spawn(serving.serve, listener, http.wsgi(handle))
     identity = NodeIdentity(
         settings.vm, f'entry-{index}-1', settings.failure_domain
     )
