Keep what a node knows of the others in one place; call things by usual names

Found by reading the change as a newcomer. Wrong place: which nodes are watchers, peers, neighbours, of which rank, was spread over the process, the relay, the exchange and five callbacks that the process set on the roll-outs after making them. Now Roster (roster.py, with the row of a node) is handed to each; the wiring of followers is tables.py. More complicated than needed: an aggregator added up its domain once for every node; it takes each node's report off one sum. A datagram is checked by a model. Names: share had three meanings, so reports of work are Outstanding; collector is aggregator, gathering coalescing pause, notice propagation time, scout probe. A datagram whose third part is no map raised past the handler: the new case of exchange_test.py.

--- a/bronzeglade/decisions/placement.py
+++ b/bronzeglade/decisions/placement.py
@@ -17,13 +17,14 @@
 from bronzeglade.clock import Clock
 from bronzeglade.decisions.ejection import Ejections, EjectionSettings
 from bronzeglade.decisions.load import Load, LoadEstimates, LoadSettings
-from bronzeglade.decisions.prefix import PrefixIndex, PrefixSettings
-from bronzeglade.decisions.shared_load import (
+from bronzeglade.decisions.outstanding import (
     NOTHING,
-    Share,
-    SharedLoads,
-    SharedLoadSettings,
+    ByEndpoint,
+    Outstanding,
+    OutstandingReports,
+    ReportSettings,
 )
+from bronzeglade.decisions.prefix import PrefixIndex, PrefixSettings
 
 
 class Candidate(Protocol):
@@ -68,10 +69,10 @@
 
     `request_tokens` stands for a request that is already there: its prompt
     may be unread, and it slows every token. `held` is how sure it is that the
-    endpoint that ranks first holds the shared parts. Of more than `sample`
-    endpoints only those that may hold the parts and as many others, by chance,
-    are compared: all nodes see the same load, which is a little old, and would
-    all choose the endpoint that was idle then.
+    endpoint that ranks first holds the shared parts. Of more than twice
+    `sample` endpoints only those that may hold the parts and `sample` others,
+    by chance, are compared: all nodes see the same load, which is a little
+    old, and would all choose the endpoint that was idle then.
     """
 
     load: LoadSettings = LoadSettings(
@@ -84,7 +85,7 @@
     distant_tokens: float = 400  # an endpoint in another failure domain
     held: float = 0.8
     sample: int = 4
-    shared: SharedLoadSettings = SharedLoadSettings()
+    reports: ReportSettings = ReportSettings()
     # Costs of a request without a prompt, in requests.
     distant_requests: float = 0.5
 
@@ -125,12 +126,13 @@
         self.prefixes = PrefixIndex(settings.prefix, clock)
         self.ejections = Ejections(settings.ejection, clock, source)
         self.unread: dict[str, int] = {}
-        self.shared = SharedLoads(settings.shared, clock)
+        # What the other nodes have on the endpoints.
+        self.others = OutstandingReports(settings.reports, clock)
 
-    def mine(self) -> dict[str, Share]:
+    def outstanding(self) -> dict[str, Outstanding]:
         """Return what the requests of this node put on the endpoints."""
         return {
-            name: Share(count, self.unread.get(name, 0))
+            name: Outstanding(count, self.unread.get(name, 0))
             for name, count in self.loads.own.items()
             if count > 0
         }
@@ -197,16 +199,14 @@
         self.ejections.forget(name)
         self.unread.pop(name, None)
 
-    def _load(self, name: str, others: Mapping[str, Share] | None) -> float:
+    def _load(self, name: str, others: ByEndpoint | None) -> float:
         """Return the requests on an endpoint, as told by nodes or by it."""
         if others is None:
             return self.loads.estimate(name).mean
         return self.loads.own[name] + others.get(name, NOTHING).requests
 
-    def _others(self) -> Mapping[str, Share] | None:
-        return self.shared.total() if self.shared.sources() else None
-
     def _plain_place(self, candidate: Candidate) -> Place:
+        # What other nodes report is older than a plain request lasts.
         load = self.loads.estimate(candidate.name).mean
         distant = candidate.failure_domain != self.failure_domain
         cost = load + distant * self.settings.distant_requests
@@ -218,7 +218,7 @@
         names = [part.name for part in request.parts]
         matches = self.prefixes.matches(names)
         first = _first_ranked(offered, names)
-        others = self._others()
+        others = self.others.total()
         return [
             self._prompt_place(one, request, matches, one.name == first, others)
             for one in self._sample(offered, matches, first)
@@ -247,7 +247,7 @@
         request: PlacedRequest,
         matches: Mapping[str, int],
         ranks_first: bool,
-        others: Mapping[str, Share] | None,
+        others: ByEndpoint | None,
     ) -> Place:
         settings = self.settings
         name = candidate.name
@@ -259,7 +259,7 @@
         load = self._load(name, others)
         unread = self.unread.get(name, 0)
         if others is not None:
-            unread += others.get(name, NOTHING).unread
+            unread += others.get(name, NOTHING).unread_tokens
         distant = candidate.failure_domain != self.failure_domain
         cost = (
             max(0, request.tokens - cached)
--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -34,6 +34,7 @@
 )
 from bronzeglade.forwarding.metrics import Metrics
 from bronzeglade.forwarding.rollouts import Rollouts
+from bronzeglade.forwarding.roster import Roster, RouterNode
 from bronzeglade.forwarding.route import (
     Kind,
     Limits,
@@ -228,8 +229,23 @@
     )
 
 
+def node(name: str = 'node-1') -> RouterNode:
+    """Return a registered node; a name like `b-1` stands in domain `b`."""
+    domain, _, _number = name.rpartition('-')
+    return RouterNode(name, domain, ('h', 1), (name, 1), (name, 2))
+
+
+def roster(name: str, *others: str) -> Roster:
+    """Return what a node knows when it and others are registered."""
+    built = Roster(node(name), ())
+    built.nodes = {one: node(one) for one in (name, *others)}
+    return built
+
+
 def rollouts(
-    clock: ManualClock | BootClock, memory: MemoryTable | None = None
+    clock: ManualClock | BootClock,
+    memory: MemoryTable | None = None,
+    known: Roster | None = None,
 ) -> Rollouts:
     """Return the roll-outs of a node without orders."""
     built = Rollouts(
@@ -237,9 +253,9 @@
         Mirror('orders', clock),
         Mirror('bronzeglade', clock),
         documents(),
+        known or roster('node-1'),
         log(),
     )
-    built.node = 'node-1'
     built.exposure = 0.15
     return built
 
@@ -285,7 +301,7 @@
         registry=Registry(clock),
         rollouts=rollouts(clock),
         latencies=Latencies(LatencySettings(), clock),
-        nodes=lambda: 1,
+        roster=roster('node-1'),
     )
     if routes:
         built.adopt(table(*routes))
--- a/bronzeglade/forwarding/exchange.py
+++ b/bronzeglade/forwarding/exchange.py
@@ -1,36 +1,40 @@
 """Nodes tell each other what they have on the endpoints, by datagrams.
 
-The first two nodes of each failure domain collect what its nodes tell, and what
-those of the other domains have collected; each node gets the sum of all others.
-Both collect and answer independently, so that one of them may be down. A
-datagram is a msgpack list: what it is, its sender, and by endpoint the requests
-and the unread prompt tokens. A lost one is replaced by the next.
+The first two nodes of each failure domain (aggregators) sum up what its nodes
+report, and take the sums of the other domains; each node is told the sum of all
+others. Both work independently, so that one of them may be down. A datagram is
+a msgpack list: its kind, its sender, and by endpoint the requests and the
+unread prompt tokens. A lost one is replaced by the next.
 """
 
+import collections
+import dataclasses
 import datetime as dt
 import enum
 import random
-from collections.abc import Mapping
 from typing import Any
 
 import eventlet
 import msgpack
+import pydantic as pd
 from eventlet.green import socket
+from result import Err, Ok, Result
 
 from bronzeglade.clock import Clock
 from bronzeglade.decisions.placement import Placement
-from bronzeglade.decisions.shared_load import (
-    Share,
-    SharedLoads,
-    Shares,
+from bronzeglade.decisions.outstanding import (
+    ByEndpoint,
+    Outstanding,
+    OutstandingReports,
     summed,
+    without,
 )
 from bronzeglade.forwarding.log import Log
-from bronzeglade.forwarding.roster import RouterNode
+from bronzeglade.forwarding.roster import Roster, RouterNode
 
-COLLECTORS = 2
+AGGREGATORS = 2
 # Nodes tell their load this often; in a large failure domain less often, so
-# that a collector takes about a hundred datagrams a second.
+# that an aggregator takes about a hundred datagrams a second.
 INTERVAL = dt.timedelta(milliseconds=200)
 INTERVAL_PER_NODE = dt.timedelta(milliseconds=8)
 LONGEST_INTERVAL = dt.timedelta(milliseconds=700)
@@ -48,145 +52,160 @@
     OTHERS = 2  # the sum of all nodes but the receiver
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Message:
+    """One datagram; the sender is a node or a failure domain."""
+
+    kind: Kind
+    sender: str
+    work: ByEndpoint
+
+
+_DATAGRAM = pd.TypeAdapter(tuple[Kind, str, dict[str, tuple[int, int]]])
+
+
 class Exchange:
     """This node's part of the exchange."""
 
     def __init__(
         self,
-        node: RouterNode,
+        roster: Roster,
         placement: Placement,
         clock: Clock,
         log: Log,
         source: random.Random,
     ) -> None:
-        """Know no other node.
+        """Have no report.
 
         Args:
-          node: this one.
-          placement: whose load is told, and which takes that of the others.
+          roster: this node and the others.
+          placement: whose work is reported, and which takes the others'.
           clock: monotonic time.
           log: of the node.
           source: spreads the datagrams.
         """
-        self.node = node
+        self.roster = roster
         self.placement = placement
         self.clock = clock
         self.log = log
         self.random = source
-        self.nodes: dict[str, RouterNode] = {}
-        settings = placement.settings.shared
-        self.collected = SharedLoads(settings, clock)
-        self.domains = SharedLoads(settings, clock)
+        settings = placement.settings.reports
+        self.neighbours = OutstandingReports(settings, clock)
+        self.domains = OutstandingReports(settings, clock)
         self.domains_told_at = dt.timedelta()
         self.sock: Any = None
 
     def open(self) -> None:
         """Take the address of this node."""
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.sock.bind(self.node.exchange)
+        self.sock.bind(self.roster.myself.exchange)
 
     def receive_next(self) -> None:
         """Take one datagram; one turn of a loop."""
         content, sender = self.sock.recvfrom(LARGEST_DATAGRAM)
-        try:
-            kind, name, shares = _decode(content)
-        except (ValueError, TypeError, msgpack.UnpackException) as error:
+        decoded = _decode(content)
+        if isinstance(decoded, Err):
             self.log.event(
-                'unreadable_datagram', sender=str(sender), reason=repr(error)
+                'unreadable_datagram',
+                sender=str(sender),
+                reason=decoded.err_value,
             )
             return
-        if kind is Kind.NODE:
-            self.collected.tell(name, shares)
-        elif kind is Kind.DOMAIN:
-            self.domains.tell(name, shares)
+        message = decoded.ok_value
+        if message.kind is Kind.NODE:
+            self.neighbours.report(message.sender, message.work)
+        elif message.kind is Kind.DOMAIN:
+            self.domains.report(message.sender, message.work)
         else:
-            self.placement.shared.tell(OTHERS, shares)
+            self.placement.others.report(OTHERS, message.work)
 
-    def tell_next(self) -> None:
-        """Tell and answer once; one turn of a loop."""
+    def send_next(self) -> None:
+        """Report this node's work, and answer as an aggregator."""
         eventlet.sleep(self._interval_s())
-        mine = self.placement.mine()
-        near = self._near()
-        for collector in near[:COLLECTORS]:
-            if collector.name == self.node.name:
-                self.collected.tell(self.node.name, mine)
-                self._answer(near)
+        myself = self.roster.myself
+        mine = self.placement.outstanding()
+        for aggregator in self.roster.neighbours()[:AGGREGATORS]:
+            if aggregator == myself:
+                self.neighbours.report(myself.name, mine)
+                self._answer()
+                self._tell_domains()
             else:
-                self._send(collector, Kind.NODE, self.node.name, mine)
-
-    def _answer(self, near: list[RouterNode]) -> None:
-        """Tell the nodes of this failure domain, and the other domains."""
-        beyond = self.domains.total(self.node.failure_domain)
-        for node in near:
-            others = self.collected.total(node.name)
-            if node.name == self.node.name:
-                total = summed((others, beyond))
-                self.placement.shared.tell(OTHERS, total)
-            elif node.name in self.collected.told:
-                total = summed((others, beyond))
-                self._send(node, Kind.OTHERS, self.node.name, total)
-        now = self.clock.monotonic()
-        if now - self.domains_told_at >= DOMAIN_INTERVAL and self._speaks(near):
-            self.domains_told_at = now
-            self._tell_domains()
-
-    def _speaks(self, near: list[RouterNode]) -> bool:
-        """Return whether no earlier node speaks for the failure domain."""
-        first = near[0].name
-        return first == self.node.name or first not in self.collected.told
+                self._send(aggregator, Message(Kind.NODE, myself.name, mine))
+
+    def _answer(self) -> None:
+        """Tell each node of this failure domain what all others have."""
+        myself = self.roster.myself
+        reports = self.neighbours.current()
+        total = summed((*reports.values(), self.domains.total() or {}))
+        for node in self.roster.neighbours():
+            if node.name not in reports:
+                continue
+            others = without(total, reports[node.name])
+            if node == myself:
+                self.placement.others.report(OTHERS, others)
+            else:
+                self._send(node, Message(Kind.OTHERS, myself.name, others))
 
     def _tell_domains(self) -> None:
-        total = self.collected.total()
-        told: dict[str, int] = {}
-        for node in sorted(self.nodes.values(), key=lambda one: one.name):
-            domain = node.failure_domain
-            if domain == self.node.failure_domain:
-                continue
-            told[domain] = told.get(domain, 0) + 1
-            if told[domain] <= COLLECTORS:
-                self._send(node, Kind.DOMAIN, self.node.failure_domain, total)
-
-    def _near(self) -> list[RouterNode]:
-        near = {
-            name: node
-            for name, node in self.nodes.items()
-            if node.failure_domain == self.node.failure_domain
-        }
-        near[self.node.name] = self.node
-        return [near[name] for name in sorted(near)]
+        """Tell the sum of this failure domain to the others."""
+        now = self.clock.monotonic()
+        due = now - self.domains_told_at >= DOMAIN_INTERVAL
+        if not due or not self._speaks_for_domain():
+            return
+        self.domains_told_at = now
+        domain = self.roster.myself.failure_domain
+        total = self.neighbours.total() or {}
+        for aggregator in self._aggregators_elsewhere():
+            self._send(aggregator, Message(Kind.DOMAIN, domain, total))
+
+    def _speaks_for_domain(self) -> bool:
+        """Return whether the first aggregator is this node, or is silent."""
+        first = self.roster.neighbours()[0]
+        silent = first.name not in self.neighbours.current()
+        return first == self.roster.myself or silent
+
+    def _aggregators_elsewhere(self) -> list[RouterNode]:
+        by_domain: dict[str, list[RouterNode]] = collections.defaultdict(list)
+        for _name, node in sorted(self.roster.nodes.items()):
+            by_domain[node.failure_domain].append(node)
+        by_domain.pop(self.roster.myself.failure_domain, None)
+        return [
+            node for nodes in by_domain.values() for node in nodes[:AGGREGATORS]
+        ]
 
     def _interval_s(self) -> float:
-        interval = max(INTERVAL, INTERVAL_PER_NODE * len(self._near()))
+        size = len(self.roster.neighbours())
+        interval = max(INTERVAL, INTERVAL_PER_NODE * size)
         spread = 0.8 + 0.4 * self.random.random()
         return min(interval, LONGEST_INTERVAL).total_seconds() * spread
 
-    def _send(
-        self, node: RouterNode, kind: Kind, name: str, shares: Shares
-    ) -> None:
+    def _send(self, node: RouterNode, message: Message) -> None:
         try:
-            self.sock.sendto(_encode(kind, name, shares), node.exchange)
+            self.sock.sendto(_encode(message), node.exchange)
         except OSError as error:
             self.log.event(
                 'datagram_unsent', node=node.name, reason=repr(error)
             )
 
 
-def _encode(kind: Kind, name: str, shares: Shares) -> bytes:
-    content = {
-        endpoint: (share.requests, share.unread)
-        for endpoint, share in shares.items()
+def _encode(message: Message) -> bytes:
+    work = {
+        endpoint: (one.requests, one.unread_tokens)
+        for endpoint, one in message.work.items()
     }
-    packed: bytes = msgpack.packb([int(kind), name, content])
+    packed: bytes = msgpack.packb([message.kind.value, message.sender, work])
     return packed
 
 
-def _decode(content: bytes) -> tuple[Kind, str, Mapping[str, Share]]:
-    kind, name, shares = msgpack.unpackb(content)
-    return (
-        Kind(kind),
-        str(name),
-        {
-            endpoint: Share(int(requests), int(unread))
-            for endpoint, (requests, unread) in shares.items()
-        },
+def _decode(content: bytes) -> Result[Message, str]:
+    try:
+        kind, sender, work = _DATAGRAM.validate_python(msgpack.unpackb(content))
+    except (ValueError, msgpack.UnpackException) as error:
+        return Err(repr(error))
+    return Ok(
+        Message(
+            kind,
+            sender,
+            {name: Outstanding(*counts) for name, counts in work.items()},
+        )
     )
--- a/bronzeglade/forwarding/follower.py
+++ b/bronzeglade/forwarding/follower.py
@@ -29,14 +29,14 @@
 # Pauses between calls of a store that gives no answer.
 SHORTEST_PAUSE = dt.timedelta(milliseconds=150)
 LONGEST_PAUSE = dt.timedelta(milliseconds=800)
-# How often a table looks whether the store is back for another one.
-SCOUT_CHECK = dt.timedelta(milliseconds=50)
+# How often a table looks whether the probe of another one has succeeded.
+PROBE_CHECK = dt.timedelta(milliseconds=50)
 # Every change wakes the waiting calls of all nodes that follow the store. After
 # one a node pauses for longer the more of them there are, so that changes in
 # quick succession cost these nodes together about fifty calls a second and
 # table.
-GATHERING_PER_NODE = dt.timedelta(milliseconds=25)
-LONGEST_GATHERING = dt.timedelta(milliseconds=400)
+COALESCING_PER_NODE = dt.timedelta(milliseconds=25)
+LONGEST_COALESCING = dt.timedelta(milliseconds=400)
 # Longest time of a call that has changes to tell, on a calm day.
 LONGEST_CALL = dt.timedelta(milliseconds=100)
 _MILLISECOND = dt.timedelta(milliseconds=1)
@@ -83,16 +83,16 @@
         self.on_change = on_change
         self.wait = wait
         self.on_loss: list[Callable[[], None]] = []
-        # The table whose calls find out when a lost store is back.
-        self.scout: Mirror | None = None
+        # The table whose calls probe a lost store; this one waits for it.
+        self.probe: Mirror | None = None
         self.caller: Any = None
         self.pause = SHORTEST_PAUSE
         self.must_read = True
 
     def follow_next(self) -> None:
         """Wait for the next change and take it; one turn of a loop."""
-        if self._waits_for_scout():
-            eventlet.sleep(SCOUT_CHECK.total_seconds())
+        if self._waits_for_probe():
+            eventlet.sleep(PROBE_CHECK.total_seconds())
             return
         if self.must_read:
             self._read_whole()
@@ -103,7 +103,7 @@
             self._reached()
             if changed:
                 self.on_change()
-                self._gather()
+                self._coalesce()
             return
         error = outcome.err_value
         if isinstance(error, HistoryGone):
@@ -135,11 +135,11 @@
             self.on_change()
         return newer
 
-    def _waits_for_scout(self) -> bool:
-        """Return whether the store is lost for this table and the scout's."""
+    def _waits_for_probe(self) -> bool:
+        """Return whether another table finds out when the store is back."""
         return (
-            self.scout is not None
-            and self.scout.failing_since is not None
+            self.probe is not None
+            and self.probe.failing_since is not None
             and self.mirror.failing_since is not None
         )
 
@@ -159,9 +159,9 @@
         finally:
             self.caller = None
 
-    def _gather(self) -> None:
+    def _coalesce(self) -> None:
         """Let further changes come together before the next call."""
-        longest = gathering(self.context.nodes())
+        longest = coalescing_pause(self.context.nodes())
         spread = 0.3 + 0.7 * self.context.random.random()
         eventlet.sleep(longest.total_seconds() * spread)
 
@@ -204,20 +204,20 @@
         self.pause = min(LONGEST_PAUSE, self.pause * 2)
 
 
-def gathering(nodes: int) -> dt.timedelta:
+def coalescing_pause(nodes: int) -> dt.timedelta:
     """Return the longest pause after a change.
 
     Args:
       nodes: how many nodes follow the tables.
     """
-    return min(LONGEST_GATHERING, GATHERING_PER_NODE * nodes)
+    return min(LONGEST_COALESCING, COALESCING_PER_NODE * nodes)
 
 
-def notice(nodes: int) -> dt.timedelta:
+def propagation_time(nodes: int) -> dt.timedelta:
     """Return the time in which a change reaches all nodes of a calm fleet.
 
     Args:
       nodes: how many nodes follow the tables.
     """
     # One call of the store, and one between nodes.
-    return gathering(nodes) + 2 * LONGEST_CALL
+    return coalescing_pause(nodes) + 2 * LONGEST_CALL
--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -2,7 +2,6 @@
 
 import datetime as dt
 import functools
-import json
 import random
 import secrets
 import signal
@@ -18,29 +17,26 @@
 from bronzeglade.adapters import transport
 from bronzeglade.adapters.table import Put, Transaction
 from bronzeglade.clock import BootClock
-from bronzeglade.coordination.mirror import Mirror
 from bronzeglade.decisions.latency import Latencies, LatencySettings
 from bronzeglade.decisions.placement import Placement, PlacementSettings
-from bronzeglade.forwarding import copies, door, follower, relay, roster, tcp
+from bronzeglade.forwarding import copies, door, roster, tcp
 from bronzeglade.forwarding.caller import Caller, CallerConnection
-from bronzeglade.forwarding.copies import CopySource
 from bronzeglade.forwarding.exchange import Exchange
-from bronzeglade.forwarding.follower import Follower, FollowerContext
+from bronzeglade.forwarding.follower import FollowerContext
 from bronzeglade.forwarding.endpoint import EndpointEntry, Registry
 from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
 from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.metrics import Metrics
-from bronzeglade.forwarding.relay import Relay
 from bronzeglade.forwarding.rollouts import TICK, Rollouts
-from bronzeglade.forwarding.roster import RouterNode
+from bronzeglade.forwarding.roster import Roster, RouterNode
 from bronzeglade.forwarding.route import Limits
 from bronzeglade.forwarding.router import Router
 from bronzeglade.forwarding.settings import Address, RouterSettings
 from bronzeglade.forwarding.site import Application, Site
+from bronzeglade.forwarding.tables import OWN_TABLE, Handlers, Tables
 from bronzeglade.loops import spawn_loop
 
-OWN_TABLE = 'bronzeglade'
-NODE_PREFIX = 'bronzeglade/node/'
+NODE_PREFIX = f'{OWN_TABLE}/node/'
 BACKLOG = 512
 # Pauses between tries to register this node.
 REGISTER_PAUSE = dt.timedelta(milliseconds=300)
@@ -80,13 +76,17 @@
             lambda call, end: metrics.store_calls.labels(call, end).inc(),
         )
         documents = site.documents
-        self.operator_rows = Mirror(documents.operator_table, self.clock)
-        self.entries = Mirror(documents.endpoint_table, self.clock)
-        self.own = Mirror(OWN_TABLE, self.clock)
-        self.copies = CopySource((self.operator_rows, self.entries, self.own))
+        self.tables = Tables(documents, self.clock)
+        self.roster = Roster(_myself(settings), settings.peers)
         self.rollouts = Rollouts(
-            self.store, self.operator_rows, self.own, documents, self.log
+            self.store,
+            self.tables.operator,
+            self.tables.own,
+            documents,
+            self.roster,
+            self.log,
         )
+        self.rollouts.exposure = settings.rollout.share
         self.router = Router(
             settings=settings,
             clock=self.clock,
@@ -103,16 +103,10 @@
             registry=Registry(self.clock),
             rollouts=self.rollouts,
             latencies=Latencies(LatencySettings(), self.clock),
-            nodes=lambda: max(1, len(self.nodes)),
+            roster=self.roster,
         )
-        self.rollouts.node = settings.name
-        self.rollouts.exposure = settings.rollout.share
-        self.rollouts.rank = self._rank
-        self.rollouts.nodes = self.router.nodes
-        self.rollouts.notice = lambda: follower.notice(self._store_followers())
-        self.nodes: dict[str, RouterNode] = {}
         self.exchange = Exchange(
-            _myself(settings),
+            self.roster,
             self.router.placement,
             self.clock,
             self.log,
@@ -138,10 +132,7 @@
         self._serve_callers(settings.callers)
         self._serve(settings.readiness, self.site.readiness(self.is_ready))
         self._serve(settings.directory, self.site.directory(self.addresses))
-        self._serve(
-            settings.control,
-            self.copies.application,
-        )
+        self._serve(settings.control, self.tables.source.application)
         self._serve(
             (settings.callers[0], self.metrics_port), self._metrics_page
         )
@@ -163,9 +154,9 @@
     def addresses(self, failure_domain: str, region: str) -> list[Address]:
         """Return the addresses that a caller should use."""
         settings = self.router.settings
-        nodes = dict(self.nodes)
+        nodes = dict(self.roster.nodes)
         if self.is_ready():
-            nodes[settings.name] = _myself(settings)
+            nodes[settings.name] = self.roster.myself
         elif self.router.draining:
             nodes.pop(settings.name, None)
         return roster.addresses_for(
@@ -174,40 +165,18 @@
 
     def _start_loops(self) -> None:
         context = FollowerContext(
-            self.store, self.log, self.random, self._store_followers
+            self.store, self.log, self.random, self.roster.store_followers
         )
-        tell = self.copies.notify
-        operator = Follower(
+        self.tables.follow(
             context,
-            self.operator_rows,
-            _in_turn(self._orders_changed, tell),
-            follower.CLOSE_WAIT,
-        )
-        others = [
-            Follower(
-                context, self.entries, _in_turn(self._entries_changed, tell)
-            ),
-            Follower(context, self.own, _in_turn(self._own_changed, tell)),
-        ]
-        for one in others:
-            one.scout = operator.mirror
-        operator.on_loss = [tell, *(one.give_up for one in others)]
-        followers = (operator, *others)
-        through = Relay(
-            followers,
+            self.roster,
             functools.partial(copies.fetch, self.pool),
-            self.clock,
-            self.log,
-            self.random,
+            Handlers(
+                self._orders_changed, self._entries_changed, self._own_changed
+            ),
         )
-        through.watchers = self._watchers
-        through.peers = self._peers
-        for one in followers:
-            spawn_loop(_in_turn(through.wait_while_relayed, one.follow_next))
-        spawn_loop(through.follow_next)
-        spawn_loop(through.ask_peer)
         spawn_loop(self.exchange.receive_next)
-        spawn_loop(self.exchange.tell_next)
+        spawn_loop(self.exchange.send_next)
         spawn_loop(self._every(TICK, self.rollouts.tick))
         spawn_loop(self._every(HOUSEKEEPING, self._housekeep))
         spawn_loop(self._every(SETTINGS_CHECK, self.reload))
@@ -226,32 +195,10 @@
     def _housekeep(self) -> None:
         self.router.registry.close_idle()
 
-    def _peers(self) -> list[Address]:
-        settings = self.router.settings
-        known = {
-            node.control
-            for node in self.nodes.values()
-            if node.name != settings.name
-        }
-        return sorted(known) or list(settings.peers)
-
-    def _watchers(self) -> list[Address]:
-        settings = self.router.settings
-        return relay.watchers_of(
-            list(self.nodes.values()), settings.name, settings.failure_domain
-        )
-
-    def _store_followers(self) -> int:
-        """Return how many nodes follow the store, not another node."""
-        return relay.store_followers(list(self.nodes.values()))
-
-    def _rank(self, service: str) -> int:
-        """Return the place of this node among those that act on a service."""
-        names = sorted({*self.nodes, self.router.settings.name})
-        return names.index(self.router.settings.name)
-
     def _orders_changed(self) -> None:
-        row = self.operator_rows.rows.get(self.site.documents.configuration_key)
+        row = self.tables.operator.rows.get(
+            self.site.documents.configuration_key
+        )
         if row is not None:
             outcome = self.site.documents.read_configuration(row)
             if isinstance(outcome, Ok):
@@ -264,7 +211,7 @@
 
     def _entries_changed(self) -> None:
         entries: list[EndpointEntry] = []
-        for row in self.entries.current().values():
+        for row in self.tables.endpoints.current().values():
             outcome = self.site.documents.read_endpoint(row)
             if isinstance(outcome, Ok):
                 entries.append(outcome.ok_value)
@@ -276,21 +223,20 @@
 
     def _own_changed(self) -> None:
         nodes: dict[str, RouterNode] = {}
-        for key, row in self.own.rows.items():
+        for key, row in self.tables.own.rows.items():
             if key.startswith(NODE_PREFIX):
-                node = _read_node(row.body)
+                node = roster.decode(row.body)
                 nodes[node.name] = node
-        if nodes.keys() != self.nodes.keys():
+        if nodes.keys() != self.roster.nodes.keys():
             self.log.event('nodes', names=sorted(nodes))
-        self.nodes = nodes
-        self.exchange.nodes = nodes
+        self.roster.nodes = nodes
         self.router.share_connections()
         self.router.share_retries()
         self.rollouts.refresh()
 
     def _register(self) -> None:
-        settings = self.router.settings
-        put = Put(NODE_PREFIX + settings.name, _node_body(settings))
+        myself = self.roster.myself
+        put = Put(NODE_PREFIX + myself.name, roster.encode(myself))
         while not self.router.draining:
             outcome = self.store.commit(Transaction(puts=(put,)))
             if isinstance(outcome, Ok):
@@ -367,6 +313,7 @@
         if outcome.ok_value != self.router.settings:
             self.router.settings = outcome.ok_value
             self.rollouts.exposure = outcome.ok_value.rollout.share
+            self.roster.seeds = outcome.ok_value.peers
             self.log.event('reload')
 
     def _on_reload(self, _signal: int, _frame: Any) -> None:
@@ -413,14 +360,6 @@
     return RouterProcess(site, settings.ok_value, metrics_port).run()
 
 
-def _in_turn(*actions: Callable[[], None]) -> Callable[[], None]:
-    def turn() -> None:
-        for action in actions:
-            action()
-
-    return turn
-
-
 def _myself(settings: RouterSettings) -> RouterNode:
     return RouterNode(
         settings.name,
@@ -429,27 +368,3 @@
         settings.control,
         settings.exchange,
     )
-
-
-def _node_body(settings: RouterSettings) -> bytes:
-    node = _myself(settings)
-    return json.dumps(
-        [
-            node.name,
-            node.failure_domain,
-            node.callers,
-            node.control,
-            node.exchange,
-        ]
-    ).encode()
-
-
-def _read_node(body: bytes) -> RouterNode:
-    name, failure_domain, callers, control, exchange = json.loads(body)
-    return RouterNode(
-        name,
-        failure_domain,
-        (callers[0], callers[1]),
-        (control[0], control[1]),
-        (exchange[0], exchange[1]),
-    )
--- a/bronzeglade/forwarding/relay.py
+++ b/bronzeglade/forwarding/relay.py
@@ -7,10 +7,10 @@
 neither takes the copies of any node.
 """
 
-import collections
 import datetime as dt
 import random
 from collections.abc import Callable, Mapping, Sequence
+from typing import Protocol
 
 import eventlet
 from eventlet.event import Event
@@ -20,12 +20,8 @@
 from bronzeglade.forwarding.copies import Copies, TableCopy
 from bronzeglade.forwarding.follower import Follower
 from bronzeglade.forwarding.log import Log
-from bronzeglade.forwarding.roster import RouterNode
 from bronzeglade.forwarding.settings import Address
 
-# Nodes of a failure domain that follow the store: one may be killed and another
-# one cut off while a third one tells the rest.
-WATCHERS = 3
 # How long a watcher keeps a call waiting for changes.
 WATCH_WAIT = dt.timedelta(milliseconds=700)
 # A watcher that gave no answer is not asked again for this time, and one that
@@ -42,6 +38,16 @@
 ]
 
 
+class Directory(Protocol):
+    """Control addresses of other nodes."""
+
+    def watchers(self) -> Sequence[Address]:
+        """Return whom this node asks for changes."""
+
+    def peers(self) -> Sequence[Address]:
+        """Return any other nodes."""
+
+
 class Relay:
     """Where a node hears of changes: from watchers or from the store."""
 
@@ -49,6 +55,7 @@
         self,
         followers: Sequence[Follower],
         fetch: Fetch,
+        directory: Directory,
         clock: Clock,
         log: Log,
         source: random.Random,
@@ -58,26 +65,31 @@
         Args:
           followers: one of each table.
           fetch: asks another node.
+          directory: tells which nodes there are.
           clock: monotonic time.
           log: of the node.
           source: spreads the calls.
         """
         self.followers = {one.mirror.table: one for one in followers}
         self.fetch = fetch
+        self.directory = directory
         self.clock = clock
         self.log = log
         self.random = source
-        self.watchers: Callable[[], Sequence[Address]] = list
-        self.peers: Callable[[], Sequence[Address]] = list
         self.turn = -1
         self.avoided: dict[Address, dt.timedelta] = {}
         self.relayed = False
         self.ended = Event()
 
-    def wait_while_relayed(self) -> None:
-        """Return when the node has to follow the store itself."""
-        if self.relayed:
-            self.ended.wait()
+    def unless_relayed(self, turn: Callable[[], None]) -> Callable[[], None]:
+        """Return a turn of a loop that waits while watchers tell changes."""
+
+        def wait_and_turn() -> None:
+            if self.relayed:
+                self.ended.wait()
+            turn()
+
+        return wait_and_turn
 
     def follow_next(self) -> None:
         """Hear of the next change from a watcher; one turn of a loop."""
@@ -101,7 +113,7 @@
     def ask_peer(self) -> None:
         """Take newer copies of any node while the store is lost."""
         self._pause()
-        peers = list(self.peers())
+        peers = list(self.directory.peers())
         if peers and self._is_cut_off():
             peer = self.random.choice(peers)
             outcome = self._fetch(peer, wait=dt.timedelta())
@@ -119,7 +131,9 @@
     def _next_watcher(self) -> Address | None:
         now = self.clock.monotonic()
         usable = [
-            one for one in self.watchers() if self.avoided.get(one, now) <= now
+            one
+            for one in self.directory.watchers()
+            if self.avoided.get(one, now) <= now
         ]
         if not usable:
             return None
@@ -166,31 +180,5 @@
         eventlet.sleep(PEER_INTERVAL.total_seconds() * spread)
 
 
-def watchers_of(
-    nodes: Sequence[RouterNode], myself: str, failure_domain: str
-) -> list[Address]:
-    """Return whom a node asks for changes; nobody when it is a watcher.
-
-    Args:
-      nodes: those that are registered.
-      myself: name of the node.
-      failure_domain: where it stands.
-    """
-    near = sorted(
-        (one for one in nodes if one.failure_domain == failure_domain),
-        key=lambda one: one.name,
-    )
-    chosen = near[:WATCHERS]
-    if any(one.name == myself for one in chosen):
-        return []
-    return [one.control for one in chosen] if len(near) > WATCHERS else []
-
-
-def store_followers(nodes: Sequence[RouterNode]) -> int:
-    """Return how many nodes follow the store itself; at least one."""
-    sizes = collections.Counter(one.failure_domain for one in nodes)
-    return max(1, sum(min(WATCHERS, size) for size in sizes.values()))
-
-
 def _name(address: Address) -> str:
     return f'{address[0]}:{address[1]}'
--- a/bronzeglade/forwarding/rollouts.py
+++ b/bronzeglade/forwarding/rollouts.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime as dt
 import json
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from result import Err, Ok
 
@@ -16,7 +16,9 @@
 from bronzeglade.decisions.evidence import Evidence, Observation
 from bronzeglade.decisions.rollout import Judge, JudgeSettings
 from bronzeglade.forwarding.endpoint import Endpoint
+from bronzeglade.forwarding.follower import propagation_time
 from bronzeglade.forwarding.log import Log
+from bronzeglade.forwarding.roster import Roster
 from bronzeglade.forwarding.site import Documents
 from bronzeglade.forwarding.work import Work
 from bronzeglade.manifest import RolloutLimits
@@ -76,6 +78,7 @@
         orders: Mirror,
         own: Mirror,
         documents: Documents,
+        roster: Roster,
         log: Log,
     ) -> None:
         """Know no order.
@@ -85,21 +88,18 @@
           orders: copy of the operator's table.
           own: copy of the product's table.
           documents: decoding of the operator's rows.
+          roster: the nodes that take part.
           log: of the node.
         """
         self.table = table
         self.operator_rows = orders
         self.own = own
         self.documents = documents
+        self.roster = roster
         self.log = log
         self.clock = own.clock
         self.settings = CanarySettings()
         self.exposure = 0.1
-        # How long a step takes to reach all nodes.
-        self.notice: Callable[[], dt.timedelta] = dt.timedelta
-        self.node = ''
-        self.nodes: Callable[[], int] = lambda: 1
-        self.rank: Callable[[str], int] = lambda _service: 0
         self.orders: dict[str, Order] = {}
         self.plans: dict[str, Plan] = {}
         self.watches: dict[str, _Watch] = {}
@@ -223,7 +223,7 @@
         wanted = self._wanted(watch, plan)
         if wanted == plan:
             watch.lagging_since = None
-            if plan.writer == self.node:
+            if plan.writer == self.roster.myself.name:
                 self._read_evidence(watch, plan)
             return
         if not self._is_turn(watch, plan.writer):
@@ -247,7 +247,8 @@
         if plan.share and (unproved or watch.judge.verdict().suspect):
             share = plan.share
         share = canary.next_share(self.settings, plan.share, share)
-        return plans.advanced(plan, share, Stage.RUNNING, now + self.notice())
+        known_to_all = now + propagation_time(self.roster.store_followers())
+        return plans.advanced(plan, share, Stage.RUNNING, known_to_all)
 
     def _is_turn(self, watch: _Watch, writer: str) -> bool:
         """Return whether this node acts now.
@@ -258,15 +259,15 @@
         now = self.clock.monotonic()
         if watch.lagging_since is None:
             watch.lagging_since = now
-        if writer == self.node:
+        if writer == self.roster.myself.name:
             return True
-        rank = self.rank(watch.order.service) + bool(writer)
+        rank = self.roster.rank() + bool(writer)
         return now - watch.lagging_since >= TAKEOVER * rank
 
     def _commit(self, watch: _Watch, plan: Plan) -> None:
         if self.clock.monotonic() < watch.paused_until:
             return
-        plan = dataclasses.replace(plan, writer=self.node)
+        plan = dataclasses.replace(plan, writer=self.roster.myself.name)
         key = plans.PLAN_PREFIX + plan.service
         row = self.own.rows.get(key)
         check = Check(key, 0 if row is None else row.version)
@@ -295,17 +296,19 @@
             return
         now = self.clock.monotonic()
         failed = watch.mine[0].errors.total > watch.written[0].errors.total
-        if now - watch.written_at < writing_interval(self.nodes(), failed):
+        if now - watch.written_at < writing_interval(
+            self.roster.count(), failed
+        ):
             return
         watch.written_at = now
         mine = watch.mine
         body = json.dumps([evidence.encode(one) for one in mine]).encode()
-        key = f'{_evidence_prefix(watch.order)}{self.node}'
+        key = f'{_evidence_prefix(watch.order)}{self.roster.myself.name}'
         outcome = self.table.commit(Transaction(puts=(Put(key, body),)))
         if isinstance(outcome, Ok):
             watch.written = mine
         plan = self.plans.get(service)
-        if plan is None or plan.writer != self.node:
+        if plan is None or plan.writer != self.roster.myself.name:
             # The acting node judges the evidence of all nodes, this one its
             # own, so that a severe fault stops it without the store.
             self._judge(watch, watch.seen, mine)
@@ -327,7 +330,7 @@
         parts = [
             [evidence.decode(one) for one in json.loads(row.body)]
             for row in outcome.ok_value
-            if not row.key.endswith(f'/{self.node}')
+            if not row.key.endswith(f'/{self.roster.myself.name}')
         ]
         total = (
             evidence.total([watch.mine[0], *(one[0] for one in parts)]),
--- a/bronzeglade/forwarding/roster.py
+++ b/bronzeglade/forwarding/roster.py
@@ -1,7 +1,9 @@
-"""Nodes that serve callers, and the addresses that a caller is told."""
+"""Nodes that serve callers, and who of them is told or asked what."""
 
+import collections
 import dataclasses
-from collections.abc import Iterable, Mapping
+import json
+from collections.abc import Iterable, Mapping, Sequence
 
 from bronzeglade.forwarding.settings import Address
 
@@ -9,6 +11,9 @@
 # one fails.
 LEAST_ADDRESSES = 2
 MOST_ADDRESSES = 64
+# Nodes of a failure domain that follow the store: one may be killed and another
+# one cut off while a third one tells the rest.
+WATCHERS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +31,79 @@
     exchange: Address
 
 
+class Roster:
+    """The registered nodes, as this node knows them.
+
+    `seeds` are control addresses that the settings name; they may be stale.
+    """
+
+    def __init__(self, myself: RouterNode, seeds: Sequence[Address]) -> None:
+        """Know no other node.
+
+        Args:
+          myself: this node.
+          seeds: control addresses of other nodes.
+        """
+        self.myself = myself
+        self.seeds = seeds
+        self.nodes: dict[str, RouterNode] = {}
+
+    def count(self) -> int:
+        """Return how many nodes serve callers; at least one."""
+        return max(1, len(self.nodes))
+
+    def rank(self) -> int:
+        """Return the place of this node among all."""
+        return sorted({*self.nodes, self.myself.name}).index(self.myself.name)
+
+    def peers(self) -> list[Address]:
+        """Return the control addresses of other nodes, or the seeds."""
+        known = {
+            node.control
+            for node in self.nodes.values()
+            if node.name != self.myself.name
+        }
+        return sorted(known) or list(self.seeds)
+
+    def neighbours(self) -> list[RouterNode]:
+        """Return the nodes of this failure domain by name, this one too."""
+        near = {
+            name: node
+            for name, node in self.nodes.items()
+            if node.failure_domain == self.myself.failure_domain
+        }
+        near[self.myself.name] = self.myself
+        return [near[name] for name in sorted(near)]
+
+    def watchers(self) -> list[Address]:
+        """Return whom this node asks for changes; nobody if it is asked."""
+        near = self.neighbours()
+        watchers = near[:WATCHERS]
+        if len(near) <= WATCHERS or self.myself in watchers:
+            return []
+        return [node.control for node in watchers]
+
+    def store_followers(self) -> int:
+        """Return how many nodes follow the store itself; at least one."""
+        sizes = collections.Counter(
+            node.failure_domain for node in self.nodes.values()
+        )
+        return max(1, sum(min(WATCHERS, size) for size in sizes.values()))
+
+
+def encode(node: RouterNode) -> bytes:
+    """Return the content of the row of a node."""
+    return json.dumps(dataclasses.asdict(node)).encode()
+
+
+def decode(body: bytes) -> RouterNode:
+    """Return the node of a row that `encode` made."""
+    document = json.loads(body)
+    for name in ('callers', 'control', 'exchange'):
+        document[name] = tuple(document[name])
+    return RouterNode(**document)
+
+
 def addresses_for(
     nodes: Iterable[RouterNode],
     failure_domain: str,
--- a/bronzeglade/forwarding/router.py
+++ b/bronzeglade/forwarding/router.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime as dt
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from bronzeglade.clock import Clock
 from bronzeglade.decisions.latency import Latencies
@@ -20,6 +20,7 @@
 from bronzeglade.forwarding.message import Dialect
 from bronzeglade.forwarding.metrics import Metrics
 from bronzeglade.forwarding.rollouts import Rollouts
+from bronzeglade.forwarding.roster import Roster
 from bronzeglade.forwarding.route import Kind, RouteTable
 from bronzeglade.forwarding.settings import RetryBounds, RouterSettings
 from bronzeglade.forwarding.work import Work
@@ -37,7 +38,7 @@
 class Router:
     """What one process knows and counts.
 
-    `nodes` returns how many nodes serve callers. `shortest` is the shortest
+    `shortest` is the shortest
     objective of the streams of each service.
     """
 
@@ -51,7 +52,7 @@
     registry: Registry
     rollouts: Rollouts
     latencies: Latencies
-    nodes: Callable[[], int]
+    roster: Roster
     sizing: SizingSettings = SizingSettings()
     table: RouteTable | None = None
     budgets: dict[str, WindowBudget] = dataclasses.field(default_factory=dict)
@@ -88,7 +89,7 @@
         """Divide the connections of each endpoint among the nodes."""
         if self.table is None:
             return
-        nodes = self.nodes()
+        nodes = self.roster.count()
         self.registry.set_limits(
             {
                 name: connection_limit(service.max_connections, nodes)
@@ -161,7 +162,7 @@
             budget.settings = settings
 
     def _retry_settings(self) -> WindowSettings:
-        return retry_settings(self.settings.retry, self.nodes())
+        return retry_settings(self.settings.retry, self.roster.count())
 
     def retry_after(self, work: Work) -> dt.timedelta:
         """Return when a refused caller should come back."""
