--- a/bronzeglade/platform/documents.py
+++ b/bronzeglade/platform/documents.py
@@ -21,6 +21,7 @@
     WeightedService,
     index_routes,
 )
+from bronzeglade.platform.model import PlatformDocument
 
 OPERATOR_TABLE = 'op'
 ENDPOINT_TABLE = 'servers'
@@ -42,16 +43,12 @@
 _MILLISECOND = dt.timedelta(milliseconds=1)
 
 
-class _Document(pd.BaseModel):
-    model_config = pd.ConfigDict(extra='ignore', populate_by_name=True)
-
-
-class _Backend(_Document):
+class _Backend(PlatformDocument):
     service: str
     weight: float = Field(ge=0)
 
 
-class _Route(_Document):
+class _Route(PlatformDocument):
     name: str
     host: str = Field(alias='hostname')
     prefix: str
@@ -67,25 +64,25 @@
     resumable: bool = False
 
 
-class _Service(_Document):
+class _Service(PlatformDocument):
     name: str
     max_connections: int = Field(64, alias='max-connections')
 
 
-class _Limits(_Document):
+class _Limits(PlatformDocument):
     header_bytes: int = Field(16384, alias='max-header-bytes')
     body_bytes: int = Field(4194304, alias='max-body-bytes')
     header_timeout_ms: float = Field(3000, alias='header-timeout-ms')
     idle_timeout_ms: float = Field(15000, alias='idle-timeout-ms')
 
 
-class _Tenant(_Document):
+class _Tenant(PlatformDocument):
     name: str
     keys: tuple[str, ...] = Field((), alias='api-keys')
     priority: int | None = None
 
 
-class _Configuration(_Document):
+class _Configuration(PlatformDocument):
     version: int
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
@@ -93,7 +90,7 @@
     tenants: tuple[_Tenant, ...] | None = None
 
 
-class _Entry(_Document):
+class _Entry(PlatformDocument):
     """What a worker registers; `sequence` only counts its writes."""
 
     service: str
@@ -105,7 +102,7 @@
     born: int = 0
 
 
-class _Order(_Document):
+class _Order(PlatformDocument):
     service: str
     # The version that the service is to move to.
     target: str
--- a/bronzeglade/platform/settings.py
+++ b/bronzeglade/platform/settings.py
@@ -14,6 +14,7 @@
     RouterSettings,
     StopBounds,
 )
+from bronzeglade.platform.model import PlatformDocument
 
 # How long callers may keep the addresses that they were told; the platform
 # lets them keep an answer for three times its time to live.
@@ -21,18 +22,14 @@
 _KEPT_TIMES = 3
 
 
-class _Document(pd.BaseModel):
-    model_config = pd.ConfigDict(extra='ignore', populate_by_name=True)
-
-
-class _Listen(_Document):
+class _Listen(PlatformDocument):
     front: str
     ready: str
     directory: str
     control: str
 
 
-class _Bounds(_Document):
+class _Bounds(PlatformDocument):
     grace_s: float = Field(8, alias='grace-s')
     budget_ratio: float = Field(0.2, alias='budget-ratio')
     budget_window_s: float = Field(10, alias='budget-window-s')
@@ -40,11 +37,11 @@
     expose_share: float = Field(0.1, alias='expose-share')
 
 
-class _Store(_Document):
+class _Store(PlatformDocument):
     address: str
 
 
-class _File(_Document):
+class _File(PlatformDocument):
     name: str = Field(alias='node-name')
     zone: str
     region: str
--- a/fleet/soak.py
+++ b/fleet/soak.py
@@ -20,14 +20,17 @@
 from fleet.ports import HOST
 from fleet.soak_callers import Callers
 from fleet.soak_plan import Fault, draw
-from fleet.soak_rules import Asked, Ran, broken_rules
+from fleet.soak_rules import READ, Asked, Ran, broken_rules
 
 OTHER_KEY, OTHER_TENANT, FINAL_KEY, WRONG_KEY = 'key-2', 'survey', 'key-3', 'no'
 TENANTS = {KEY: TENANT, OTHER_KEY: OTHER_TENANT, FINAL_KEY: TENANT}
+# The second key is used also while it is revoked.
+USED_KEYS = (KEY, KEY, KEY, OTHER_KEY, WRONG_KEY)
 CALLERS = 10
 # A fault may still be felt this long after its end.
 AFTERMATH_S = 3.0
 LEAVING_S = 2.0  # a worker goes on after it has told that it leaves
+STOP_S = 10.0  # a planned stop takes up to the grace period
 SLOW_STORE_S = 0.4
 LINK_DELAY_S = 0.15
 SHARE = 0.3  # of the calls that a fault of a stand-in strikes
@@ -135,7 +138,7 @@
         ports = {name: self._start_router(name) for name in self.routers}
         for name in self.routers:
             self.fleet.wait_ready(name)
-        self.callers = Callers(seed, CALLERS, ports, self._used_keys)
+        self.callers = Callers(seed, CALLERS, ports, USED_KEYS)
 
     def run(self) -> list[str]:
         """Play the faults; return the broken rules."""
@@ -173,8 +176,14 @@
         until = now + fault.lasts_s
         self.busy[busy] = until + LEAVING_S
         self.disturbed.append((fault.target, now, until + AFTERMATH_S))
-        strike = getattr(self, f'_strike_{fault.group}')
-        strike(fault, until)
+        strikes = {
+            'router': self._strike_router,
+            'worker': self._strike_worker,
+            'store': self._strike_store,
+            'link': self._strike_link,
+            'operator': self._strike_operator,
+        }
+        strikes[fault.group](fault, until)
 
     def _strike_router(self, fault: Fault, until: float) -> None:
         name = fault.target
@@ -189,8 +198,7 @@
             self._later(until, lambda: self._restart_router(name))
         else:
             self.fleet.signal(name, signal.SIGTERM)
-            # A stop takes up to the grace period.
-            self.busy[f'{fault.group} {name}'] = until + 10
+            self.busy[f'router {name}'] = until + STOP_S
             self._later(until, lambda: self._restart_router(name))
 
     def _strike_worker(self, fault: Fault, until: float) -> None:
@@ -222,15 +230,15 @@
             'slow': ('slow_s', SLOW_STORE_S),
             'lost_replies': ('lost_replies', SHARE),
         }
-        name, level = names.get(fault.kind, (fault.kind, 1e9))
+        name, level = names.get(fault.kind, (fault.kind, 1))
         self.fleet.fault(port, **{name: level})
         self._later(until, lambda: self.fleet.fault(port, **{name: 0}))
 
     def _strike_link(self, fault: Fault, until: float) -> None:
-        mode, delay_s = fault.kind, float()
-        if mode == 'delay':
-            mode, delay_s = 'open', LINK_DELAY_S
-        self.fleet.change_link(fault.target, mode, delay_s)
+        if fault.kind == 'delay':
+            self.fleet.change_link(fault.target, 'open', LINK_DELAY_S)
+        else:
+            self.fleet.change_link(fault.target, fault.kind)
         self._later(until, lambda: self.fleet.change_link(fault.target, 'open'))
 
     def _strike_operator(self, fault: Fault, _until: float) -> None:
@@ -246,10 +254,6 @@
             route['timeout-ms'] = self.timeout_ms
         self.fleet.put(document)
 
-    def _used_keys(self) -> tuple[str, ...]:
-        # The second key is used also while it is revoked.
-        return KEY, KEY, KEY, OTHER_KEY, WRONG_KEY
-
     def _start_router(self, name: str) -> int:
         self.fleet.start_router(name)
         port = self.fleet.routers[name].callers
@@ -338,7 +342,7 @@
         reply = self.fleet.ask(name, '/read/x', request_id, key, request_id)
         now = time.monotonic()
         self.callers.asked.append(
-            Asked(request_id, 'read', name, key, now, now, 5, reply.status)
+            Asked(request_id, READ, name, key, now, now, 0, reply.status)
         )
         return reply.status
 
--- a/fleet/soak_callers.py
+++ b/fleet/soak_callers.py
@@ -5,7 +5,7 @@
 import random
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 from fleet.platform import API_HOST
 from fleet.ports import HOST
@@ -25,7 +25,7 @@
         seed: int,
         count: int,
         ports: Mapping[str, int],
-        keys: Callable[[], tuple[str, ...]],
+        keys: tuple[str, ...],
     ) -> None:
         """Create threads.
 
@@ -33,7 +33,7 @@
           seed: of what they ask.
           count: of threads.
           ports: where each router is asked, by its name.
-          keys: returns the keys that are used now.
+          keys: the keys that are used, one as often as it is named.
         """
         self.ports = ports
         self.keys = keys
@@ -73,7 +73,7 @@
         request_id: str,
     ) -> Asked:
         kind = source.choice(KINDS)
-        key = source.choice(self.keys())
+        key = source.choice(self.keys)
         deadline_s = source.choice(DEADLINES_S)
         headers = {
             'Host': API_HOST,
