End a short roll-out in time; drop a gate that could hold nothing

Found by reading: the gate on evidence (at least 10 requests) ended at 0.55 of a roll-out, where the first step begins, so it was dead; and the wait of 2 s after a step began only when all nodes had taken it. Cause: since a step takes effect 0.4 to 0.6 s after it is written; four waits no longer fit into a roll-out of 16 s, which the sites' lists of troubles have. Ruled out: earlier steps (a bad version would get more than half of its allowance before the last one: canary_test.py). Change: 2.4 s from one written step to the next, less when the duration is short. Test: rollouts_test.py, 12, 16, 24 and 40 s with 2 and 15 nodes; 12 and 16 s failed before.

--- a/bronzeglade/decisions/canary.py
+++ b/bronzeglade/decisions/canary.py
@@ -20,9 +20,9 @@
     Until the first step the new version gets `first_share` of the exposure
     that is allowed. Each step gives the time and the share from then on. It is
     complete at `complete_at`, so that the status is written before the
-    deadline. From `nearly` on a lack of evidence holds nothing back. Sessions
-    take part from `sessions_from` on: one that is under way when a step comes
-    changes its version, and only its next requests tell that it was under way.
+    deadline. Sessions take part from `sessions_from` on: one that is under way
+    when a step comes changes its version, and only its next requests tell that
+    it was under way.
     """
 
     first_share: float = 0.5
@@ -32,10 +32,10 @@
         (0.78, 1.0),
     )
     complete_at: float = 0.9
-    nearly: float = 0.55
     sessions_from: float = 0.5
-    # Evidence of a step takes this long to reach the node that acts.
-    shortest_step: dt.timedelta = dt.timedelta(milliseconds=2000)
+    # From one step to the next: the step reaches all nodes, and its evidence
+    # the one that acts. A short roll-out has less, so that it ends in time.
+    shortest_step: dt.timedelta = dt.timedelta(milliseconds=2400)
 
 
 def share_at(
@@ -96,11 +96,16 @@
     return digest / _HASH_RANGE
 
 
-def is_nearly_due(
-    settings: CanarySettings, elapsed: dt.timedelta, duration: dt.timedelta
-) -> bool:
-    """Return whether the last steps have to be taken to be complete in time."""
-    return elapsed / duration >= settings.nearly
+def step_time(settings: CanarySettings, duration: dt.timedelta) -> dt.timedelta:
+    """Return the least time from one step to the next.
+
+    Args:
+      settings: steps.
+      duration: from the order to its deadline.
+    """
+    first = settings.steps[0][0]
+    left = duration * (settings.complete_at - first)
+    return min(settings.shortest_step, left // len(settings.steps))
 
 
 def takes_sessions(
--- a/bronzeglade/decisions/canary_test.py
+++ b/bronzeglade/decisions/canary_test.py
@@ -42,3 +42,13 @@
     """The status must be written before the deadline."""
     assert not canary.is_due(SETTINGS, DURATION * 0.8, DURATION)
     assert canary.is_due(SETTINGS, DURATION * 0.95, DURATION)
+
+
+def test_short_roll_out_has_shorter_steps() -> None:
+    """A short roll-out must be complete before its deadline as well."""
+    long = canary.step_time(SETTINGS, DURATION * 2)
+    assert long == SETTINGS.shortest_step
+    short = DURATION / 2
+    steps = canary.step_time(SETTINGS, short) * len(SETTINGS.steps)
+    first = SETTINGS.steps[0][0]
+    assert short * first + steps <= short * SETTINGS.complete_at
--- a/bronzeglade/forwarding/rollouts.py
+++ b/bronzeglade/forwarding/rollouts.py
@@ -43,9 +43,6 @@
 # A bad version is cheaper to halt early than to keep: at a log likelihood ratio
 # of 6 a good one is halted in about one of 400 looks at the limit of harm.
 JUDGE = JudgeSettings(threshold=6, suspicion=2)
-# Requests on a new version before it gets more than its first share, unless
-# the time of the roll-out is nearly up.
-LEAST_REQUESTS = 10
 EVIDENCE_ROWS = 500
 # Pause after a step that the store did not take.
 COMMIT_PAUSE = dt.timedelta(milliseconds=700)
@@ -237,18 +234,18 @@
         now = self.own.store_time()
         elapsed = now - plan.began
         duration = watch.order.duration
-        if plan.share and now - plan.stepped < self.settings.shortest_step:
+        propagation = propagation_time(self.roster.store_followers())
+        written = plan.stepped - propagation
+        step_time = canary.step_time(self.settings, duration)
+        if plan.share and now - written < step_time:
             return plan
         if canary.is_due(self.settings, elapsed, duration) and plan.share == 1:
             return plans.advanced(plan, 1, Stage.COMPLETED, now)
         share = canary.share_at(self.settings, elapsed, duration, self.exposure)
-        early = not canary.is_nearly_due(self.settings, elapsed, duration)
-        unproved = watch.seen[0].errors.count < LEAST_REQUESTS and early
-        if plan.share and (unproved or watch.judge.verdict().suspect):
+        if plan.share and watch.judge.verdict().suspect:
             share = plan.share
         share = canary.next_share(self.settings, plan.share, share)
-        known_to_all = now + propagation_time(self.roster.store_followers())
-        return plans.advanced(plan, share, Stage.RUNNING, known_to_all)
+        return plans.advanced(plan, share, Stage.RUNNING, now + propagation)
 
     def _is_turn(self, watch: _Watch, writer: str) -> bool:
         """Return whether this node acts now.
--- a/bronzeglade/forwarding/rollouts_test.py
+++ b/bronzeglade/forwarding/rollouts_test.py
@@ -2,6 +2,8 @@
 
 import datetime as dt
 
+import pytest
+
 from bronzeglade.adapters.feed import Snapshot
 from bronzeglade.adapters.table import Row
 from bronzeglade.builders import ManualClock, MemoryTable
@@ -35,10 +37,10 @@
             node.own.replace(Snapshot(1, {}))
             self.nodes.append(node)
 
-    def order(self) -> None:
+    def order(self, order: Row = ORDER) -> None:
         """Give every node the order."""
         for node in self.nodes:
-            node.operator_rows.replace(Snapshot(9, {ORDER.key: ORDER}))
+            node.operator_rows.replace(Snapshot(9, {order.key: order}))
             node.refresh()
 
     def run(self, seconds: float, *acting: int) -> None:
@@ -140,6 +142,17 @@
     assert status['status/workers'].body == b'completed'
 
 
+@pytest.mark.parametrize('seconds', [12, 16, 24, 40])
+@pytest.mark.parametrize('nodes', [2, 15])
+def test_good_version_is_complete_in_time(seconds: int, nodes: int) -> None:
+    """Steps that wait for all nodes must still end before the deadline."""
+    fleet = Fleet(nodes)
+    order = Row(ORDER.key, 5, f'workers v2 {seconds}'.encode())
+    fleet.order(order)
+    fleet.run(seconds - 0.5)
+    assert fleet.stage() == (Stage.COMPLETED, 1)
+
+
 def test_sessions_stay_on_the_old_version_in_the_first_half() -> None:
     """A session that is under way at the first step must not change."""
     fleet = Fleet(1)
