Heed endpoints that leave or ask for time

Cause: the headers by which an endpoint says that it leaves, or that it wants no work for a time, were not read; only its row in the store counted, which may be old or out of reach. Ruled out: the row alone (an outage of the store hides it), and ejection (its probe would be new work). A departure is remembered by the start of the endpoint, so no older row, peer or probe brings it back; it is told to the other nodes through the aggregators.

Found on the way: connections given back to the pool of a removed endpoint stayed open; malformed copies of a peer raised an error in the loop that reads them.

--- a/bronzeglade/forwarding/attempt.py
+++ b/bronzeglade/forwarding/attempt.py
@@ -112,6 +112,10 @@
             Failed(Failure.NOT_CONNECTED, broken.detail, local=broken.local)
         )
     attempt.connection = taken.ok_value
+    if not router.takes_work(attempt.endpoint):
+        # It said so while the connection was made.
+        detail = 'the endpoint takes no work any more'
+        return Err(Failed(Failure.NOT_CONNECTED, detail, local=True))
     if not taken.ok_value.reused:
         router.metrics.connections.inc()
     now = router.clock.monotonic()
@@ -202,6 +206,7 @@
 ) -> Result[AnswerFacts, Failed]:
     attempt.facts = facts
     attempt.answered_after = router.clock.monotonic() - attempt.began
+    router.heed(attempt.endpoint, facts)
     if facts.load is not None:
         load = Load(
             attempt.endpoint.entry.service,
--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -4,11 +4,10 @@
 import datetime as dt
 import os
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Sequence
 from typing import Any
 
 import eventlet
-from eventlet.green import socket
 from prometheus_client import CollectorRegistry
 from result import Err, Ok, Result
 
@@ -18,21 +17,15 @@
 from bronzeglade.coordination.canary import Order, Plan
 from bronzeglade.coordination.mirror import Mirror
 from bronzeglade.decisions.latency import Latencies, LatencySettings
+from bronzeglade.decisions.pause import Pauses, PauseSettings
 from bronzeglade.decisions.placement import Placement, PlacementSettings
 from bronzeglade.forwarding import door
 from bronzeglade.forwarding.caller import Caller, CallerConnection
 from bronzeglade.forwarding.endpoint import EndpointEntry, Registry
 from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
 from bronzeglade.forwarding.log import Log
-from bronzeglade.forwarding.message import (
-    AnswerFacts,
-    Dispatch,
-    Headers,
-    PromptPart,
-    RequestFacts,
-    RequestHead,
-)
 from bronzeglade.forwarding.metrics import Metrics
+from bronzeglade.forwarding.plain_dialect import PlainDialect
 from bronzeglade.forwarding.rollouts import Rollouts
 from bronzeglade.forwarding.roster import Roster, RouterNode
 from bronzeglade.forwarding.route import (
@@ -52,8 +45,8 @@
     RouterSettings,
     StopBounds,
 )
+from bronzeglade.forwarding.scripted import LOOPBACK, Script, ScriptedEndpoint
 from bronzeglade.forwarding.site import Documents
-from bronzeglade.outcome import Refusal
 
 HOST = 'api.example'
 KEY = 'key-1'
@@ -62,88 +55,6 @@
 SECOND = dt.timedelta(seconds=1)
 MILLISECOND = dt.timedelta(milliseconds=1)
 THREE_SECONDS = dt.timedelta(seconds=3)
-LOOPBACK = '127.0.0.1'
-HOP_HEADERS = frozenset((b'key', b'content-length', b'transfer-encoding'))
-
-
-class PlainDialect:
-    """A dialect of the tests; its names are the product's own words."""
-
-    def read_request(self, head: RequestHead) -> Result[RequestFacts, Refusal]:
-        """Return what the headers of a request say."""
-        fields = _fields(head.headers)
-        limit = fields.get('time-limit-ms')
-        last = fields.get('last-event')
-        parts = tuple(
-            PromptPart(name, 100)
-            for name in fields.get('parts', '').split(',')
-            if name
-        )
-        return Ok(
-            RequestFacts(
-                request_id=fields['id'],
-                host=fields['host'],
-                key=fields.get('key'),
-                time_limit=None if limit is None else int(limit) * MILLISECOND,
-                prompt_tokens=100 * len(parts),
-                parts=parts,
-                last_event=None if last is None else int(last),
-            )
-        )
-
-    def endpoint_headers(
-        self, head: RequestHead, dispatch: Dispatch, length: int
-    ) -> list[tuple[bytes, bytes]]:
-        """Return the headers of a request towards an endpoint."""
-        own = {
-            'instance': dispatch.instance,
-            'team': dispatch.team,
-            'model': dispatch.model,
-            'resume-after': dispatch.resume_after,
-        }
-        passed = [
-            one for one in head.headers if one[0].lower() not in HOP_HEADERS
-        ]
-        added = [
-            (name.encode(), str(content).encode())
-            for name, content in own.items()
-            if content is not None
-        ]
-        return [*passed, *added, (b'Content-Length', str(length).encode())]
-
-    def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
-        """Return what the head of an endpoint's answer says."""
-        fields = _fields(headers)
-        confidence = fields.get('confidence')
-        return AnswerFacts(
-            status=status,
-            headers=[
-                one
-                for one in headers
-                if one[0].lower()
-                not in {b'content-length', b'transfer-encoding', b'connection'}
-            ],
-            request_id=fields.get('id'),
-            signed='signature' in fields,
-            not_run='not-run' in fields,
-            encoded='content-encoding' in fields,
-            confidence=None if confidence is None else float(confidence),
-        )
-
-    def refusal_headers(
-        self, refusal: Refusal, request_id: str | None
-    ) -> list[tuple[bytes, bytes]]:
-        """Return the headers of a refusal."""
-        if refusal.retry_after is None:
-            return []
-        seconds = str(refusal.retry_after.total_seconds())
-        return [(b'Retry-After', seconds.encode())]
-
-
-def _fields(headers: Headers) -> dict[str, str]:
-    return {
-        name.decode().lower(): content.decode() for name, content in headers
-    }
 
 
 def route(
@@ -302,130 +213,13 @@
         rollouts=rollouts(clock),
         latencies=Latencies(LatencySettings(), clock),
         roster=roster('node-1'),
+        pauses=Pauses(PauseSettings(), clock),
     )
     if routes:
         built.adopt(table(*routes))
     return built
 
 
-Script = Callable[['Peer'], None]
-
-
-@dataclasses.dataclass(slots=True)
-class Peer:
-    """One connection at a scripted endpoint."""
-
-    sock: Any
-    endpoint: 'ScriptedEndpoint'
-    buffer: bytes = b''
-
-    def read_head(self) -> dict[str, str]:
-        """Read a request; return its headers and its first line."""
-        while b'\r\n\r\n' not in self.buffer:
-            received = self.sock.recv(65536)
-            if not received:
-                raise ConnectionError('closed')
-            self.buffer += received
-        head, rest = self.buffer.split(b'\r\n\r\n', 1)
-        self.buffer = rest
-        lines = head.decode().split('\r\n')
-        fields = dict(line.lower().split(': ', 1) for line in lines[1:])
-        fields['line'] = lines[0]
-        return fields
-
-    def read_request(self) -> dict[str, str]:
-        """Read a request with its body and note it."""
-        fields = self.read_head()
-        length = int(fields.get('content-length', '0'))
-        while len(self.buffer) < length:
-            self.buffer += self.sock.recv(65536)
-        fields['body'] = self.buffer[:length].decode('latin-1')
-        self.buffer = self.buffer[length:]
-        self.endpoint.seen.append(fields)
-        return fields
-
-    def send(self, text: str) -> None:
-        """Send bytes."""
-        self.sock.sendall(text.encode())
-
-    def answer(
-        self,
-        request: Mapping[str, str],
-        body: str = 'done',
-        status: int = 200,
-        extra: Sequence[str] = (),
-    ) -> None:
-        """Send a whole signed answer to a request."""
-        lines = [
-            f'HTTP/1.1 {status} Status',
-            f'Id: {request["id"]}',
-            'Signature: s',
-            f'Content-Length: {len(body)}',
-            *extra,
-        ]
-        self.send('\r\n'.join(lines) + '\r\n\r\n' + body)
-
-    def begin_stream(
-        self, request: Mapping[str, str], extra: Sequence[str] = ()
-    ) -> None:
-        """Send the head of a stream."""
-        lines = [
-            'HTTP/1.1 200 OK',
-            f'Id: {request["id"]}',
-            'Signature: s',
-            'Transfer-Encoding: chunked',
-            *extra,
-        ]
-        self.send('\r\n'.join(lines) + '\r\n\r\n')
-
-    def chunk(self, text: str) -> None:
-        """Send a chunk of a stream; an empty one ends it."""
-        self.send(f'{len(text):x}\r\n{text}\r\n')
-
-    def event(self, number: int) -> None:
-        """Send a whole event."""
-        self.chunk(event_text(number))
-
-    def reset(self) -> None:
-        """Reset the connection."""
-        self.sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, b'\1\0\0\0\0\0\0\0'
-        )
-        self.sock.close()
-
-
-def event_text(number: int) -> str:
-    """Return the text of an event."""
-    return f'id: {number}\ndata: piece {number}\n\n'
-
-
-class ScriptedEndpoint:
-    """An endpoint on loopback that follows a script on each connection."""
-
-    def __init__(self, script: Script) -> None:
-        """Listen on a free port; `seen` holds the requests read."""
-        self.script = script
-        self.seen: list[dict[str, str]] = []
-        self.connections = 0
-        self.ended = 0
-        self.listener = eventlet.listen((LOOPBACK, 0))
-        self.port = self.listener.getsockname()[1]
-        eventlet.spawn(self._accept)
-
-    def _accept(self) -> None:
-        while True:
-            sock, _peer = self.listener.accept()
-            self.connections += 1
-            eventlet.spawn(self._serve, sock)
-
-    def _serve(self, sock: Any) -> None:
-        try:
-            self.script(Peer(sock, self))
-        except (ConnectionError, OSError):
-            # The router closed the connection.
-            self.ended += 1
-
-
 def serve(built: Router) -> int:
     """Serve callers on loopback; return the port."""
     listener = eventlet.listen((LOOPBACK, 0))
@@ -540,3 +334,28 @@
                 blocks.append(block[:-2])
         except ConnectionError:
             return b''.join(blocks), False
+
+
+def fleet(
+    served: Route, *scripts: Script
+) -> tuple[Router, list[ScriptedEndpoint]]:
+    """Return a router with an endpoint for each script, tried in order."""
+    built = router(served)
+    endpoints = [ScriptedEndpoint(script) for script in scripts]
+    entries = [
+        entry(f'e{number}', endpoint.port)
+        for number, endpoint in enumerate(endpoints)
+    ]
+    built.update_endpoints(entries)
+    for position, one in enumerate(entries):
+        # Known load decides the order of the tries.
+        for _ in range(position):
+            built.placement.loads.started(one.name)
+    return built, endpoints
+
+
+def ask(built: Router, kind: Kind, **options: object) -> Answer:
+    """Send one request and return its answer."""
+    client = Client(serve(built))
+    client.send(kind, **options)  # type: ignore[arg-type]
+    return client.read()
--- a/bronzeglade/forwarding/copies.py
+++ b/bronzeglade/forwarding/copies.py
@@ -39,6 +39,10 @@
 _MILLISECOND = dt.timedelta(milliseconds=1)
 
 
+# What the decoding of bytes that are no copies raises.
+_MALFORMED = (ValueError, TypeError, zlib.error, msgpack.UnpackException)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableCopy:
     """The copy of one table; `lapsed` rows are kept for `settling`."""
@@ -166,7 +170,10 @@
         return Err(reply.err_value.detail)
     if reply.ok_value.status != _OK:
         return Err(f'status {reply.ok_value.status}')
-    return Ok(unpack(reply.ok_value.body))
+    try:
+        return Ok(unpack(reply.ok_value.body))
+    except _MALFORMED as error:
+        return Err(f'malformed copies: {error!r}')
 
 
 def unpack(body: bytes) -> Copies:
--- a/bronzeglade/forwarding/delivery_test.py
+++ b/bronzeglade/forwarding/delivery_test.py
@@ -6,119 +6,21 @@
 from bronzeglade.adapters.feed import Snapshot
 from bronzeglade.adapters.table import Row
 from bronzeglade.forwarding import builders
-from bronzeglade.forwarding.builders import (
-    Client,
+from bronzeglade.forwarding.builders import Client, ask, fleet
+from bronzeglade.forwarding.route import Kind
+from bronzeglade.forwarding.router import Router
+from bronzeglade.forwarding.scripted import (
     Peer,
-    ScriptedEndpoint,
+    answering,
+    cut_after,
     event_text,
+    forgetting,
+    refusing,
+    resetting,
+    sending,
+    silent,
+    streaming,
 )
-from bronzeglade.forwarding.route import Kind, Route
-from bronzeglade.forwarding.router import Router
-
-
-def answering(peer: Peer) -> None:
-    """Answer every request."""
-    while True:
-        peer.answer(peer.read_request())
-
-
-def resetting(peer: Peer) -> None:
-    """Reset the connection once a request is there."""
-    peer.read_request()
-    peer.reset()
-
-
-def forgetting(peer: Peer) -> None:
-    """Answer one request, and reset the connection at the next."""
-    peer.answer(peer.read_request())
-    peer.read_request()
-    peer.reset()
-
-
-def refusing(peer: Peer) -> None:
-    """Refuse every request without running it."""
-    while True:
-        peer.answer(peer.read_request(), 'full', 503, ('Not-Run: 1',))
-
-
-def silent(peer: Peer) -> None:
-    """Read a request and never answer."""
-    peer.read_request()
-    peer.read_request()
-
-
-def streaming(first: int, last: int) -> builders.Script:
-    """Return a script that streams some events to a whole end."""
-
-    def script(peer: Peer) -> None:
-        peer.begin_stream(peer.read_request())
-        for number in range(first, last + 1):
-            peer.event(number)
-        peer.chunk('')
-        peer.read_request()
-
-    return script
-
-
-def cut_after(last: int, rest: str = '') -> builders.Script:
-    """Return a script that resets a stream after an event and some bytes."""
-
-    def script(peer: Peer) -> None:
-        peer.begin_stream(peer.read_request())
-        for number in range(1, last + 1):
-            peer.event(number)
-        if rest:
-            peer.chunk(rest)
-        eventlet.sleep(0.05)
-        peer.reset()
-
-    return script
-
-
-def sending(rest: str, reset: bool = False) -> builders.Script:
-    """Return a script that sends a signed answer as given and ends.
-
-    Args:
-      rest: further headers, the empty line and the body.
-      reset: whether the connection is reset rather than closed.
-    """
-
-    def script(peer: Peer) -> None:
-        request = peer.read_request()
-        head = f'HTTP/1.1 200 OK\r\nId: {request["id"]}\r\nSignature: s\r\n'
-        peer.send(head + rest)
-        if reset:
-            eventlet.sleep(0.05)
-            peer.reset()
-        else:
-            peer.sock.close()
-
-    return script
-
-
-def fleet(
-    route: Route, *scripts: builders.Script
-) -> tuple[Router, list[ScriptedEndpoint]]:
-    """Return a router with an endpoint for each script, tried in order."""
-    router = builders.router(route)
-    endpoints = [ScriptedEndpoint(script) for script in scripts]
-    entries = [
-        builders.entry(f'e{number}', endpoint.port)
-        for number, endpoint in enumerate(endpoints)
-    ]
-    router.update_endpoints(entries)
-    for position, entry in enumerate(entries):
-        # Known load decides the order of the tries.
-        for _ in range(position):
-            router.placement.loads.started(entry.name)
-    return router, endpoints
-
-
-def ask(router: Router, kind: Kind, **options: object) -> builders.Answer:
-    """Send one request and return its answer."""
-    client = Client(builders.serve(router))
-    client.send(kind, **options)  # type: ignore[arg-type]
-    return client.read()
 
 
 def test_request_reaches_the_endpoint_unchanged() -> None:
--- a/bronzeglade/forwarding/endpoint.py
+++ b/bronzeglade/forwarding/endpoint.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from bronzeglade.clock import Clock
+from bronzeglade.forwarding.departures import Departures, Incarnation
 from bronzeglade.forwarding.upstream import ConnectionPool
 
 # Part of an endpoint's connections that all nodes together may use; the rest
@@ -28,6 +29,11 @@
     draining: bool
     started: int = 0
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """This start of the endpoint."""
+        return Incarnation(self.name, self.started, self.address)
+
 
 @dataclasses.dataclass(slots=True)
 class Endpoint:
@@ -66,6 +72,7 @@
           clock: monotonic time.
         """
         self.clock = clock
+        self.departures = Departures()
         self.endpoints: dict[str, Endpoint] = {}
         self.limits: dict[str, int] = {}
 
@@ -109,18 +116,42 @@
         return [
             endpoint
             for endpoint in self.endpoints.values()
-            if endpoint.entry.service == service
-            and not endpoint.entry.draining
-            and not endpoint.elsewhere
+            if endpoint.entry.service == service and self.takes_work(endpoint)
         ]
 
+    def takes_work(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint may get new work.
+
+        Args:
+          endpoint: as it was found here, perhaps some time ago.
+        """
+        entry = endpoint.entry
+        return (
+            self.endpoints.get(entry.name) is endpoint
+            and not entry.draining
+            and not endpoint.elsewhere
+            and not self.departures.includes(entry.incarnation)
+        )
+
+    def depart(self, incarnation: Incarnation) -> bool:
+        """Note that an endpoint leaves; return whether that was not known.
+
+        Its unused connections are closed; what runs there goes on.
+        """
+        if not self.departures.note(incarnation):
+            return False
+        endpoint = self.endpoints.get(incarnation.name)
+        if endpoint is not None and endpoint.entry.incarnation == incarnation:
+            endpoint.pool.retire()
+        return True
+
     def close_idle(self) -> None:
         """Close connections that have been idle for too long."""
         for endpoint in self.endpoints.values():
             endpoint.pool.close_idle()
 
     def _remove(self, name: str) -> None:
-        self.endpoints.pop(name).pool.close_all()
+        self.endpoints.pop(name).pool.retire()
 
     def _pool(self, entry: EndpointEntry) -> ConnectionPool:
         limit = self.limits.get(entry.service, LEAST_CONNECTIONS)
--- a/bronzeglade/forwarding/exchange.py
+++ b/bronzeglade/forwarding/exchange.py
@@ -5,6 +5,9 @@
 others. Both work independently, so that one of them may be down. A datagram is
 a msgpack list: its kind, its sender, and by endpoint the requests and the
 unread prompt tokens. A lost one is replaced by the next.
+
+An endpoint that leaves is told once, through the same aggregators. What is lost
+of that costs little: each node also hears it from the endpoint and the store.
 """
 
 import collections
@@ -12,6 +15,7 @@
 import datetime as dt
 import enum
 import random
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -29,6 +33,7 @@
     summed,
     without,
 )
+from bronzeglade.forwarding.departures import Incarnation
 from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.roster import Roster, RouterNode
 
@@ -50,6 +55,7 @@
     NODE = 0  # the load of its sender
     DOMAIN = 1  # the sum of the sender's failure domain
     OTHERS = 2  # the sum of all nodes but the receiver
+    DEPARTURE = 3  # an endpoint that leaves
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,7 +67,17 @@
     work: ByEndpoint
 
 
-_DATAGRAM = pd.TypeAdapter(tuple[Kind, str, dict[str, tuple[int, int]]])
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """A datagram that tells of an endpoint that leaves."""
+
+    sender: str
+    incarnation: Incarnation
+
+
+_DATAGRAM = pd.TypeAdapter(tuple[Kind, str, dict[str, Any]])
+_WORK = pd.TypeAdapter(dict[str, tuple[int, int]])
+_INCARNATION = pd.TypeAdapter(Incarnation)
 
 
 class Exchange:
@@ -94,6 +110,8 @@
         self.domains = OutstandingReports(settings, clock)
         self.domains_told_at = dt.timedelta()
         self.sock: Any = None
+        # Takes a departure and its source; returns whether it is news.
+        self.on_departure: Callable[[Incarnation, str], bool] | None = None
 
     def open(self) -> None:
         """Take the address of this node."""
@@ -112,7 +130,9 @@
             )
             return
         message = decoded.ok_value
-        if message.kind is Kind.NODE:
+        if isinstance(message, Departure):
+            self._take_departure(message)
+        elif message.kind is Kind.NODE:
             self.neighbours.report(message.sender, message.work)
         elif message.kind is Kind.DOMAIN:
             self.domains.report(message.sender, message.work)
@@ -132,6 +152,26 @@
             else:
                 self._send(aggregator, Message(Kind.NODE, myself.name, mine))
 
+    def tell_departure(self, incarnation: Incarnation) -> None:
+        """Tell the other nodes of an endpoint that leaves."""
+        myself = self.roster.myself
+        told = self.roster.neighbours()
+        if myself in told[:AGGREGATORS]:
+            told.extend(self._aggregators_elsewhere())
+        else:
+            told = told[:AGGREGATORS]
+        for node in told:
+            if node != myself:
+                self._send(node, Departure(myself.name, incarnation))
+
+    def _take_departure(self, message: Departure) -> None:
+        if self.on_departure is None:
+            return
+        news = self.on_departure(message.incarnation, message.sender)
+        aggregators = self.roster.neighbours()[:AGGREGATORS]
+        if news and self.roster.myself in aggregators:
+            self.tell_departure(message.incarnation)
+
     def _answer(self) -> None:
         """Tell each node of this failure domain what all others have."""
         myself = self.roster.myself
@@ -179,7 +219,7 @@
         spread = 0.8 + 0.4 * self.random.random()
         return min(interval, LONGEST_INTERVAL).total_seconds() * spread
 
-    def _send(self, node: RouterNode, message: Message) -> None:
+    def _send(self, node: RouterNode, message: Message | Departure) -> None:
         try:
             self.sock.sendto(_encode(message), node.exchange)
         except OSError as error:
@@ -188,7 +228,13 @@
             )
 
 
-def _encode(message: Message) -> bytes:
+def _encode(message: Message | Departure) -> bytes:
+    if isinstance(message, Departure):
+        parts = dataclasses.asdict(message.incarnation)
+        told: bytes = msgpack.packb(
+            [Kind.DEPARTURE.value, message.sender, parts]
+        )
+        return told
     work = {
         endpoint: (one.requests, one.unread_tokens)
         for endpoint, one in message.work.items()
@@ -197,9 +243,12 @@
     return packed
 
 
-def _decode(content: bytes) -> Result[Message, str]:
+def _decode(content: bytes) -> Result[Message | Departure, str]:
     try:
-        kind, sender, work = _DATAGRAM.validate_python(msgpack.unpackb(content))
+        kind, sender, told = _DATAGRAM.validate_python(msgpack.unpackb(content))
+        if kind is Kind.DEPARTURE:
+            return Ok(Departure(sender, _INCARNATION.validate_python(told)))
+        work = _WORK.validate_python(told)
     except (ValueError, msgpack.UnpackException) as error:
         return Err(repr(error))
     return Ok(
--- a/bronzeglade/forwarding/exchange_test.py
+++ b/bronzeglade/forwarding/exchange_test.py
@@ -14,7 +14,8 @@
 )
 from bronzeglade.decisions.outstanding import Outstanding
 from bronzeglade.forwarding import builders
-from bronzeglade.forwarding.exchange import Exchange
+from bronzeglade.forwarding.departures import Departures, Incarnation
+from bronzeglade.forwarding.exchange import AGGREGATORS, Exchange
 from bronzeglade.forwarding.settings import Address
 
 TURNS = 8  # enough for a sum to cross two aggregators
@@ -85,6 +86,23 @@
         """Return what a node knows of the load of all others."""
         return self.placements[name].others.total() or {}
 
+    def hear_departures(
+        self,
+        name: str,
+        told: collections.Counter[str],
+        heard: collections.Counter[str],
+    ) -> None:
+        """Count what a node is told, and what it hears for the first time."""
+        known = Departures()
+
+        def take(incarnation: Incarnation, _source: str) -> bool:
+            news = known.note(incarnation)
+            told[name] += 1
+            heard[name] += news
+            return news
+
+        self.exchanges[name].on_departure = take
+
     def _start(self, name: str) -> None:
         placement = Placement(
             PlacementSettings(), 'a', self.clock, random.Random(1)
@@ -168,6 +186,27 @@
     assert 0 < sent['b-3', 2] < 30
 
 
+def test_departure_reaches_every_node_once_told() -> None:
+    """Every node would send a request to an endpoint that leaves."""
+    names = ('a-1', 'a-2', 'a-3', 'a-4', 'b-1', 'b-2', 'b-3')
+    fleet = Fleet(*names)
+    heard: collections.Counter[str] = collections.Counter()
+    told: collections.Counter[str] = collections.Counter()
+    leaving = Incarnation('e', 7, ('h', 1))
+    for name in names:
+        fleet.hear_departures(name, told, heard)
+    wait(2)
+    fleet.exchanges['a-4'].on_departure(leaving, 'answer')  # type: ignore[misc]
+    fleet.exchanges['a-4'].tell_departure(leaving)
+    wait(2)
+    assert heard == collections.Counter(names)
+    # Nodes that know it already do not tell it again.
+    before = told.total()
+    fleet.exchanges['a-3'].tell_departure(leaving)
+    wait(2)
+    assert told.total() - before == AGGREGATORS
+
+
 def test_unreadable_datagram_is_dropped() -> None:
     """A stranger's datagram must not end the exchange."""
     fleet = Fleet('a-1', 'a-2')
@@ -178,6 +217,7 @@
         b'\x93\x09\x01\x80',
         b'\x01',
         b'\x93\x00\xa1a\xa1b',
+        b'\x93\x03\xa1a\x81\xa1b\x01',
     ):
         sock.sendto(content, fleet.nodes['a-1'].exchange)
     fleet.use('a-2', 'e', 5)
--- a/bronzeglade/forwarding/inbound_test.py
+++ b/bronzeglade/forwarding/inbound_test.py
@@ -7,7 +7,8 @@
 import pytest
 
 from bronzeglade.forwarding import builders
-from bronzeglade.forwarding.builders import Client, Peer, ScriptedEndpoint
+from bronzeglade.forwarding.builders import Client
+from bronzeglade.forwarding.scripted import Peer, ScriptedEndpoint
 from bronzeglade.forwarding.route import Kind
 from bronzeglade.forwarding.router import Router
 
--- a/bronzeglade/forwarding/message.py
+++ b/bronzeglade/forwarding/message.py
@@ -88,7 +88,9 @@
     endpoint's service made it, `not_run` that the request has not run there,
     `misdirected` that another endpoint has the address.
     `confidence` is the model's opinion of its answer, 0 to 100. `headers` are
-    those that the caller gets.
+    those that the caller gets. `leaving` tells that the endpoint takes no new
+    work any more, `no_work_for` that it wants none for a time. `unreadable`
+    names headers that were ignored.
     """
 
     status: int
@@ -101,6 +103,9 @@
     misdirected: bool = False
     confidence: float | None = None
     idle_limit: dt.timedelta | None = None
+    leaving: bool = False
+    no_work_for: dt.timedelta | None = None
+    unreadable: tuple[str, ...] = ()
 
     @property
     def succeeded(self) -> bool:
--- /dev/null
+++ b/bronzeglade/forwarding/plain_dialect.py
@@ -0,0 +1,102 @@
+"""Headers of the tests; their names are the product's own words."""
+
+import datetime as dt
+
+from result import Ok, Result
+
+from bronzeglade.forwarding.message import (
+    AnswerFacts,
+    Dispatch,
+    Headers,
+    PromptPart,
+    RequestFacts,
+    RequestHead,
+)
+from bronzeglade.outcome import Refusal
+
+SECOND = dt.timedelta(seconds=1)
+MILLISECOND = dt.timedelta(milliseconds=1)
+HOP_HEADERS = frozenset((b'key', b'content-length', b'transfer-encoding'))
+
+
+class PlainDialect:
+    """A dialect of the tests; its names are the product's own words."""
+
+    def read_request(self, head: RequestHead) -> Result[RequestFacts, Refusal]:
+        """Return what the headers of a request say."""
+        fields = _fields(head.headers)
+        limit = fields.get('time-limit-ms')
+        last = fields.get('last-event')
+        parts = tuple(
+            PromptPart(name, 100)
+            for name in fields.get('parts', '').split(',')
+            if name
+        )
+        return Ok(
+            RequestFacts(
+                request_id=fields['id'],
+                host=fields['host'],
+                key=fields.get('key'),
+                time_limit=None if limit is None else int(limit) * MILLISECOND,
+                prompt_tokens=100 * len(parts),
+                parts=parts,
+                last_event=None if last is None else int(last),
+            )
+        )
+
+    def endpoint_headers(
+        self, head: RequestHead, dispatch: Dispatch, length: int
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of a request towards an endpoint."""
+        own = {
+            'instance': dispatch.instance,
+            'team': dispatch.team,
+            'model': dispatch.model,
+            'resume-after': dispatch.resume_after,
+        }
+        passed = [
+            one for one in head.headers if one[0].lower() not in HOP_HEADERS
+        ]
+        added = [
+            (name.encode(), str(content).encode())
+            for name, content in own.items()
+            if content is not None
+        ]
+        return [*passed, *added, (b'Content-Length', str(length).encode())]
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
+        """Return what the head of an endpoint's answer says."""
+        fields = _fields(headers)
+        confidence = fields.get('confidence')
+        pause = fields.get('no-work-for')
+        return AnswerFacts(
+            status=status,
+            headers=[
+                one
+                for one in headers
+                if one[0].lower()
+                not in {b'content-length', b'transfer-encoding', b'connection'}
+            ],
+            request_id=fields.get('id'),
+            signed='signature' in fields,
+            not_run='not-run' in fields,
+            encoded='content-encoding' in fields,
+            confidence=None if confidence is None else float(confidence),
+            leaving='leaving' in fields,
+            no_work_for=None if pause is None else float(pause) * SECOND,
+        )
+
+    def refusal_headers(
+        self, refusal: Refusal, request_id: str | None
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of a refusal."""
+        if refusal.retry_after is None:
+            return []
+        seconds = str(refusal.retry_after.total_seconds())
+        return [(b'Retry-After', seconds.encode())]
+
+
+def _fields(headers: Headers) -> dict[str, str]:
+    return {
+        name.decode().lower(): content.decode() for name, content in headers
+    }
--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -18,6 +18,7 @@
 from bronzeglade.adapters.table import Put, Transaction
 from bronzeglade.clock import BootClock
 from bronzeglade.decisions.latency import Latencies, LatencySettings
+from bronzeglade.decisions.pause import Pauses, PauseSettings
 from bronzeglade.decisions.placement import Placement, PlacementSettings
 from bronzeglade.forwarding import copies, door, roster, tcp
 from bronzeglade.forwarding.caller import Caller, CallerConnection
@@ -104,6 +105,7 @@
             rollouts=self.rollouts,
             latencies=Latencies(LatencySettings(), self.clock),
             roster=self.roster,
+            pauses=Pauses(PauseSettings(), self.clock),
         )
         self.exchange = Exchange(
             self.roster,
@@ -112,6 +114,8 @@
             self.log,
             self.random,
         )
+        self.router.on_departure = self.exchange.tell_departure
+        self.exchange.on_departure = self.router.depart
         self.listeners: list[Any] = []
         self.stopped_listening = False
         self.stopped = eventlet.event.Event()
--- a/bronzeglade/forwarding/router.py
+++ b/bronzeglade/forwarding/router.py
@@ -3,10 +3,11 @@
 import dataclasses
 import datetime as dt
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from bronzeglade.clock import Clock
 from bronzeglade.decisions.latency import Latencies
+from bronzeglade.decisions.pause import Pauses
 from bronzeglade.decisions.placement import Placement
 from bronzeglade.decisions.retry import WindowBudget, WindowSettings
 from bronzeglade.decisions.sizing import SizingSettings
@@ -17,7 +18,8 @@
     connection_limit,
 )
 from bronzeglade.forwarding.log import Log
-from bronzeglade.forwarding.message import Dialect
+from bronzeglade.forwarding.departures import Incarnation
+from bronzeglade.forwarding.message import AnswerFacts, Dialect
 from bronzeglade.forwarding.metrics import Metrics
 from bronzeglade.forwarding.rollouts import Rollouts
 from bronzeglade.forwarding.roster import Roster
@@ -32,6 +34,9 @@
 # callers honour up to a third of it.
 RETRY_AFTER_PART = 0.3
 LONGEST_RETRY_AFTER = dt.timedelta(seconds=1)
+# Callers that wait for the end of a pause return spread over this part of it
+# beyond its end.
+RETURN_SPREAD = 0.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,12 +58,15 @@
     rollouts: Rollouts
     latencies: Latencies
     roster: Roster
+    pauses: Pauses
     sizing: SizingSettings = SizingSettings()
     table: RouteTable | None = None
     budgets: dict[str, WindowBudget] = dataclasses.field(default_factory=dict)
     shortest: dict[str, dt.timedelta] = dataclasses.field(default_factory=dict)
     in_flight: int = 0
     draining: bool = False
+    # Called with an endpoint that has told this node that it leaves.
+    on_departure: Callable[[Incarnation], None] | None = None
 
     @property
     def version(self) -> int:
@@ -109,6 +117,7 @@
         }
         for name in self.registry.update(entries):
             self.placement.forget(name)
+            self.pauses.forget(name)
         after = {
             name: _state(endpoint.entry)
             for name, endpoint in self.registry.endpoints.items()
@@ -124,6 +133,61 @@
 
     def candidates(self, work: Work) -> list[Endpoint]:
         """Return the endpoints that may run a request now."""
+        return [
+            one
+            for one in self._permitted(work)
+            if not self.pauses.is_paused(one.name)
+        ]
+
+    def takes_work(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint that was chosen still takes work."""
+        paused = self.pauses.is_paused(endpoint.name)
+        return not paused and self.registry.takes_work(endpoint)
+
+    def heed(self, endpoint: Endpoint, facts: AnswerFacts) -> None:
+        """Take what an endpoint says of the work that it wants.
+
+        Args:
+          endpoint: that answered.
+          facts: head of its answer.
+        """
+        if facts.unreadable:
+            self.log.event(
+                'unreadable_headers',
+                endpoint=endpoint.name,
+                headers=facts.unreadable,
+            )
+        if facts.misdirected:
+            # Another endpoint has the address and speaks of itself.
+            return
+        if facts.leaving:
+            self.depart(endpoint.entry.incarnation, 'answer')
+        if facts.no_work_for is not None:
+            kept = self.pauses.ask(endpoint.name, facts.no_work_for)
+            self.log.event(
+                'endpoint_pauses',
+                endpoint=endpoint.name,
+                asked_s=facts.no_work_for.total_seconds(),
+                kept_s=kept.total_seconds(),
+            )
+
+    def depart(self, incarnation: Incarnation, source: str) -> bool:
+        """Note that an endpoint leaves; return whether that was not known.
+
+        Args:
+          incarnation: of the endpoint.
+          source: who told it.
+        """
+        if not self.registry.depart(incarnation):
+            return False
+        self.log.event(
+            'endpoint_leaves', endpoint=incarnation.name, source=source
+        )
+        if source == 'answer' and self.on_departure is not None:
+            self.on_departure(incarnation)
+        return True
+
+    def _permitted(self, work: Work) -> list[Endpoint]:
         endpoints = self.registry.serving(work.service)
         return self.rollouts.select(work, endpoints)
 
@@ -166,6 +230,10 @@
 
     def retry_after(self, work: Work) -> dt.timedelta:
         """Return when a refused caller should come back."""
+        names = [one.name for one in self._permitted(work)]
+        pause = self.pauses.first_end(names)
+        if pause:
+            return pause * (1 + RETURN_SPREAD * self.random.random())
         left = work.time_left(self.clock.monotonic())
         if left is None:
             return LONGEST_RETRY_AFTER
--- a/bronzeglade/forwarding/upstream.py
+++ b/bronzeglade/forwarding/upstream.py
@@ -268,6 +268,7 @@
         self.clock = clock
         self.idle: list[EndpointConnection] = []
         self.open = 0
+        self.retired = False
         self.heard_at = clock.monotonic()
 
     def take(
@@ -302,7 +303,7 @@
 
     def give_back(self, connection: EndpointConnection) -> None:
         """Keep a connection whose exchange is complete, or close it."""
-        if connection.finish():
+        if connection.finish() and not self.retired:
             self.idle.append(connection)
         else:
             self._drop(connection)
@@ -319,8 +320,9 @@
                 self._drop(connection)
         self.idle = kept
 
-    def close_all(self) -> None:
-        """Close every kept connection."""
+    def retire(self) -> None:
+        """Keep no connection any more; those in use are closed later."""
+        self.retired = True
         while self.idle:
             self._drop(self.idle.pop())
 
--- a/bronzeglade/platform/headers.py
+++ b/bronzeglade/platform/headers.py
@@ -1,7 +1,8 @@
 """Headers of the platform's callers and workers."""
 
 import datetime as dt
-from collections.abc import Callable
+import functools
+from collections.abc import Callable, Mapping
 from typing import TypeVar
 
 from result import Err, Ok, Result
@@ -18,8 +19,12 @@
 from bronzeglade.outcome import Refusal
 
 _MILLISECOND = dt.timedelta(milliseconds=1)
+# A worker that asks for time in a way that cannot be read gets this much.
+_UNREADABLE_PAUSE = dt.timedelta(seconds=1)
+_UNAVAILABLE = 503
 _MISDIRECTED = 421  # another worker has the address; the request has not run
 ANY_MODEL = '*'
+_SHOWN = 40  # characters of an unreadable header in the log
 
 # Headers that concern one connection only.
 _CONNECTION = frozenset(
@@ -115,6 +120,13 @@
             for name, content in headers
         }
         dropped = _CONNECTION | _named_by_connection(headers)
+        unreadable: list[str] = []
+        read = functools.partial(_optional, fields, unreadable)
+        leaving = read(b'server-leaving', _flag)
+        no_work_for: dt.timedelta | None = None
+        if status == _UNAVAILABLE and b'retry-after' in fields:
+            asked = read(b'retry-after', _duration)
+            no_work_for = _UNREADABLE_PAUSE if asked is None else asked
         return AnswerFacts(
             status=status,
             headers=[one for one in headers if one[0].lower() not in dropped],
@@ -123,9 +135,12 @@
             not_run=b'not-executed' in fields or status == _MISDIRECTED,
             misdirected=status == _MISDIRECTED,
             encoded=fields.get(b'content-encoding', 'identity') != 'identity',
-            load=_optional(_load, fields.get(b'server-load')),
-            confidence=_optional(float, fields.get(b'confidence')),
-            idle_limit=_optional(_idle_limit, fields.get(b'keep-alive')),
+            load=read(b'server-load', _load),
+            confidence=read(b'confidence', float),
+            idle_limit=read(b'keep-alive', _idle_limit),
+            leaving=bool(leaving),
+            no_work_for=no_work_for,
+            unreadable=tuple(unreadable),
         )
 
     def refusal_headers(
@@ -179,17 +194,36 @@
 
 
 def _optional(
-    parse: Callable[[str], Parsed], text: str | None
+    fields: Mapping[bytes, str],
+    unreadable: list[str],
+    name: bytes,
+    parse: Callable[[str], Parsed],
 ) -> Parsed | None:
-    """Parse a header that only informs; one that is unreadable says nothing."""
+    """Parse a header that only informs; one that is unreadable is listed."""
+    text = fields.get(name)
     if text is None:
         return None
     try:
         return parse(text)
-    except ValueError:
+    except (ValueError, OverflowError):
+        unreadable.append(f'{name.decode()}: {text[:_SHOWN]}')
         return None
 
 
+def _flag(text: str) -> bool:
+    if text not in {'0', '1'}:
+        raise ValueError('neither 0 nor 1')
+    return text == '1'
+
+
+def _duration(text: str) -> dt.timedelta:
+    """Return a time in seconds; one beyond every bound is the longest."""
+    seconds = float(text)
+    if seconds > dt.timedelta.max.total_seconds():
+        return dt.timedelta.max
+    return dt.timedelta(seconds=seconds)
+
+
 def _load(text: str) -> LoadReport:
     running, waiting, slots = text.split(',')
     return LoadReport(int(running), int(waiting), int(slots))
--- a/bronzeglade/platform/headers_test.py
+++ b/bronzeglade/platform/headers_test.py
@@ -118,6 +118,48 @@
     assert other.misdirected
 
 
+@pytest.mark.parametrize(
+    ('text', 'seconds'),
+    [
+        (b'2', 2),
+        (b'0.75', 0.75),
+        (b'-3', -3),
+        (b'0', 0),
+        (b'soon', 1),
+        (b'nan', 1),
+        (b'', 1),
+    ],
+)
+def test_worker_that_asks_for_time(text: bytes, seconds: float) -> None:
+    """A time that cannot be read still means that it wants no work."""
+    facts = HEADERS.read_answer(503, ((b'Retry-After', text),))
+    assert facts.no_work_for == dt.timedelta(seconds=seconds)
+    assert len(facts.unreadable) == (text in {b'soon', b'nan', b''})
+
+
+@pytest.mark.parametrize('text', [b'1e300', b'inf'])
+def test_absurd_time_is_the_longest(text: bytes) -> None:
+    """A number beyond every clock must not end the reading of a head."""
+    facts = HEADERS.read_answer(503, ((b'Retry-After', text),))
+    assert facts.no_work_for == dt.timedelta.max
+
+
+def test_only_a_refusal_asks_for_time() -> None:
+    """Retry-After of another status speaks to the caller."""
+    facts = HEADERS.read_answer(429, ((b'Retry-After', b'5'),))
+    assert facts.no_work_for is None
+
+
+@pytest.mark.parametrize(
+    ('text', 'leaving'), [(b'1', True), (b'0', False), (b'yes', False)]
+)
+def test_worker_that_leaves_says_so(text: bytes, leaving: bool) -> None:
+    """An unreadable word must not take a sound worker out for good."""
+    facts = HEADERS.read_answer(200, ((b'Server-Leaving', text),))
+    assert facts.leaving is leaving
+    assert bool(facts.unreadable) == (text == b'yes')
+
+
 def test_refusal_tells_when_to_return() -> None:
     """Fractions of a second are kept: callers honour them."""
     wait = dt.timedelta(milliseconds=250)
