Take nodes that are gone out of the list, and let the wrongly removed return

Cause: a node that ended without a planned stop left its row for ever; callers were sent to its address and it kept its share of connections and retries. A node that hears nothing of another one for 8 s asks it twice and removes its row if the row is unchanged. One that hears nobody accuses nobody. A node that finds its row missing writes it anew; each time its silence has to last twice as long. Ruled out: a lease on each row (writes for ever while nothing changes).

--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -290,8 +290,8 @@
         Neither an event that the caller has nor, in a stream of numbered
         events, one without a number does.
         """
-        known = self.last_event
-        first = attempt.progress_at is None or known is None
+        known = -1 if self.last_event is None else self.last_event
+        first = attempt.progress_at is None or known < 0
         if first or (number is not None and number > known):
             attempt.progress_at = self.router.clock.monotonic()
 
--- a/bronzeglade/forwarding/exchange.py
+++ b/bronzeglade/forwarding/exchange.py
@@ -10,7 +10,6 @@
 of that costs little: each node also hears it from the endpoint and the store.
 """
 
-import collections
 import dataclasses
 import datetime as dt
 import enum
@@ -37,7 +36,6 @@
 from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.roster import Roster, RouterNode
 
-AGGREGATORS = 2
 # Nodes tell their load this often; in a large failure domain less often, so
 # that an aggregator takes about a hundred datagrams a second.
 INTERVAL = dt.timedelta(milliseconds=200)
@@ -110,6 +108,8 @@
         self.domains = OutstandingReports(settings, clock)
         self.domains_told_at = dt.timedelta()
         self.sock: Any = None
+        # Called with the sender of each message that tells a load.
+        self.on_heard: Callable[[Kind, str], None] | None = None
         # Takes a departure and its source; returns whether it is news.
         self.on_departure: Callable[[Incarnation, str], bool] | None = None
 
@@ -132,7 +132,13 @@
         message = decoded.ok_value
         if isinstance(message, Departure):
             self._take_departure(message)
-        elif message.kind is Kind.NODE:
+        else:
+            self._take_load(message)
+
+    def _take_load(self, message: Message) -> None:
+        if self.on_heard is not None:
+            self.on_heard(message.kind, message.sender)
+        if message.kind is Kind.NODE:
             self.neighbours.report(message.sender, message.work)
         elif message.kind is Kind.DOMAIN:
             self.domains.report(message.sender, message.work)
@@ -144,7 +150,7 @@
         eventlet.sleep(self._interval_s())
         myself = self.roster.myself
         mine = self.placement.outstanding()
-        for aggregator in self.roster.neighbours()[:AGGREGATORS]:
+        for aggregator in self.roster.aggregators():
             if aggregator == myself:
                 self.neighbours.report(myself.name, mine)
                 self._answer()
@@ -155,11 +161,9 @@
     def tell_departure(self, incarnation: Incarnation) -> None:
         """Tell the other nodes of an endpoint that leaves."""
         myself = self.roster.myself
-        told = self.roster.neighbours()
-        if myself in told[:AGGREGATORS]:
-            told.extend(self._aggregators_elsewhere())
-        else:
-            told = told[:AGGREGATORS]
+        told = self.roster.aggregators()
+        if myself in told:
+            told = self.roster.neighbours() + self._aggregators_elsewhere()
         for node in told:
             if node != myself:
                 self._send(node, Departure(myself.name, incarnation))
@@ -168,8 +172,7 @@
         if self.on_departure is None:
             return
         news = self.on_departure(message.incarnation, message.sender)
-        aggregators = self.roster.neighbours()[:AGGREGATORS]
-        if news and self.roster.myself in aggregators:
+        if news and self.roster.myself in self.roster.aggregators():
             self.tell_departure(message.incarnation)
 
     def _answer(self) -> None:
@@ -205,13 +208,8 @@
         return first == self.roster.myself or silent
 
     def _aggregators_elsewhere(self) -> list[RouterNode]:
-        by_domain: dict[str, list[RouterNode]] = collections.defaultdict(list)
-        for _name, node in sorted(self.roster.nodes.items()):
-            by_domain[node.failure_domain].append(node)
-        by_domain.pop(self.roster.myself.failure_domain, None)
-        return [
-            node for nodes in by_domain.values() for node in nodes[:AGGREGATORS]
-        ]
+        elsewhere = self.roster.aggregators_elsewhere()
+        return [node for nodes in elsewhere.values() for node in nodes]
 
     def _interval_s(self) -> float:
         size = len(self.roster.neighbours())
--- a/bronzeglade/forwarding/exchange_test.py
+++ b/bronzeglade/forwarding/exchange_test.py
@@ -15,7 +15,8 @@
 from bronzeglade.decisions.outstanding import Outstanding
 from bronzeglade.forwarding import builders
 from bronzeglade.forwarding.departures import Departures, Incarnation
-from bronzeglade.forwarding.exchange import AGGREGATORS, Exchange
+from bronzeglade.forwarding.exchange import Exchange
+from bronzeglade.forwarding.roster import AGGREGATORS
 from bronzeglade.forwarding.settings import Address
 
 TURNS = 8  # enough for a sum to cross two aggregators
--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -16,18 +16,20 @@
 
 from bronzeglade import serving
 from bronzeglade.adapters import transport
-from bronzeglade.adapters.table import Put, Row, Transaction
+from bronzeglade.adapters.table import Row
 from bronzeglade.clock import BootClock
+from bronzeglade.coordination.presence import Presence, PresenceSettings
 from bronzeglade.decisions.latency import Latencies, LatencySettings
 from bronzeglade.decisions.pause import Pauses, PauseSettings
 from bronzeglade.decisions.placement import Placement, PlacementSettings
-from bronzeglade.forwarding import copies, door, roster, tcp
+from bronzeglade.forwarding import copies, door, membership, roster, tcp
 from bronzeglade.forwarding.caller import Caller, CallerConnection
 from bronzeglade.forwarding.exchange import Exchange
 from bronzeglade.forwarding.follower import FollowerContext
 from bronzeglade.forwarding.endpoint import EndpointEntry, Registry
 from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
 from bronzeglade.forwarding.log import Log
+from bronzeglade.forwarding.membership import Membership
 from bronzeglade.forwarding.metrics import Metrics
 from bronzeglade.forwarding.rollouts import TICK, Rollouts
 from bronzeglade.forwarding.roster import Roster, RouterNode
@@ -35,10 +37,9 @@
 from bronzeglade.forwarding.router import Router
 from bronzeglade.forwarding.settings import Address, RouterSettings
 from bronzeglade.forwarding.site import Application, Site
-from bronzeglade.forwarding.tables import OWN_TABLE, Handlers, Tables
+from bronzeglade.forwarding.tables import Handlers, Tables
 from bronzeglade.loops import spawn_loop
 
-NODE_PREFIX = f'{OWN_TABLE}/node/'
 BACKLOG = 512
 # Pauses between tries to register this node.
 REGISTER_PAUSE = dt.timedelta(milliseconds=300)
@@ -115,6 +116,16 @@
             self.log,
             self.random,
         )
+        self.membership = Membership(
+            self.roster,
+            Presence(PresenceSettings(), self.clock),
+            self.tables.own,
+            self.store,
+            self._is_alive,
+            self.log,
+            self.random,
+        )
+        self.exchange.on_heard = self.membership.heard
         self.router.on_departure = self.exchange.tell_departure
         self.exchange.on_departure = self.router.depart
         self.listener: Any = None
@@ -185,6 +196,7 @@
         spawn_loop(self.exchange.send_next)
         spawn_loop(self._every(TICK, self.rollouts.tick))
         spawn_loop(self._every(HOUSEKEEPING, self._housekeep))
+        spawn_loop(self._every(membership.TURN, self._check_members))
         spawn_loop(self._every(SETTINGS_CHECK, self.reload))
         eventlet.spawn(self._register)
 
@@ -198,6 +210,17 @@
 
         return turn
 
+    def _check_members(self) -> None:
+        if not self.router.draining:
+            self.membership.turn()
+
+    def _is_alive(self, node: RouterNode) -> bool:
+        """Ask a node for a sign of life."""
+        answer = copies.fetch(
+            self.pool, node.control, self.tables.versions(), dt.timedelta()
+        )
+        return isinstance(answer, Ok)
+
     def _housekeep(self) -> None:
         self.router.registry.close_idle()
 
@@ -230,7 +253,7 @@
     def _own_changed(self) -> None:
         nodes: dict[str, RouterNode] = {}
         for key, row in self.tables.own.rows.items():
-            if key.startswith(NODE_PREFIX):
+            if key.startswith(membership.NODE_PREFIX):
                 self._add_node(nodes, row)
         if nodes.keys() != self.roster.nodes.keys():
             self.log.event('nodes', names=sorted(nodes))
@@ -249,22 +272,13 @@
             )
 
     def _register(self) -> None:
-        myself = self.roster.myself
-        put = Put(NODE_PREFIX + myself.name, roster.encode(myself))
-        while not self.router.draining:
-            outcome = self.store.commit(Transaction(puts=(put,)))
-            if isinstance(outcome, Ok):
-                self.log.event('registered')
-                return
-            self.log.event('not_registered', reason=str(outcome.err_value))
+        while not self.router.draining and not self.membership.write_row():
             eventlet.sleep(REGISTER_PAUSE.total_seconds())
 
     def _unregister(self) -> None:
-        key = NODE_PREFIX + self.router.settings.name
         until = self.clock.monotonic() + self.router.settings.stop.listing
         while self.clock.monotonic() < until:
-            outcome = self.store.commit(Transaction(deletes=(key,)))
-            if isinstance(outcome, Ok):
+            if self.membership.remove_row():
                 return
             eventlet.sleep(REGISTER_PAUSE.total_seconds())
 
--- a/bronzeglade/forwarding/roster.py
+++ b/bronzeglade/forwarding/roster.py
@@ -10,6 +10,7 @@
 
 from bronzeglade.forwarding.settings import Address
 
+OWN_TABLE = 'bronzeglade'  # the table of what nodes write
 # A caller is told this many addresses at least, so that it has others when
 # one fails.
 LEAST_ADDRESSES = 2
@@ -24,7 +25,8 @@
     """A node as it registers itself.
 
     `callers` is its address towards callers, `control` that towards nodes,
-    `exchange` the one for their datagrams.
+    `exchange` the one for their datagrams. `returns` is how often it has put
+    itself back after it was taken for gone.
     """
 
     name: str
@@ -32,11 +34,16 @@
     callers: Address
     control: Address
     exchange: Address
+    returns: int = 0
 
 
 _NODE = pd.TypeAdapter(RouterNode)
 
 
+# Nodes of a failure domain that sum up what its nodes report.
+AGGREGATORS = 2
+
+
 class Roster:
     """The registered nodes, as this node knows them.
 
@@ -81,6 +88,20 @@
         near[self.myself.name] = self.myself
         return [near[name] for name in sorted(near)]
 
+    def aggregators(self) -> list[RouterNode]:
+        """Return the aggregators of this failure domain."""
+        return self.neighbours()[:AGGREGATORS]
+
+    def aggregators_elsewhere(self) -> dict[str, list[RouterNode]]:
+        """Return the aggregators of each other failure domain."""
+        by_domain: dict[str, list[RouterNode]] = collections.defaultdict(list)
+        for _name, node in sorted(self.nodes.items()):
+            by_domain[node.failure_domain].append(node)
+        by_domain.pop(self.myself.failure_domain, None)
+        return {
+            domain: nodes[:AGGREGATORS] for domain, nodes in by_domain.items()
+        }
+
     def watchers(self) -> list[Address]:
         """Return whom this node asks for changes; nobody if it is asked."""
         near = self.neighbours()
--- a/bronzeglade/forwarding/tables.py
+++ b/bronzeglade/forwarding/tables.py
@@ -9,11 +9,10 @@
 from bronzeglade.forwarding.copies import CopySource
 from bronzeglade.forwarding.follower import Follower, FollowerContext
 from bronzeglade.forwarding.relay import Directory, Fetch, Relay
+from bronzeglade.forwarding.roster import OWN_TABLE
 from bronzeglade.forwarding.site import Documents
 from bronzeglade.loops import spawn_loop
 
-OWN_TABLE = 'bronzeglade'
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Handlers:
@@ -40,6 +39,13 @@
         self.own = Mirror(OWN_TABLE, clock)
         self.source = CopySource((self.operator, self.endpoints, self.own))
 
+    def versions(self) -> dict[str, int]:
+        """Return the version of each copy."""
+        return {
+            mirror.table: mirror.as_of
+            for mirror in (self.operator, self.endpoints, self.own)
+        }
+
     def follow(
         self,
         context: FollowerContext,
