--- a/bronzeglade/coordination/presence.py
+++ b/bronzeglade/coordination/presence.py
@@ -84,16 +84,14 @@
             # What the others have sent meanwhile is not read yet.
             known = {}
         self.turned_at = now
-        same = {
-            name
-            for name, one in expected.items()
-            if self.returns.get(name) == one.returns
-        }
+        returns = {name: one.returns for name, one in expected.items()}
+        # One that has put itself back begins anew.
+        same = dict(returns.items() & self.returns.items())
         self.heard_at = {
             name: known.get(name, now) if name in same else now
             for name in expected
         }
-        self.returns = {name: one.returns for name, one in expected.items()}
+        self.returns = returns
         if self.is_alone():
             return []
         return sorted(
