--- a/bronzeglade/coordination/presence.py
+++ b/bronzeglade/coordination/presence.py
@@ -87,10 +87,8 @@
         returns = {name: one.returns for name, one in expected.items()}
         # One that has put itself back begins anew.
         same = dict(returns.items() & self.returns.items())
-        self.heard_at = {
-            name: known.get(name, now) if name in same else now
-            for name in expected
-        }
+        heard_at = {name: at for name, at in known.items() if name in same}
+        self.heard_at = {name: heard_at.get(name, now) for name in expected}
         self.returns = returns
         if self.is_alone():
             return []
