--- a/bronzeglade/coordination/presence.py
+++ b/bronzeglade/coordination/presence.py
@@ -87,8 +87,10 @@
         returns = {name: one.returns for name, one in expected.items()}
         # One that has put itself back begins anew.
         same = dict(returns.items() & self.returns.items())
-        heard_at = {name: at for name, at in known.items() if name in same}
-        self.heard_at = {name: heard_at.get(name, now) for name in expected}
+        self.heard_at = dict.fromkeys(expected, now)
+        self.heard_at.update(
+            (name, at) for name, at in known.items() if name in same
+        )
         self.returns = returns
         if self.is_alone():
             return []
