--- a/bronzeglade/coordination/presence.py
+++ b/bronzeglade/coordination/presence.py
@@ -62,7 +62,7 @@
     def heard(self, node: str) -> None:
         """Take note of a sign of life."""
         self.last_heard = self.clock.monotonic()
-        if node in self.heard_at:
+        if self.heard_at.get(node) is not None:
             self.heard_at[node] = self.last_heard
 
     def is_alone(self) -> bool:
