--- a/bronzeglade/coordination/presence.py
+++ b/bronzeglade/coordination/presence.py
@@ -102,5 +102,6 @@
 
     def _patience(self, node: Expected) -> dt.timedelta:
         settings = self.settings
-        silence = settings.silence * 2 ** min(node.returns, settings.doublings)
+        doublings = min(node.returns, settings.doublings)
+        silence = settings.silence * (1 << doublings)
         return silence + settings.stagger * node.before
--- a/bronzeglade/forwarding/membership_test.py
+++ b/bronzeglade/forwarding/membership_test.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bronzeglade.adapters.feed import Snapshot
+from bronzeglade.adapters.table import Row
 from bronzeglade.builders import ManualClock, MemoryTable
 from bronzeglade.coordination.mirror import Mirror
 from bronzeglade.coordination.presence import Presence, PresenceSettings
@@ -82,7 +83,7 @@
             self.nodes[entry.name].register()
         self.run(5)
 
-    def rows(self):  # type: ignore[no-untyped-def]
+    def rows(self) -> dict[str, Row]:
         """Return the rows of all nodes by key."""
         found = self.memory.scan(NODE_PREFIX, 1000).unwrap()
         return {row.key: row for row in found}
--- a/bronzeglade/serving.py
+++ b/bronzeglade/serving.py
@@ -16,7 +16,7 @@
         """Drop a line."""
 
 
-class _Protocol(wsgi.HttpProtocol):  # type: ignore[misc]
+class _Protocol(wsgi.HttpProtocol):
     """Tells of malformed requests in the structured log."""
 
     def log_message(self, template: str, *parts: object) -> None:
