Decode each version of a row once; log which nodes joined and left

Cause: each change of a table made every node decode all of its rows again, with 195 nodes and 64 endpoints some hundred documents a change, and log the names of all nodes. Test: 201 rows are decoded once each and one after a change (the code before had no such memory, so it would decode 201).

--- a/bronzeglade/forwarding/process.py
+++ b/bronzeglade/forwarding/process.py
@@ -16,7 +16,6 @@
 
 from bronzeglade import serving
 from bronzeglade.adapters import transport
-from bronzeglade.adapters.table import Row
 from bronzeglade.clock import BootClock
 from bronzeglade.coordination.presence import Presence, PresenceSettings
 from bronzeglade.decisions.latency import Latencies, LatencySettings
@@ -24,9 +23,10 @@
 from bronzeglade.decisions.placement import Placement, PlacementSettings
 from bronzeglade.forwarding import copies, door, membership, roster, tcp
 from bronzeglade.forwarding.caller import Caller, CallerConnection
+from bronzeglade.forwarding.decoding import RowDecoder
 from bronzeglade.forwarding.exchange import Exchange
 from bronzeglade.forwarding.follower import FollowerContext
-from bronzeglade.forwarding.endpoint import EndpointEntry, Registry
+from bronzeglade.forwarding.endpoint import Registry
 from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
 from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.membership import Membership
@@ -80,6 +80,12 @@
         )
         documents = site.documents
         self.tables = Tables(documents, self.clock)
+        self.entries = RowDecoder(
+            documents.read_endpoint, 'unreadable_entry', self.log
+        )
+        self.nodes = RowDecoder(
+            lambda row: roster.decode(row.body), 'unreadable_node', self.log
+        )
         self.roster = Roster(_myself(settings), settings.peers)
         self.rollouts = Rollouts(
             self.store,
@@ -239,38 +245,28 @@
         self.rollouts.refresh()
 
     def _entries_changed(self) -> None:
-        entries: list[EndpointEntry] = []
-        for row in self.tables.endpoints.current().values():
-            outcome = self.site.documents.read_endpoint(row)
-            if isinstance(outcome, Ok):
-                entries.append(outcome.ok_value)
-            else:
-                self.log.event(
-                    'unreadable_entry', key=row.key, reason=outcome.err_value
-                )
-        self.router.update_endpoints(entries)
+        rows = self.tables.endpoints.current().values()
+        self.router.update_endpoints(self.entries.read(rows))
 
     def _own_changed(self) -> None:
-        nodes: dict[str, RouterNode] = {}
-        for key, row in self.tables.own.rows.items():
-            if key.startswith(membership.NODE_PREFIX):
-                self._add_node(nodes, row)
-        if nodes.keys() != self.roster.nodes.keys():
-            self.log.event('nodes', names=sorted(nodes))
+        rows = self.tables.own.rows.items()
+        found = self.nodes.read(
+            row for key, row in rows if key.startswith(membership.NODE_PREFIX)
+        )
+        nodes = {node.name: node for node in found}
+        known = self.roster.nodes.keys()
+        if nodes.keys() != known:
+            self.log.event(
+                'nodes',
+                count=len(nodes),
+                joined=sorted(nodes.keys() - known),
+                left=sorted(known - nodes.keys()),
+            )
         self.roster.nodes = nodes
         self.router.share_connections()
         self.router.share_retries()
         self.rollouts.refresh()
 
-    def _add_node(self, nodes: dict[str, RouterNode], row: Row) -> None:
-        outcome = roster.decode(row.body)
-        if isinstance(outcome, Ok):
-            nodes[outcome.ok_value.name] = outcome.ok_value
-        else:
-            self.log.event(
-                'unreadable_node', key=row.key, reason=outcome.err_value
-            )
-
     def _register(self) -> None:
         while not self.router.draining and not self.membership.write_row():
             eventlet.sleep(REGISTER_PAUSE.total_seconds())
