Let the OpenAI door bring its own protocol to the pages' server

Cause: the server's complaints go to the structured log since by a protocol of serving.py, and the OpenAI door passes its own, so its listener ended with a TypeError and the process served nothing. Load was not the cause: cascade_test failed alone with the TypeError in the log. The bounded protocol builds on the logged one now. The simulated pool has a file name that says so.

--- a/bronzeglade/decisions/long_prompts_test.py
+++ b/bronzeglade/decisions/long_prompts_test.py
@@ -9,7 +9,7 @@
 import pytest
 
 from bronzeglade.decisions.placement import PlacementSettings
-from bronzeglade.decisions.pool_builders import Engine, Load, Outcome, Pool
+from bronzeglade.decisions.pool_simulation import Engine, Load, Outcome, Pool
 
 ENGINES = tuple(
     Engine(f'e{number}', domain) for number, domain in enumerate('aabbc')
--- a/bronzeglade/entry/protocol.py
+++ b/bronzeglade/entry/protocol.py
@@ -4,9 +4,10 @@
 from typing import Any
 
 import eventlet
-from eventlet import wsgi
 from eventlet.green import socket
 
+from bronzeglade.serving import LoggedProtocol
+
 # Under this key a request's environment holds the protocol object.
 KEY = 'bronzeglade.protocol'
 LINGER = dt.timedelta(seconds=1)
@@ -21,7 +22,7 @@
 )
 
 
-class BoundedProtocol(wsgi.HttpProtocol):
+class BoundedProtocol(LoggedProtocol):
     """Receives the head of a request within a limited time.
 
     The server itself limits the line, each header and all headers.
--- a/bronzeglade/serving.py
+++ b/bronzeglade/serving.py
@@ -16,7 +16,7 @@
         """Drop a line."""
 
 
-class _Protocol(wsgi.HttpProtocol):
+class LoggedProtocol(wsgi.HttpProtocol):
     """Tells of malformed requests in the structured log."""
 
     def log_message(self, template: str, *parts: object) -> None:
@@ -27,13 +27,17 @@
 
 
 def serve(
-    listener: Any, application: Callable[..., Any], **limits: Any
+    listener: Any,
+    application: Callable[..., Any],
+    protocol: type[wsgi.HttpProtocol] = LoggedProtocol,
+    **limits: Any,
 ) -> None:
     """Serve an application for ever.
 
     Args:
       listener: accepts connections.
       application: answers requests.
+      protocol: reads the requests of a connection.
       limits: further options of eventlet's WSGI server.
     """
     wsgi.server(
@@ -42,6 +46,6 @@
         log=_NoLog(),
         log_output=False,
         debug=False,
-        protocol=_Protocol,
+        protocol=protocol,
         **limits,
     )
