--- a/bronzeglade/coordination/presence.py
+++ b/bronzeglade/coordination/presence.py
@@ -34,12 +34,12 @@
 class Expected:
     """A node that this one should hear.
 
-    `before` is how many nodes act on its silence before this one, `returns`
+    `before` is how many nodes act on its silence before this one, `rejoins`
     how often it has put itself back.
     """
 
     before: int
-    returns: int = 0
+    rejoins: int = 0
 
 
 class Presence:
@@ -55,7 +55,7 @@
         self.settings = settings
         self.clock = clock
         self.heard_at: dict[str, dt.timedelta] = {}
-        self.returns: dict[str, int] = {}
+        self.rejoins: dict[str, int] = {}
         self.last_heard: dt.timedelta | None = None
         self.turned_at = clock.monotonic()
 
@@ -84,14 +84,14 @@
             # What the others have sent meanwhile is not read yet.
             known = {}
         self.turned_at = now
-        returns = {name: one.returns for name, one in expected.items()}
+        rejoins = {name: one.rejoins for name, one in expected.items()}
         # One that has put itself back begins anew.
-        same = dict(returns.items() & self.returns.items())
+        same = dict(rejoins.items() & self.rejoins.items())
         self.heard_at = dict.fromkeys(expected, now)
         self.heard_at.update(
             (name, at) for name, at in known.items() if name in same
         )
-        self.returns = returns
+        self.rejoins = rejoins
         if self.is_alone():
             return []
         return sorted(
@@ -102,6 +102,6 @@
 
     def _patience(self, node: Expected) -> dt.timedelta:
         settings = self.settings
-        doublings = min(node.returns, settings.doublings)
+        doublings = min(node.rejoins, settings.doublings)
         silence = settings.silence * (1 << doublings)
         return silence + settings.stagger * node.before
--- a/bronzeglade/coordination/presence_test.py
+++ b/bronzeglade/coordination/presence_test.py
@@ -57,7 +57,7 @@
     """A node that only the store hears would come and go for ever."""
     clock = ManualClock()
     presence = Presence(PresenceSettings(), clock)
-    expected = {'a': Expected(0), 'b': Expected(0, returns=2)}
+    expected = {'a': Expected(0), 'b': Expected(0, rejoins=2)}
     for _ in range(32):
         clock.advance(SECOND)
         presence.heard('a')
--- a/bronzeglade/decisions/pool_simulation.py
+++ b/bronzeglade/decisions/pool_simulation.py
@@ -13,7 +13,7 @@
 from collections.abc import Sequence
 
 from bronzeglade.builders import ManualClock
-from bronzeglade.decisions.outstanding import NOTHING, summed
+from bronzeglade.decisions.outstanding import summed
 from bronzeglade.decisions.placement import (
     PlacedRequest,
     Placement,
@@ -159,7 +159,7 @@
         self.held[job.engine].update(part.name for part in job.request.parts)
         waited = (self.tick - job.began) * TICK
         self.waits.append(waited / dt.timedelta(milliseconds=1))
-        told = job.node.unread.get(job.engine, NOTHING.unread_tokens)
+        told = job.node.unread.get(job.engine, 0)
         job.node.read(job.engine, min(told, job.request.tokens))
 
     def _tell(self) -> None:
--- a/bronzeglade/forwarding/attempt.py
+++ b/bronzeglade/forwarding/attempt.py
@@ -227,7 +227,7 @@
 ) -> Result[AnswerFacts, Failed]:
     attempt.facts = facts
     attempt.answered_after = router.clock.monotonic() - attempt.began
-    router.heed(attempt.endpoint, facts)
+    router.note_availability(attempt.endpoint, facts)
     if facts.load is not None:
         load = Load(
             attempt.endpoint.entry.service,
--- a/bronzeglade/forwarding/membership.py
+++ b/bronzeglade/forwarding/membership.py
@@ -84,7 +84,7 @@
     def turn(self) -> None:
         """Come back when removed; act on the silence of one node."""
         if self._is_missing():
-            self._put_back()
+            self._rejoin()
         if self.presence.is_alone():
             self._ask_anybody()
         suspects = self.presence.suspects(self._expected())
@@ -124,7 +124,7 @@
             self.log.event('not_registered', reason=str(outcome.err_value))
             return False
         self.written_at = self.rows.clock.monotonic()
-        self.log.event('registered', returns=myself.returns)
+        self.log.event('registered', rejoins=myself.rejoins)
         return True
 
     def remove_row(self) -> bool:
@@ -144,11 +144,11 @@
         age = self.rows.clock.monotonic() - self.written_at
         return age >= COPY_LAG
 
-    def _put_back(self) -> None:
+    def _rejoin(self) -> None:
         myself = self.roster.myself
-        self.log.event('taken_for_gone', returns=myself.returns + 1)
+        self.log.event('rejoining', rejoins=myself.rejoins + 1)
         self.roster.myself = dataclasses.replace(
-            myself, returns=myself.returns + 1
+            myself, rejoins=myself.rejoins + 1
         )
         self.write_row()
 
@@ -210,7 +210,7 @@
         names = [one.name for one in acting]
         return {
             node.name: Expected(
-                first + self._place(names, node.name), node.returns
+                first + self._place(names, node.name), node.rejoins
             )
             for node in nodes
             if node.name != self.roster.myself.name
--- a/bronzeglade/forwarding/membership_test.py
+++ b/bronzeglade/forwarding/membership_test.py
@@ -20,7 +20,7 @@
 from bronzeglade.forwarding.roster import Roster, RouterNode
 
 SECOND = dt.timedelta(seconds=1)
-# Callers keep an address for a few seconds, so twice that much for all.
+# Seconds in which a node that is gone for good has to leave the list.
 LONGEST_LISTED_S = 25
 
 
--- a/bronzeglade/forwarding/roster.py
+++ b/bronzeglade/forwarding/roster.py
@@ -25,7 +25,7 @@
     """A node as it registers itself.
 
     `callers` is its address towards callers, `control` that towards nodes,
-    `exchange` the one for their datagrams. `returns` is how often it has put
+    `exchange` the one for their datagrams. `rejoins` is how often it has put
     itself back after it was taken for gone.
     """
 
@@ -34,7 +34,7 @@
     callers: Address
     control: Address
     exchange: Address
-    returns: int = 0
+    rejoins: int = 0
 
 
 _NODE = pd.TypeAdapter(RouterNode)
--- a/bronzeglade/forwarding/router.py
+++ b/bronzeglade/forwarding/router.py
@@ -144,7 +144,7 @@
         paused = self.pauses.is_paused(endpoint.name)
         return not paused and self.registry.takes_work(endpoint)
 
-    def heed(self, endpoint: Endpoint, facts: AnswerFacts) -> None:
+    def note_availability(self, endpoint: Endpoint, facts: AnswerFacts) -> None:
         """Take what an endpoint says of the work that it wants.
 
         Args:
--- a/bronzeglade/forwarding/upstream.py
+++ b/bronzeglade/forwarding/upstream.py
@@ -254,7 +254,7 @@
 
     def _next_event(self, deadline: dt.timedelta) -> Result[Any, Broken]:
         while True:
-            self._take_turns()
+            self._yield_turn()
             try:
                 event = self.parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -272,7 +272,7 @@
             self.pool.heard_at = self.clock.monotonic()
             self.parser.receive_data(received)
 
-    def _take_turns(self) -> None:
+    def _yield_turn(self) -> None:
         self.turn += 1
         if self.turn >= TURN_EVENTS:
             self.turn = 0
