Judge a new version by its times for the same work, in time to halt it

The judge knew the time to the head only, as one mean over all kinds of requests, tolerated a factor of 3, and learned of most tries after the step that they should have stopped.

Cause: four parts of one, late and blurred evidence. The slowness comes between events; a geometric mean of a half at 8 is 2.8; a try counted at its end, which for a slow stream is after the roll-out; and rows of evidence were written every 2.5 s while steps take 2 s. Where all work belongs to sessions, the new version got nothing before half of the roll-out.

Now a try is timed by what is asked, the model, and the work that the endpoint has to do first: until the head, and from there to the eighth event. A try that runs counts as soon as it is slow. Slow answers of both versions, of the same times of the roll-out and the same failure domain, are compared like failures; the slowest endpoints alone halt nothing. The first larger step comes at half and spends the exposure that sessions left; the last leaves 5 in 100 to the old version as a comparison; what looks slow is not completed. Each read of the evidence is logged (rollout_evidence).

The wire format of evidence rows changes: nodes of older code log them as unreadable.

--- a/bronzeglade/decisions/canary.py
+++ b/bronzeglade/decisions/canary.py
@@ -7,10 +7,13 @@
 
 import dataclasses
 import datetime as dt
+from collections.abc import Sequence
 
 import xxhash
 
 _HASH_RANGE = float(1 << 64)
+# Part of the duration from which on a share holds, and the share.
+Steps = Sequence[tuple[float, float]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,16 +25,21 @@
     complete at `complete_at`, so that the status is written before the
     deadline. Sessions take part from `sessions_from` on: one that is under way
     when a step comes changes its version, and only its next requests tell that
-    it was under way.
+    it was under way. Where most work belongs to sessions, the first answers of
+    the new version come then, so the first step follows at once and lasts long
+    enough to judge it. The last step leaves some work to the old version:
+    without answers of the same time a fault of the platform cannot be told
+    from a bad version.
     """
 
     first_share: float = 0.5
-    steps: tuple[tuple[float, float], ...] = (
-        (0.55, 0.2),
+    early_part: float = 0.5  # of the exposure, until the second step
+    steps: Steps = (
+        (0.52, 0.2),
         (0.68, 0.5),
-        (0.78, 1.0),
+        (0.82, 0.95),
     )
-    complete_at: float = 0.9
+    complete_at: float = 0.92
     sessions_from: float = 0.5
     # From one step to the next: the step reaches all nodes, and its evidence
     # the one that acts. A short roll-out has less, so that it ends in time.
@@ -43,6 +51,7 @@
     elapsed: dt.timedelta,
     duration: dt.timedelta,
     exposure: float,
+    spent: float | None = None,
 ) -> float:
     """Return the share of a new version that shows no fault.
 
@@ -51,29 +60,51 @@
       elapsed: since the order.
       duration: from the order to its deadline.
       exposure: share of all requests that a bad version may get.
+      spent: as of `steps_for`.
     """
     passed = elapsed / duration
     share = settings.first_share * exposure
-    for start, wanted in settings.steps:
+    for start, wanted in steps_for(settings, exposure, spent):
         if passed >= start:
             share = wanted
     return share
 
 
-def next_share(
-    settings: CanarySettings, current: float, wanted: float
-) -> float:
+def steps_for(
+    settings: CanarySettings, exposure: float, spent: float | None = None
+) -> Steps:
+    """Return times and shares, for what the new version had so far.
+
+    Until the second step it may get `early_part` of the exposure. What
+    sessions left of that goes into the first step, where it tells a bad
+    version sooner.
+
+    Args:
+      settings: the least shares.
+      exposure: share of all requests that a bad version may get.
+      spent: part of the requests of the whole duration that the new version
+        had so far; None when it is not known.
+    """
+    (start, least), (end, most), *later = settings.steps
+    share = least
+    if spent is not None:
+        left = settings.early_part * exposure - spent
+        share = min(most, max(least, left / (end - start)))
+    return (start, share), (end, most), *later
+
+
+def next_share(steps: Steps, current: float, wanted: float) -> float:
     """Return the next share on the way to a wanted one: one step at a time.
 
     Args:
-      settings: steps.
+      steps: times and shares, as of `steps_for`.
       current: share now.
       wanted: share by the time that has passed.
     """
-    steps = [share for _start, share in settings.steps if share > current]
-    if not current or not steps:
+    following = [share for _start, share in steps if share > current]
+    if not current or not following:
         return max(current, wanted)
-    return max(current, min(wanted, steps[0]))
+    return max(current, min(wanted, following[0]))
 
 
 def is_due(
@@ -103,9 +134,9 @@
       settings: steps.
       duration: from the order to its deadline.
     """
-    first = settings.steps[0][0]
-    left = duration * (settings.complete_at - first)
-    return min(settings.shortest_step, left // len(settings.steps))
+    last = settings.steps[-1][0]
+    left = duration * (settings.complete_at - last)
+    return min(settings.shortest_step, left)
 
 
 def takes_sessions(
--- a/bronzeglade/forwarding/attempt.py
+++ b/bronzeglade/forwarding/attempt.py
@@ -10,6 +10,7 @@
 from bronzeglade.decisions.load import Load
 from bronzeglade.decisions.placement import PlacedRequest
 from bronzeglade.decisions.retry import Failure
+from bronzeglade.decisions.stopwatch import Task, TimedTry
 from bronzeglade.forwarding.endpoint import Endpoint
 from bronzeglade.forwarding.message import AnswerFacts, Dispatch
 from bronzeglade.forwarding.router import Router
@@ -59,18 +60,21 @@
 
     `unread` are prompt tokens that it has to read; `answered_after` is the
     time from the start to the head of an answer, `progress_at` the time of
-    the last event that the caller did not have yet.
+    the last event that the caller did not have yet. `timed` is set while a
+    roll-out compares versions.
     """
 
     endpoint: Endpoint
     model: str | None
     placed: PlacedRequest
     unread: int
+    task: Task
     connection: EndpointConnection | None = None
     facts: AnswerFacts | None = None
     began: dt.timedelta = dt.timedelta()
     answered_after: dt.timedelta | None = None
     progress_at: dt.timedelta | None = None
+    timed: TimedTry | None = None
     reading: bool = True
     ended: bool = False
 
@@ -124,6 +128,9 @@
         router.metrics.connections.inc()
     now = router.clock.monotonic()
     outgoing = _outgoing(router, work, attempt, now, resume_after)
+    attempt.timed = router.rollouts.start_timing(
+        work.service, attempt.endpoint.entry.version, attempt.task
+    )
     sent = taken.ok_value.send(outgoing, work.until)
     if isinstance(sent, Err):
         return Err(Failed(Failure.LOST, sent.err_value.detail))
@@ -249,6 +256,8 @@
         detail = f'unsigned answer with status {facts.status}'
         return Err(Failed(Failure.LOST, detail, facts.status))
     router.latencies.note(attempt.kind, attempt.answered_after)
+    if attempt.timed is not None:
+        attempt.timed.progress.note_first(router.clock.monotonic())
     return Ok(facts)
 
 
@@ -259,6 +268,25 @@
         router.placement.read(attempt.endpoint.name, attempt.unread)
 
 
+def _end_timing(
+    router: Router, attempt: Attempt, failed: Failed | None, complete: bool
+) -> None:
+    """Count how long a try took.
+
+    A connection that breaks, or a refusal, tells nothing of the version.
+    """
+    timed = attempt.timed
+    if timed is None:
+        return
+    service = attempt.endpoint.entry.service
+    if failed is not None and attempt.facts is None and not failed.timed_out:
+        router.rollouts.forget_timing(service, timed)
+    elif failed is not None and failed.failure is Failure.REFUSED:
+        router.rollouts.forget_timing(service, timed)
+    else:
+        router.rollouts.end_timing(service, timed, complete)
+
+
 def end_attempt(
     router: Router, attempt: Attempt, failed: Failed | None, complete: bool
 ) -> None:
@@ -274,6 +302,7 @@
         return
     attempt.ended = True
     end_reading(router, attempt)
+    _end_timing(router, attempt, failed, complete)
     name = attempt.endpoint.name
     if failed is None:
         router.placement.ejections.succeeded(name)
--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -7,10 +7,12 @@
 
 from result import Err
 
+from bronzeglade.decisions import timings
 from bronzeglade.decisions.evidence import Observation
-from bronzeglade.decisions.placement import PlacedRequest, PromptShare
+from bronzeglade.decisions.placement import Place, PlacedRequest, PromptShare
 from bronzeglade.decisions.retry import Failure
 from bronzeglade.decisions.sizing import Alternative, accepts, larger
+from bronzeglade.decisions.stopwatch import Task
 from bronzeglade.forwarding import attempt as attempts
 from bronzeglade.forwarding.attempt import Attempt, Failed
 from bronzeglade.forwarding.caller import Caller
@@ -280,6 +282,8 @@
         for event in events:
             attempts.end_reading(self.router, attempt)
             self._note_progress(attempt, event.number)
+            if attempt.timed is not None:
+                attempt.timed.progress.note_event(self.router.clock.monotonic())
             if not self._pass_on(facts, event.number, event.content):
                 return False
         return True
@@ -353,7 +357,16 @@
             resume_after=self.last_event,
             configuration=self.router.version,
         )
-        return Attempt(endpoint, model, placed, unread)
+        task = Task(
+            kind=work.route.name,
+            model=model or '',
+            first_level=_first_level(placed, place, endpoint.slots),
+            events_level=timings.load_level(place.load / endpoint.slots),
+            failure_domain=endpoint.failure_domain,
+            endpoint=place.name,
+            endpoints=len(offered),
+        )
+        return Attempt(endpoint, model, placed, unread, task)
 
     def _wait(self, attempt: Attempt) -> dt.timedelta | None:
         """Return until when an answer is waited for; None to give it up.
@@ -470,9 +483,8 @@
         A connection that breaks tells of the endpoint, not of its version.
         """
         facts = attempt.facts
-        after = attempt.answered_after
         error = False
-        if facts is None or after is None:
+        if facts is None:
             if failed is None or not failed.timed_out:
                 return
             after = self.router.clock.monotonic() - attempt.began
@@ -484,7 +496,7 @@
         self.router.rollouts.observe(
             self.work.service,
             attempt.endpoint.entry.version,
-            Observation(error, after / self.work.route.objective),
+            Observation(error),
         )
 
     def _log_attempt(self, attempt: Attempt, failed: Failed | None) -> None:
@@ -519,6 +531,13 @@
         attempt.connection.abort()
 
 
+def _first_level(placed: PlacedRequest, place: Place, slots: int) -> int:
+    """Return how much an endpoint has to do before it answers."""
+    if placed.tokens:
+        return timings.token_level(place.cost)
+    return timings.load_level(place.load / slots)
+
+
 def _placed(work: Work, model: str | None) -> PlacedRequest:
     facts = work.facts
     shares = tuple(
--- a/bronzeglade/forwarding/delivery_test.py
+++ b/bronzeglade/forwarding/delivery_test.py
@@ -1,16 +1,22 @@
 """Guards what callers get when endpoints fail: whole, once, or told truly."""
 
+import datetime as dt
+
 import eventlet
 import pytest
 
 from bronzeglade.adapters.feed import Snapshot
 from bronzeglade.adapters.table import Row
+from bronzeglade.coordination.canary import Order, first_plan
+from bronzeglade.decisions.timings import Part
 from bronzeglade.forwarding import builders
 from bronzeglade.forwarding.builders import Client, ask, fleet
-from bronzeglade.forwarding.route import Kind
+from bronzeglade.forwarding.rollouts import Watch
+from bronzeglade.forwarding.route import Kind, Route
 from bronzeglade.forwarding.router import Router
 from bronzeglade.forwarding.scripted import (
     Peer,
+    Script,
     answering,
     cut_after,
     event_text,
@@ -294,7 +300,7 @@
         client = Client(builders.serve(router))
         client.send(Kind.NON_IDEMPOTENT)
         client.read()
-    counted = router.rollouts.watches[builders.SERVICE].mine[1].errors
+    counted = router.rollouts.watches[builders.SERVICE].control.errors
     return counted.count, counted.total
 
 
@@ -317,6 +323,46 @@
     assert observed(router) == (4, 4)
 
 
+def timed(served: Route, *scripts: Script) -> Watch:
+    """Return what a node knows of a roll-out after one request."""
+    router = fleet(served, *scripts)[0]
+    known = router.rollouts
+    row = Row('orders/rollout/workers', 5, b'workers v2 20')
+    known.operator_rows.replace(Snapshot(9, {row.key: row}))
+    order = Order(builders.SERVICE, 'v2', dt.timedelta(seconds=20), 5)
+    known.refresh()
+    known.plans[builders.SERVICE] = first_plan(order, dt.timedelta(), None)
+    ask(router, served.kind)
+    return known.watches[builders.SERVICE]
+
+
+def parts(watch: Watch) -> list[Part]:
+    """Return the parts of tries that were timed."""
+    return sorted(cell.stratum.part for cell in watch.stopwatch.control)
+
+
+def test_stream_is_timed_by_its_head_and_its_events() -> None:
+    """A version that is slow between events only must be found, too."""
+    watch = timed(builders.route(Kind.STREAM), streaming(1, 10))
+    assert parts(watch) == [Part.EVENTS, Part.FIRST]
+
+
+def test_refusals_and_broken_connections_are_not_timed() -> None:
+    """They come fast, and would hide that the answers are slow."""
+    route = builders.route(Kind.IDEMPOTENT, attempts=3)
+    watch = timed(route, refusing, resetting, answering)
+    assert watch.stopwatch.control.total() == 1
+    assert not watch.stopwatch.running
+
+
+def test_try_that_was_given_up_is_timed() -> None:
+    """What is given up for its slowness is evidence of slowness."""
+    route = builders.route(objective=200 * builders.MILLISECOND)
+    watch = timed(route, silent, answering)
+    counted = watch.stopwatch.control
+    assert sorted(cell.place.open for cell in counted) == [False, True]
+
+
 def test_unsure_answer_of_a_small_model_is_replaced() -> None:
     """A wrong answer is worth little; nothing of it may reach the caller."""
 
--- a/bronzeglade/forwarding/rollouts.py
+++ b/bronzeglade/forwarding/rollouts.py
@@ -2,22 +2,26 @@
 
 import dataclasses
 import datetime as dt
-import json
+import enum
 from collections.abc import Sequence
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from bronzeglade.adapters.table import Check, Put, Table, Transaction
 from bronzeglade.coordination import canary as plans
 from bronzeglade.coordination.canary import Order, Plan, Stage
 from bronzeglade.coordination.mirror import Mirror
-from bronzeglade.decisions import canary, evidence
+from bronzeglade.decisions import canary, evidence, slowness
 from bronzeglade.decisions.canary import CanarySettings
 from bronzeglade.decisions.evidence import Evidence, Observation
 from bronzeglade.decisions.rollout import Judge, JudgeSettings
+from bronzeglade.decisions.slowness import SlownessSettings
+from bronzeglade.decisions.stopwatch import Stopwatch, Task, TimedTry
+from bronzeglade.forwarding import record as records
 from bronzeglade.forwarding.endpoint import Endpoint
 from bronzeglade.forwarding.follower import propagation_time
 from bronzeglade.forwarding.log import Log
+from bronzeglade.forwarding.record import Record, VersionRecord
 from bronzeglade.forwarding.roster import Roster
 from bronzeglade.forwarding.site import Documents
 from bronzeglade.forwarding.work import Work
@@ -25,7 +29,8 @@
 
 EVIDENCE_TABLE = 'bronzeglade_evidence'
 # Evidence is written and read this often while a roll-out runs, and written
-# less often by a node that saw no further failure of the new version.
+# less often by a node that saw nothing more of the new version. In a small
+# fleet each answer of it counts; a large one has many and saves calls.
 EVIDENCE_INTERVAL = dt.timedelta(milliseconds=700)
 CALM_INTERVAL = dt.timedelta(milliseconds=2500)
 # Many nodes write less often each, so that they do not fill the store.
@@ -36,10 +41,12 @@
 TICK = dt.timedelta(milliseconds=250)
 # Another node acts in place of the one whose turn it is after this time.
 TAKEOVER = dt.timedelta(milliseconds=700)
-# Harm that a new version may do: cold caches make its first answers slower.
+# Harm that a new version may do. Its times are compared by kind of work, see
+# `slowness`; nothing is rated here.
 LIMITS = RolloutLimits(
     max_error_increase=0.05, max_latency_ratio=3, max_rating_drop=1
 )
+SLOWNESS = SlownessSettings()
 # A bad version is cheaper to halt early than to keep: at a log likelihood ratio
 # of 6 a good one is halted in about one of 400 looks at the limit of harm.
 JUDGE = JudgeSettings(threshold=6, suspicion=2)
@@ -47,24 +54,41 @@
 # Pause after a step that the store did not take.
 COMMIT_PAUSE = dt.timedelta(milliseconds=700)
 
-Pair = tuple[Evidence, Evidence]
 
+class News(enum.Enum):
+    """What a node has seen of a new version."""
 
-class _Watch:
+    NONE = enum.auto()
+    ANSWERS = enum.auto()
+    HARM = enum.auto()
+
+
+class Watch:
     """What this node knows of one running roll-out."""
 
     def __init__(self, order: Order) -> None:
         self.order = order
-        self.mine: Pair = (Evidence(), Evidence())
-        self.written: Pair = (Evidence(), Evidence())
+        self.candidate = Evidence()
+        self.control = Evidence()
+        self.stopwatch = Stopwatch()
+        self.written = Record()
         self.written_at = dt.timedelta()
         self.read_at = dt.timedelta()
-        self.seen: Pair = (Evidence(), Evidence())
+        self.seen = Record()
         self.judge = Judge(JUDGE, LIMITS)
+        self.suspect = False
         self.lagging_since: dt.timedelta | None = None
         self.paused_until = dt.timedelta()
         self.halted = False
 
+    def mine(self, now: dt.timedelta) -> Record:
+        """Return what this node has seen."""
+        candidate, control = self.stopwatch.read(now)
+        return Record(
+            VersionRecord(self.candidate, candidate),
+            VersionRecord(self.control, control),
+        )
+
 
 class Rollouts:
     """Orders and plans of all services, as this node sees them."""
@@ -99,7 +123,7 @@
         self.exposure = 0.1
         self.orders: dict[str, Order] = {}
         self.plans: dict[str, Plan] = {}
-        self.watches: dict[str, _Watch] = {}
+        self.watches: dict[str, Watch] = {}
 
     def refresh(self) -> None:
         """Take the orders and plans of the follower."""
@@ -160,10 +184,49 @@
         watch = self.watches.get(service)
         if watch is None:
             return
-        mine = list(watch.mine)
-        index = 0 if version == watch.order.target else 1
-        mine[index] = evidence.count(mine[index], observation)
-        watch.mine = (mine[0], mine[1])
+        if version == watch.order.target:
+            watch.candidate = evidence.count(watch.candidate, observation)
+        else:
+            watch.control = evidence.count(watch.control, observation)
+
+    def start_timing(
+        self, service: str, version: str, task: Task
+    ) -> TimedTry | None:
+        """Begin to time a try; return None when no roll-out runs.
+
+        Args:
+          service: that is asked.
+          version: of the endpoint.
+          task: what the try has to do.
+        """
+        watch = self.watches.get(service)
+        plan = self.plans.get(service)
+        if watch is None or plan is None or plan.order != watch.order.number:
+            return None
+        return watch.stopwatch.start(
+            task,
+            version == watch.order.target,
+            plan.share_at(self.own.store_time()),
+            self.clock.monotonic(),
+        )
+
+    def end_timing(self, service: str, timed: TimedTry, complete: bool) -> None:
+        """Count the time of a try that has ended.
+
+        Args:
+          service: that was asked.
+          timed: the try.
+          complete: whether its answer is complete.
+        """
+        watch = self.watches.get(service)
+        if watch is not None:
+            watch.stopwatch.end(timed, self.clock.monotonic(), complete)
+
+    def forget_timing(self, service: str, timed: TimedTry) -> None:
+        """Drop a try that tells nothing of the version."""
+        watch = self.watches.get(service)
+        if watch is not None:
+            watch.stopwatch.forget(timed)
 
     def tick(self) -> None:
         """Exchange evidence and move the roll-outs that are this node's."""
@@ -187,7 +250,7 @@
         if plan is not None and plan.order == order.number:
             if plan.stage is not Stage.RUNNING:
                 return
-        self.watches[order.service] = _Watch(order)
+        self.watches[order.service] = Watch(order)
         self.log.event(
             'rollout_order',
             service=order.service,
@@ -214,16 +277,16 @@
         watch = self.watches.get(service)
         return watch is not None and watch.halted
 
-    def _begin(self, watch: _Watch, before: Plan | None) -> None:
+    def _begin(self, watch: Watch, before: Plan | None) -> None:
         if self.own.loaded and self._is_turn(watch, ''):
             now = self.own.store_time()
             self._commit(watch, plans.first_plan(watch.order, now, before))
 
-    def _advance(self, watch: _Watch, plan: Plan) -> None:
+    def _advance(self, watch: Watch, plan: Plan) -> None:
         if watch.halted:
             self._commit(watch, plans.rolled_back(plan, 'evidence'))
             return
-        wanted = self._wanted(watch, plan)
+        wanted = self.wanted(watch, plan)
         if wanted == plan:
             watch.lagging_since = None
             if plan.writer == self.roster.myself.name:
@@ -236,7 +299,8 @@
             wanted = plans.rolled_back(plan, 'evidence')
         self._commit(watch, wanted)
 
-    def _wanted(self, watch: _Watch, plan: Plan) -> Plan:
+    def wanted(self, watch: Watch, plan: Plan) -> Plan:
+        """Return the plan that should hold by now."""
         now = self.own.store_time()
         elapsed = now - plan.began
         duration = watch.order.duration
@@ -245,15 +309,24 @@
         step_time = canary.step_time(self.settings, duration)
         if plan.share and now - written < step_time:
             return plan
-        if canary.is_due(self.settings, elapsed, duration) and plan.share == 1:
+        if plan.share and watch.suspect:
+            # The old version's endpoints end with the roll-out: what looks
+            # slow is not completed, even if that is late.
+            return plan
+        last = self.settings.steps[-1][1]
+        if plan.share == last and canary.is_due(
+            self.settings, elapsed, duration
+        ):
             return plans.advanced(plan, 1, Stage.COMPLETED, now)
-        share = canary.share_at(self.settings, elapsed, duration, self.exposure)
-        if plan.share and watch.judge.verdict().suspect:
-            share = plan.share
-        share = canary.next_share(self.settings, plan.share, share)
+        spent = _spent(watch.seen, elapsed / duration)
+        share = canary.share_at(
+            self.settings, elapsed, duration, self.exposure, spent
+        )
+        steps = canary.steps_for(self.settings, self.exposure, spent)
+        share = canary.next_share(steps, plan.share, share)
         return plans.advanced(plan, share, Stage.RUNNING, now + propagation)
 
-    def _is_turn(self, watch: _Watch, writer: str) -> bool:
+    def _is_turn(self, watch: Watch, writer: str) -> bool:
         """Return whether this node acts now.
 
         The node that wrote the plan goes on; the others follow by rank, each
@@ -267,7 +340,7 @@
         rank = self.roster.rank() + bool(writer)
         return now - watch.lagging_since >= TAKEOVER * rank
 
-    def _commit(self, watch: _Watch, plan: Plan) -> None:
+    def _commit(self, watch: Watch, plan: Plan) -> None:
         if self.clock.monotonic() < watch.paused_until:
             return
         plan = dataclasses.replace(plan, writer=self.roster.myself.name)
@@ -294,30 +367,30 @@
             outcome='done' if isinstance(outcome, Ok) else str(outcome.err()),
         )
 
-    def _write_evidence(self, service: str, watch: _Watch) -> None:
-        if watch.mine == watch.written:
-            return
+    def _write_evidence(self, service: str, watch: Watch) -> None:
         now = self.clock.monotonic()
-        failed = watch.mine[0].errors.total > watch.written[0].errors.total
-        if now - watch.written_at < writing_interval(
-            self.roster.count(), failed
-        ):
+        if now - watch.written_at < EVIDENCE_INTERVAL:
+            return
+        mine = watch.mine(now)
+        if mine == watch.written:
+            return
+        interval = writing_interval(self.roster.count(), _news(watch, mine))
+        if now - watch.written_at < interval:
             return
         watch.written_at = now
-        mine = watch.mine
-        body = json.dumps([evidence.encode(one) for one in mine]).encode()
         key = f'{_evidence_prefix(watch.order)}{self.roster.myself.name}'
-        outcome = self.table.commit(Transaction(puts=(Put(key, body),)))
+        outcome = self.table.commit(
+            Transaction(puts=(Put(key, records.encode(mine)),))
+        )
         if isinstance(outcome, Ok):
             watch.written = mine
         plan = self.plans.get(service)
         if plan is None or plan.writer != self.roster.myself.name:
             # The acting node judges the evidence of all nodes, this one its
             # own, so that a severe fault stops it without the store.
-            self._judge(watch, watch.seen, mine)
-            watch.seen = mine
+            self._judge(watch, mine)
 
-    def _read_evidence(self, watch: _Watch, plan: Plan) -> None:
+    def _read_evidence(self, watch: Watch, plan: Plan) -> None:
         now = self.clock.monotonic()
         if now - watch.read_at < EVIDENCE_INTERVAL:
             return
@@ -330,59 +403,104 @@
                 reason=outcome.err_value.detail,
             )
             return
-        parts = [watch.mine]
+        parts = [watch.mine(now)]
         for row in outcome.ok_value:
             if row.key.endswith(f'/{self.roster.myself.name}'):
                 continue
-            pair = _decode_evidence(row.body)
-            if isinstance(pair, Err):
+            one = records.decode(row.body)
+            if isinstance(one, Err):
                 self.log.event(
-                    'unreadable_evidence', key=row.key, reason=pair.err_value
+                    'unreadable_evidence', key=row.key, reason=one.err_value
                 )
             else:
-                parts.append(pair.ok_value)
-        total = (
-            evidence.total(one[0] for one in parts),
-            evidence.total(one[1] for one in parts),
+                parts.append(one.ok_value)
+        self._judge(watch, records.total(parts))
+
+    def _judge(self, watch: Watch, seen: Record) -> None:
+        candidate = seen.candidate.evidence
+        control = seen.control.evidence
+        watch.judge.feed(
+            candidate.minus(watch.seen.candidate.evidence),
+            control.minus(watch.seen.control.evidence),
         )
-        self._judge(watch, watch.seen, total)
-        watch.seen = total
-
-    def _judge(self, watch: _Watch, before: Pair, total: Pair) -> None:
-        watch.judge.feed(total[0].minus(before[0]), total[1].minus(before[1]))
+        watch.seen = seen
         verdict = watch.judge.verdict()
-        if verdict.bad and not watch.halted:
-            watch.halted = True
-            self.log.event(
-                'rollout_halt',
-                service=watch.order.service,
-                target=watch.order.target,
-                measure=verdict.measure.value,
-                statistic=round(verdict.statistic, 1),
-                candidate=evidence.encode(total[0]),
-                control=evidence.encode(total[1]),
-            )
+        compared = slowness.compare(
+            SLOWNESS,
+            seen.candidate.timings,
+            seen.control.timings,
+            watch.stopwatch.endpoints,
+        )
+        slow = max(compared, key=lambda one: one.statistic)
+        statistic = max(verdict.statistic, slow.statistic)
+        watch.suspect = statistic >= JUDGE.suspicion
+        measure = verdict.measure.value
+        if slow.statistic > verdict.statistic:
+            measure = slow.part.value
+        halts = statistic >= JUDGE.threshold and not watch.halted
+        watch.halted = watch.halted or halts
+        self.log.event(
+            'rollout_halt' if halts else 'rollout_evidence',
+            service=watch.order.service,
+            target=watch.order.target,
+            measure=measure,
+            statistic=round(statistic, 1),
+            candidate=evidence.encode(candidate),
+            control=evidence.encode(control),
+            slow={
+                one.part.value: (
+                    *(one.candidate.total, one.candidate.count),
+                    *(one.control.total, one.control.count),
+                )
+                for one in compared
+            },
+        )
+
+
+def _spent(seen: Record, passed: float) -> float | None:
+    """Return the part of all requests that the new version had.
+
+    Args:
+      seen: of all nodes.
+      passed: part of the duration.
+    """
+    new = seen.candidate.evidence.errors.count
+    both = new + seen.control.evidence.errors.count
+    return new / both * passed if both else None
+
 
+def _news(watch: Watch, mine: Record) -> News:
+    """Return what the node has seen of the new version since its last row."""
+    before = watch.written
+    if _harm(mine) > _harm(before):
+        return News.HARM
+    if mine.candidate != before.candidate:
+        return News.ANSWERS
+    return News.NONE
 
-def _decode_evidence(body: bytes) -> Result[Pair, str]:
-    try:
-        target, others = json.loads(body)
-        return Ok((evidence.decode(target), evidence.decode(others)))
-    except (ValueError, TypeError) as error:
-        return Err(repr(error))
 
+def _harm(seen: Record) -> float:
+    """Return failures of the new version and answers that look slow."""
+    candidate = seen.candidate
+    return candidate.evidence.errors.total + slowness.suspects(
+        SLOWNESS, candidate.timings, seen.control.timings
+    )
 
-def writing_interval(nodes: int, failed: bool) -> dt.timedelta:
+
+def writing_interval(nodes: int, news: News) -> dt.timedelta:
     """Return how often a node writes its evidence.
 
     Args:
       nodes: how many write.
-      failed: whether it saw a failure that it has not written yet.
+      news: what it saw of the new version and has not written yet.
     """
-    if failed:
+    if news is News.HARM:
         scaled = min(LONGEST_EVIDENCE, EVIDENCE_PER_NODE * nodes)
         return max(EVIDENCE_INTERVAL, scaled)
-    return max(CALM_INTERVAL, min(LONGEST_CALM, CALM_PER_NODE * nodes))
+    scaled = min(LONGEST_CALM, CALM_PER_NODE * nodes)
+    if news is News.ANSWERS:
+        return max(EVIDENCE_INTERVAL, scaled)
+    return max(CALM_INTERVAL, scaled)
 
 
 def _evidence_prefix(order: Order) -> str:
--- a/bronzeglade/forwarding/rollouts_test.py
+++ b/bronzeglade/forwarding/rollouts_test.py
@@ -1,6 +1,10 @@
 """Guards which version gets work, and who moves a roll-out."""
 
 import datetime as dt
+import itertools
+import math
+import random
+from collections.abc import Callable
 
 import pytest
 
@@ -9,11 +13,12 @@
 from bronzeglade.builders import ManualClock, MemoryTable
 from bronzeglade.coordination.canary import Stage
 from bronzeglade.decisions.evidence import Observation
+from bronzeglade.decisions.stopwatch import Task
 from bronzeglade.forwarding import builders, rollouts
 from bronzeglade.forwarding.endpoint import Endpoint
 from bronzeglade.forwarding.inbound import IncomingRequest
 from bronzeglade.forwarding.message import RequestFacts, RequestHead
-from bronzeglade.forwarding.rollouts import Rollouts
+from bronzeglade.forwarding.rollouts import News, Rollouts
 from bronzeglade.forwarding.upstream import ConnectionPool
 from bronzeglade.forwarding.work import Work
 
@@ -21,6 +26,10 @@
 DURATION_S = 20
 ORDER = Row('orders/rollout/workers', 5, f'workers v2 {DURATION_S}'.encode())
 
+USUAL_S = 0.1  # until an answer
+# How many times as long as usual an answer of a version's endpoint takes.
+Slowdown = Callable[[str, str], float]
+
 
 class Fleet:
     """Nodes that share one store."""
@@ -66,6 +75,42 @@
                 builders.SERVICE, version, Observation(number < failed, 0.5)
             )
 
+    def serve(
+        self,
+        seconds: float,
+        slowdown: Slowdown,
+        versions: tuple[str, ...] = ('v1', 'v2'),
+    ) -> None:
+        """Let time pass while every node gets answers of the versions.
+
+        Args:
+          seconds: how long.
+          slowdown: times that an answer takes as long as usual.
+          versions: that answer; the new one only to a few requests.
+        """
+        source = random.Random(1)
+        answers = (*versions, *versions, *('v1' for _ in range(6)))
+        for _ in range(int(seconds)):
+            for node, version in itertools.product(self.nodes, answers):
+                endpoint = f'e{source.randrange(4)}'
+                factor = slowdown(version, endpoint)
+                took = USUAL_S * factor * source.lognormvariate(0, 0.4)
+                self._answer(node, version, endpoint, took)
+            self.run(1)
+
+    def _answer(
+        self, node: Rollouts, version: str, endpoint: str, took_s: float
+    ) -> None:
+        task = Task('chat', 'small', 0, 0, 'a', endpoint, 4)
+        timed = node.start_timing(builders.SERVICE, version, task)
+        if timed is None or math.isinf(took_s):
+            return
+        now = self.clock.monotonic()
+        timed.progress.began = now - dt.timedelta(seconds=took_s)
+        timed.progress.note_first(now)
+        node.end_timing(builders.SERVICE, timed, complete=True)
+        node.observe(builders.SERVICE, version, Observation())
+
     def find_target_bad(self) -> None:
         """Let the last node see half of the new version's requests fail."""
         self.run(3)
@@ -205,6 +250,66 @@
     assert set(versions(node)) == {'v1'}
 
 
+def by_version(factor: float) -> Slowdown:
+    """Return how long answers take when the new version is slower."""
+    return lambda version, _endpoint: factor if version == 'v2' else 1
+
+
+def test_slow_version_is_rolled_back() -> None:
+    """A version that answered eight times slower was completed and kept."""
+    fleet = Fleet(3)
+    fleet.order()
+    fleet.serve(DURATION_S, by_version(8))
+    assert fleet.stage()[0] is Stage.ROLLED_BACK
+    assert set(versions(fleet.nodes[1])) == {'v1'}
+
+
+def test_version_that_gives_no_answers_is_rolled_back() -> None:
+    """Requests that hang end after the roll-out; they must tell before."""
+    fleet = Fleet(3)
+    fleet.order()
+    fleet.serve(DURATION_S, by_version(math.inf))
+    assert fleet.stage()[0] is Stage.ROLLED_BACK
+
+
+def test_slow_version_is_found_in_the_answers_of_sessions() -> None:
+    """Where all work belongs to sessions, the first answers come at half."""
+    fleet = Fleet(3)
+    fleet.order()
+    fleet.serve(DURATION_S / 2, by_version(8), versions=('v1',))
+    fleet.serve(DURATION_S / 2, by_version(8))
+    assert fleet.stage()[0] is Stage.ROLLED_BACK
+
+
+@pytest.mark.parametrize(
+    'slowdown',
+    [
+        by_version(1),
+        lambda _version, _endpoint: 8,
+        lambda _version, endpoint: 8 if endpoint == 'e1' else 1,
+    ],
+    ids=['calm', 'both slow', 'slow endpoint'],
+)
+def test_sound_version_is_completed_in_time(slowdown: Slowdown) -> None:
+    """Slow endpoints are no fault of the version, on either side."""
+    fleet = Fleet(3)
+    fleet.order()
+    fleet.serve(DURATION_S - 0.5, slowdown)
+    assert fleet.stage() == (Stage.COMPLETED, 1)
+
+
+def test_what_looks_slow_is_not_completed() -> None:
+    """On completion the old endpoints end: that cannot be taken back."""
+    fleet = Fleet(1)
+    fleet.order()
+    fleet.serve(DURATION_S * 0.9, by_version(1))
+    watch = fleet.nodes[0].watches[builders.SERVICE]
+    watch.suspect = True
+    plan = fleet.nodes[0].plans[builders.SERVICE]
+    fleet.clock.advance(dt.timedelta(seconds=DURATION_S))
+    assert fleet.nodes[0].wanted(watch, plan) == plan
+
+
 def test_failures_of_both_versions_are_no_reason_to_halt() -> None:
     """A fault of the platform hits both versions alike."""
     fleet = Fleet(2)
@@ -252,9 +357,13 @@
 
 def test_evidence_of_many_nodes_does_not_fill_the_store() -> None:
     """The writes a second must not grow with the number of nodes."""
-    for failed, few, many in ((True, 12, 170), (False, 4, 60)):
-        small = 8 / rollouts.writing_interval(8, failed).total_seconds()
-        large = 330 / rollouts.writing_interval(330, failed).total_seconds()
+    for news, few, many in (
+        (News.HARM, 12, 170),
+        (News.ANSWERS, 12, 60),
+        (News.NONE, 4, 60),
+    ):
+        small = 8 / rollouts.writing_interval(8, news).total_seconds()
+        large = 330 / rollouts.writing_interval(330, news).total_seconds()
         assert small < few
         assert large < many
 
