--- a/bronzeglade/forwarding/endpoint.py
+++ b/bronzeglade/forwarding/endpoint.py
@@ -18,6 +18,7 @@
     """An endpoint as it registers itself.
 
     `started` is when its process began; the same id may begin again.
+    `sequence` rises with each write since then.
     """
 
     name: str
@@ -28,6 +29,7 @@
     slots: int
     draining: bool
     started: int = 0
+    sequence: int = 0
 
     @property
     def incarnation(self) -> Incarnation:
--- a/bronzeglade/forwarding/router.py
+++ b/bronzeglade/forwarding/router.py
@@ -111,26 +111,30 @@
         Args:
           entries: every readable entry.
         """
-        before = {
-            name: _state(endpoint.entry)
-            for name, endpoint in self.registry.endpoints.items()
-        }
+        before = self._entries()
         for name in self.registry.update(entries):
             self.placement.forget(name)
             self.pauses.forget(name)
-        after = {
-            name: _state(endpoint.entry)
-            for name, endpoint in self.registry.endpoints.items()
-        }
+        after = self._entries()
         for name in before.keys() | after.keys():
-            if before.get(name) != after.get(name):
+            old, new = before.get(name), after.get(name)
+            if _state(old) != _state(new):
+                shown = new or old
                 self.log.event(
                     'endpoint',
                     endpoint=name,
-                    before=before.get(name),
-                    after=after.get(name),
+                    before=_state(old),
+                    after=_state(new),
+                    started=shown and shown.started,
+                    sequence=shown and shown.sequence,
                 )
 
+    def _entries(self) -> dict[str, EndpointEntry]:
+        return {
+            name: endpoint.entry
+            for name, endpoint in self.registry.endpoints.items()
+        }
+
     def candidates(self, work: Work) -> list[Endpoint]:
         """Return the endpoints that may run a request now."""
         return [
@@ -268,5 +272,7 @@
     )
 
 
-def _state(entry: EndpointEntry) -> tuple[str, str, bool]:
+def _state(entry: EndpointEntry | None) -> tuple[str, str, bool] | None:
+    if entry is None:
+        return None
     return entry.service, entry.version, entry.draining
--- a/bronzeglade/platform/documents.py
+++ b/bronzeglade/platform/documents.py
@@ -103,7 +103,7 @@
 
 
 class _Entry(PlatformDocument):
-    """What a worker registers; `sequence` only counts its writes."""
+    """What a worker registers; `sequence` counts its writes since its start."""
 
     service: str
     address: str
@@ -112,6 +112,7 @@
     slots: int = Field(ge=1)
     state: str
     born: int = Field(0, ge=0, le=_LARGEST_ID)
+    sequence: int = Field(0, ge=0, le=_LARGEST_ID)
 
 
 class _Order(PlatformDocument):
@@ -176,6 +177,7 @@
             slots=entry.slots,
             draining=entry.state == 'draining',
             started=entry.born,
+            sequence=entry.sequence,
         )
     )
 
