Treat the notice of leaving in a registration as final for its start

Callers would see requests sent to an endpoint that is about to end. Cause, found by reading: only a header of an answer made leaving final; a row that says so could be followed by an older write of the registration, which the store may perform late, and the endpoint took work again. Class: a weaker, older fact overrides a final one. Now both ways note the same departure, and close unused connections. Only another start of the endpoint takes work again.

Both tests failed before.

--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -185,6 +185,7 @@
     failure_domain: str = 'a',
     draining: bool = False,
     started: int = 0,
+    sequence: int = 0,
 ) -> EndpointEntry:
     """Return a registered endpoint on loopback."""
     return EndpointEntry(
@@ -196,6 +197,7 @@
         slots=4,
         draining=draining,
         started=started,
+        sequence=sequence,
     )
 
 
--- a/bronzeglade/forwarding/endpoint.py
+++ b/bronzeglade/forwarding/endpoint.py
@@ -99,6 +99,10 @@
         for name, entry in current.items():
             if name not in self.endpoints:
                 self.endpoints[name] = Endpoint(entry, self._pool(entry))
+            if entry.draining:
+                # Final for this start: the store may perform an older write
+                # of the registration after it.
+                self.depart(entry.incarnation)
         return ended
 
     def set_limits(self, limits: dict[str, int]) -> None:
--- a/bronzeglade/forwarding/endpoint_test.py
+++ b/bronzeglade/forwarding/endpoint_test.py
@@ -20,6 +20,32 @@
     assert serving(registry) == ['e2']
 
 
+def test_older_registration_does_not_bring_back_an_endpoint_that_leaves() -> (
+    None
+):
+    """A write that the store performs late says what was true before.
+
+    Requests still reached endpoints that had said that they leave.
+    """
+    leaving = builders.entry('e1', draining=True, started=1, sequence=7)
+    older = builders.entry('e1', started=1, sequence=6)
+    registry = Registry(ManualClock())
+    for entries in ([older], [leaving], [older], [], [older]):
+        registry.update(entries)
+    assert not serving(registry)
+    registry.update([builders.entry('e1', started=2)])
+    assert serving(registry) == ['e1']
+
+
+def test_unused_connections_of_an_endpoint_that_leaves_are_closed() -> None:
+    """It waits for them before it ends."""
+    registry = Registry(ManualClock())
+    registry.update([builders.entry('e1')])
+    pool = registry.endpoints['e1'].pool
+    registry.update([builders.entry('e1', draining=True)])
+    assert pool.retired
+
+
 def test_endpoint_that_started_anew_forgets_its_connections() -> None:
     """A new process under an old id has none of the old connections."""
     registry = Registry(ManualClock())
