Keep a row that is known to be gone from coming back through another node

Cause: a node that was cut off hears of an old removal only when its store is back. It takes the row for one that may have lapsed, keeps it for 2.5 s, and tells it with its copy of the table. A node that asks it took such rows, even when it had itself heard of the removal long before, and gave the endpoint work again. Class: knowledge without a version, of a node that knows less, overrides what a node has acknowledged.

Now a mirror remembers the keys of rows that are surely gone, until they are written anew, and takes no lapsed row of that name.

--- a/bronzeglade/coordination/mirror.py
+++ b/bronzeglade/coordination/mirror.py
@@ -6,7 +6,7 @@
 """
 
 import datetime as dt
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from bronzeglade.adapters.feed import Changes, Snapshot
 from bronzeglade.adapters.table import Row
@@ -15,6 +15,9 @@
 # A table is consistent again this long after its store has come back: rows
 # that expired while it was away are written anew by then.
 SETTLING = dt.timedelta(milliseconds=2500)
+# Keys of removed rows that are remembered; the oldest are dropped first. Other
+# nodes keep a row as lapsed for seconds, so a few hundred would do.
+REMEMBERED = 4096
 
 
 class Mirror:
@@ -38,6 +41,8 @@
         self.failing_since: dt.timedelta | None = None
         self.settled_at: dt.timedelta | None = None
         self.lapsed: dict[str, Row] = {}
+        # Keys of rows that are surely gone.
+        self.gone: dict[str, None] = {}
         self.offset = dt.timedelta()
 
     @property
@@ -48,22 +53,29 @@
     def current(self) -> dict[str, Row]:
         """Return the rows, with those that may only have lapsed."""
         if self.lapsed and self.is_settled():
+            self._note_gone(self.lapsed.keys() - self.rows.keys())
             self.lapsed.clear()
         return {**self.lapsed, **self.rows}
 
-    def replace(self, snapshot: Snapshot, of_peer: bool = False) -> bool:
+    def replace(
+        self, snapshot: Snapshot, lapsed: Collection[str] | None = None
+    ) -> bool:
         """Take a whole table; return whether it is newer than the copy.
 
         Args:
           snapshot: the table.
-          of_peer: whether it is the copy of a node, which keeps the rows that
-            may only have lapsed.
+          lapsed: when it is the copy of a node, the keys of rows that this
+            node keeps since they may only have lapsed.
         """
         if snapshot.as_of < self.as_of:
             return False
         changed = snapshot.rows != self.rows or not self.loaded
-        if not of_peer:
-            self._keep_lapsed(self.rows.keys() - snapshot.rows.keys())
+        removed = self.rows.keys() - snapshot.rows.keys()
+        if lapsed is None:
+            self._keep_lapsed(removed)
+        else:
+            self._note_gone(removed - set(lapsed))
+        self._note_back(snapshot.rows)
         self.as_of = max(1, snapshot.as_of)
         if changed:
             self.changed_at = self.as_of
@@ -76,6 +88,7 @@
         if changes.as_of < self.as_of:
             return False
         self._keep_lapsed(changes.removed)
+        self._note_back(changes.written)
         self.as_of = changes.as_of
         self._set_clock(changes.now)
         for key in changes.removed:
@@ -130,12 +143,16 @@
     ) -> None:
         """Keep rows that a peer keeps since they may only have lapsed.
 
+        The peer may have been cut off and have heard of an old removal only
+        now. What this node knows to be gone does not come back by that.
+
         Args:
           rows: by key.
           settling: how long they may still be written anew.
         """
-        if rows:
-            self.lapsed.update(rows)
+        kept = {key: row for key, row in rows.items() if key not in self.gone}
+        if kept:
+            self.lapsed.update(kept)
             until = self.clock.monotonic() + settling
             self.settled_at = max(self.settled_at or until, until)
 
@@ -145,12 +162,24 @@
         A row that is removed later was removed on purpose.
         """
         if self.failing_since is None:
+            self._note_gone(removed)
             return
         for key in removed:
             row = self.rows.get(key)
             if row is not None:
                 self.lapsed[key] = row
 
+    def _note_gone(self, removed: Iterable[str]) -> None:
+        for key in removed:
+            self.gone[key] = None
+            self.lapsed.pop(key, None)
+        while len(self.gone) > REMEMBERED:
+            self.gone.pop(next(iter(self.gone)))
+
+    def _note_back(self, written: Iterable[str]) -> None:
+        for key in written:
+            self.gone.pop(key, None)
+
     def _set_clock(self, store_time: dt.timedelta) -> None:
         if store_time:
             self.offset = store_time - self.clock.monotonic()
--- a/bronzeglade/coordination/mirror_test.py
+++ b/bronzeglade/coordination/mirror_test.py
@@ -2,13 +2,18 @@
 
 import datetime as dt
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from bronzeglade.adapters.feed import Changes, Snapshot
 from bronzeglade.adapters.table import Row
 from bronzeglade.builders import ManualClock
-from bronzeglade.coordination.mirror import SETTLING, Mirror
+from bronzeglade.coordination.mirror import (
+    REMEMBERED,
+    SETTLING,
+    Mirror,
+)
 
 
 def snapshot(as_of: int, *keys: str) -> Snapshot:
@@ -66,10 +71,56 @@
     mirror = Mirror('t', ManualClock())
     mirror.replace(snapshot(7, 't/a', 't/b'))
     mirror.missed()
-    mirror.replace(snapshot(8, 't/a'), of_peer=True)
+    mirror.replace(snapshot(8, 't/a'), lapsed=())
     assert set(mirror.current()) == {'t/a'}
 
 
+KEPT = {'t/a': Row('t/a', 7, b'')}
+
+
+@pytest.mark.parametrize('sign', ['change', 'whole table', 'copy', 'settled'])
+def test_row_that_is_gone_does_not_come_back_as_lapsed(sign: str) -> None:
+    """Requests reached an endpoint whose leaving the node had heard of.
+
+    Another node that was cut off tells the old row, since it may have lapsed.
+    """
+    clock = ManualClock()
+    mirror = Mirror('t', clock)
+    mirror.replace(snapshot(7, 't/a', 't/b'))
+    if sign == 'change':
+        mirror.apply(Changes(8, {}, frozenset(('t/a',))))
+    elif sign == 'settled':
+        mirror.replace(snapshot(8, 't/b'), lapsed=('t/a',))
+        mirror.take_lapsed(KEPT, SETTLING)
+        assert set(mirror.current()) == {'t/a', 't/b'}
+        clock.advance(SETTLING)
+        assert set(mirror.current()) == {'t/b'}
+    else:
+        lapsed = None if sign == 'whole table' else ()
+        mirror.replace(snapshot(8, 't/b'), lapsed=lapsed)
+    mirror.take_lapsed(KEPT, SETTLING)
+    assert set(mirror.current()) == {'t/b'}
+
+
+def test_row_that_is_written_anew_may_lapse_again() -> None:
+    """An endpoint that has returned must not be dropped at each outage."""
+    mirror = Mirror('t', ManualClock())
+    mirror.replace(snapshot(7, 't/a'))
+    mirror.apply(Changes(8, {}, frozenset(('t/a',))))
+    mirror.apply(Changes(9, {'t/a': Row('t/a', 9, b'')}))
+    mirror.replace(snapshot(10), lapsed=('t/a',))
+    mirror.take_lapsed(KEPT, SETTLING)
+    assert set(mirror.current()) == {'t/a'}
+
+
+def test_removed_rows_that_are_remembered_are_bounded() -> None:
+    """A table whose keys are never used again must not fill the memory."""
+    mirror = Mirror('t', ManualClock())
+    for number in range(1, REMEMBERED + 50):
+        mirror.replace(snapshot(number, f't/{number}'))
+    assert len(mirror.gone) == REMEMBERED
+
+
 @given(st.lists(st.tuples(st.booleans(), st.integers(1, 20))))
 def test_version_never_falls(steps: list[tuple[bool, int]]) -> None:
     """No order of answers and peers may turn a copy back."""
--- a/bronzeglade/forwarding/follower.py
+++ b/bronzeglade/forwarding/follower.py
@@ -127,7 +127,7 @@
         """Take the copy of another node; return whether it is newer."""
         if copy.snapshot.as_of < self.mirror.as_of:
             return False
-        newer = self.mirror.replace(copy.snapshot, of_peer=True)
+        newer = self.mirror.replace(copy.snapshot, lapsed=copy.lapsed.keys())
         if copy.lapsed:
             self.mirror.take_lapsed(copy.lapsed, copy.settling)
             eventlet.spawn_after(self._settling_s(), self.on_change)
--- a/bronzeglade/forwarding/relay_test.py
+++ b/bronzeglade/forwarding/relay_test.py
@@ -20,6 +20,8 @@
 from bronzeglade.forwarding.settings import Address
 
 KEY = 't/a'
+OTHER_KEY = 't/b'
+OTHER_ROW = Row(OTHER_KEY, 8, b'x')
 LOST_S = copies.LOST_AFTER.total_seconds() + 0.01
 
 
@@ -228,6 +230,29 @@
     assert node.seen == [1, 7, 7]
 
 
+def test_row_that_is_gone_does_not_come_back_from_a_watcher() -> None:
+    """A watcher that was cut off takes an old removal for a lapsed row.
+
+    Requests still reached an endpoint whose leaving the node had heard of.
+    """
+    heard, cut = OtherNode(as_of=5), OtherNode(as_of=5)
+    node = Node(heard, cut)
+    node.relay.follow_next()
+    cut.mirror.missed()
+    heard.mirror.apply(Changes(7, {}, frozenset((KEY,))))
+    heard.source.notify()
+    node.relay.turn = -1
+    node.relay.follow_next()
+    assert not node.mirror.current()
+    cut.mirror.apply(Changes(8, {OTHER_KEY: OTHER_ROW}, frozenset((KEY,))))
+    cut.mirror.reached()
+    cut.source.notify()
+    assert list(cut.mirror.current()) == [KEY, OTHER_KEY]
+    node.relay.follow_next()
+    assert node.mirror.as_of == 8
+    assert list(node.mirror.current()) == [OTHER_KEY]
+
+
 def test_node_that_lost_the_store_takes_the_copy_of_a_peer() -> None:
     """A node that the store turns away must learn of revoked keys."""
     peer = OtherNode(as_of=9)
