--- a/bronzeglade/decisions/slowness.py
+++ b/bronzeglade/decisions/slowness.py
@@ -30,12 +30,9 @@
 ByShare = Mapping[float, Moments]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Scope:
-    """Answers of the old version that are comparable with one."""
-
-    stratum: Stratum
-    failure_domain: str
+# Answers of the old version that are comparable with one: the work, and the
+# failure domain or '' for all.
+_Scope = tuple[Stratum, str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +83,8 @@
       control: times of the old one.
       endpoints: number of endpoints of the new version.
     """
+    if not candidate:
+        return [Slowness(part, Moments(), Moments(), 0) for part in Part]
     limits = _Limits(settings, control)
     return [
         _compare_part(
@@ -111,6 +110,8 @@
       candidate: times of the new version on this node.
       control: times of the old one.
     """
+    if not candidate:
+        return 0
     alone = dataclasses.replace(settings, least_control=1)
     return _total(_Limits(alone, control).count(candidate).values()).total
 
@@ -183,39 +184,49 @@
 
     def __init__(self, settings: SlownessSettings, control: Timings) -> None:
         self.settings = settings
-        self.bins: dict[_Scope, Bins] = collections.defaultdict(Bins)
-        for cell, number in control.items():
-            if not cell.place.open:
-                for scope in itertools.chain(*_scopes(cell)):
-                    self.bins[scope][cell.bin] += number
+        self.bins: dict[_Scope, Bins] = {}
+        self.known: dict[_Scope, int | None] = {}
+        for (stratum, place, index), number in control.items():
+            if not place.open:
+                scopes = _scopes(stratum, place.failure_domain)
+                for scope in itertools.chain(*scopes):
+                    bins = self.bins.setdefault(scope, collections.Counter())
+                    bins[index] += number
 
     def count(self, timings: Mapping[Cell, int]) -> ByShare:
         """Return how many answers can be compared, and how many are slow.
 
         One that is not there yet says nothing before it is slow.
         """
-        found: dict[float, Moments] = {}
-        for cell, number in timings.items():
-            limit = self._limit(cell)
+        compared: dict[float, int] = collections.defaultdict(int)
+        slow: dict[float, int] = collections.defaultdict(int)
+        for (stratum, place, index), number in timings.items():
+            limit = self._known_limit((stratum, place.failure_domain))
             if limit is None:
                 continue
-            slow = number * (cell.bin > limit)
-            if slow or not cell.place.open:
-                share = cell.stratum.share
-                added = Moments(number, slow, slow)
-                found[share] = found.get(share, Moments()).plus(added)
-        return found
-
-    def _limit(self, cell: Cell) -> int | None:
+            is_slow = index > limit
+            if is_slow or not place.open:
+                compared[stratum.share] += number
+                slow[stratum.share] += number * is_slow
+        return {
+            share: Moments(number, slow[share], slow[share])
+            for share, number in compared.items()
+        }
+
+    def _known_limit(self, scope: _Scope) -> int | None:
+        if scope not in self.known:
+            self.known[scope] = self._limit(*scope)
+        return self.known[scope]
+
+    def _limit(self, stratum: Stratum, failure_domain: str) -> int | None:
         """Return the last bin that is not slow; None when it is unknown.
 
         Where the old version did no such work, as on empty caches, its answers
         to other amounts of work of the kind set the limit.
         """
-        stratum = cell.stratum
         for level in sorted(range(HIGHEST_LEVEL + 1), key=_distance(stratum)):
-            near = dataclasses.replace(stratum, level=level)
-            limit = self._typical(dataclasses.replace(cell, stratum=near))
+            near = stratum._replace(level=level)
+            limit = self._typical(near, failure_domain)
             if limit is not None:
                 more = max(0, stratum.level - level) * BINS_PER_LEVEL
                 return (
@@ -223,13 +234,13 @@
                 )
         return None
 
-    def _typical(self, cell: Cell) -> int | None:
+    def _typical(self, stratum: Stratum, failure_domain: str) -> int | None:
         """Return the bin of the quantile; None when there are too few answers.
 
         Answers of the same time tell most. A failure domain can be slow as a
         whole, so the old version's answers there count as well.
         """
-        for everywhere, near in _scopes(cell):
+        for everywhere, near in _scopes(stratum, failure_domain):
             bins = self.bins.get(everywhere)
             if bins is None or bins.total() < self.settings.least_control:
                 continue
@@ -241,14 +252,14 @@
         return None
 
 
-def _scopes(cell: Cell) -> tuple[tuple[_Scope, _Scope], ...]:
+def _scopes(
+    then: Stratum, failure_domain: str
+) -> tuple[tuple[_Scope, _Scope], ...]:
     """Return the same work everywhere and in the domain: then, and always."""
-    domain = cell.place.failure_domain
-    then = cell.stratum
-    always = dataclasses.replace(then, share=0)
+    always = then._replace(share=0)
     return (
-        (_Scope(then, ''), _Scope(then, domain)),
-        (_Scope(always, ''), _Scope(always, domain)),
+        ((then, ''), (then, failure_domain)),
+        ((always, ''), (always, failure_domain)),
     )
 
 
--- a/bronzeglade/decisions/stopwatch.py
+++ b/bronzeglade/decisions/stopwatch.py
@@ -3,11 +3,19 @@
 import collections
 import dataclasses
 import datetime as dt
+import itertools
 
 from bronzeglade.decisions import timings
 from bronzeglade.decisions.progress import Progress, Timed
 from bronzeglade.decisions.timings import Cell, Part, Place, Stratum, Timings
 
+# Newest times of one version that all nodes tell together, each its part: more
+# would not change a verdict, and the acting node reads them all.
+MOST_TIMES = 2000
+FEWEST_TIMES = 8  # of one node
+
+_Ended = collections.deque[Cell]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Task:
@@ -44,10 +52,9 @@
     def __init__(self) -> None:
         """Know of no try."""
         self.running: dict[int, TimedTry] = {}
-        self.candidate: Timings = collections.Counter()
-        self.control: Timings = collections.Counter()
+        self.candidate = _Ended(maxlen=MOST_TIMES)
+        self.control = _Ended(maxlen=MOST_TIMES)
         self.endpoints = 0  # of the new version, as far as they are known
-        self.dropped = 0
 
     def start(
         self, task: Task, is_candidate: bool, share: float, now: dt.timedelta
@@ -69,18 +76,25 @@
         """
         if self.running.pop(id(timed), None) is None:
             return
-        counters = self.candidate if timed.is_candidate else self.control
+        ended = self.candidate if timed.is_candidate else self.control
         for one in timed.progress.times(now, complete):
-            self.dropped += not timings.note(counters, _cell(timed, one))
+            ended.append(_cell(timed, one))
 
     def forget(self, timed: TimedTry) -> None:
         """Drop a try that tells nothing of the version."""
         self.running.pop(id(timed), None)
 
-    def read(self, now: dt.timedelta) -> tuple[Timings, Timings]:
-        """Return the times of the new version and of the old one."""
-        candidate = self.candidate.copy()
-        control = self.control.copy()
+    def read(
+        self, now: dt.timedelta, most: int = MOST_TIMES
+    ) -> tuple[Timings, Timings]:
+        """Return the times of the new version and of the old one.
+
+        Args:
+          now: the present moment.
+          most: newest times of ended tries of each version that count.
+        """
+        candidate = _newest(self.candidate, most)
+        control = _newest(self.control, most)
         for timed in self.running.values():
             counters = candidate if timed.is_candidate else control
             for one in timed.progress.times(now, ended=False):
@@ -88,6 +102,20 @@
         return candidate, control
 
 
+def times_for(nodes: int) -> int:
+    """Return the times that one node tells of each version.
+
+    Args:
+      nodes: how many tell theirs.
+    """
+    return max(FEWEST_TIMES, MOST_TIMES // max(1, nodes))
+
+
+def _newest(ended: _Ended, most: int) -> Timings:
+    first = max(0, len(ended) - most)
+    return collections.Counter(itertools.islice(ended, first, None))
+
+
 def _cell(timed: TimedTry, one: Timed) -> Cell:
     task = timed.task
     first = one.part is Part.FIRST
--- a/bronzeglade/decisions/stopwatch_test.py
+++ b/bronzeglade/decisions/stopwatch_test.py
@@ -7,7 +7,13 @@
 from hypothesis import given, strategies
 
 from bronzeglade.decisions import timings
-from bronzeglade.decisions.stopwatch import Stopwatch, Task, TimedTry
+from bronzeglade.decisions.stopwatch import (
+    MOST_TIMES,
+    Stopwatch,
+    Task,
+    TimedTry,
+    times_for,
+)
 from bronzeglade.decisions.timings import Cell, Part, Place, Stratum, Timings
 
 TASK = Task('chat', 'small', 1, 0, 'a', 'e1', 3)
@@ -91,15 +97,18 @@
     assert [cell.place.endpoint for cell in control] == ['']
 
 
-def test_counters_are_bounded() -> None:
-    """A node's row must not grow for ever in a long roll-out."""
+def test_times_are_bounded_and_the_newest_count() -> None:
+    """A node's row must not grow for ever, nor tell of the start only."""
     stopwatch = Stopwatch()
-    for number in range(timings.MOST_COUNTERS + 5):
+    for number in range(MOST_TIMES + 5):
         task = Task(f'kind {number}', 'small', 0, 0, 'a', 'e1', 1)
         timed = stopwatch.start(task, is_candidate=True, share=0, now=START)
         stopwatch.end(timed, START + ms(5), complete=False)
-    assert len(stopwatch.candidate) == timings.MOST_COUNTERS
-    assert stopwatch.dropped == 5
+    for most in (MOST_TIMES, times_for(195)):
+        candidate, _ = stopwatch.read(START, most)
+        kinds = {cell.stratum.kind for cell in candidate}
+        assert len(kinds) == most
+        assert f'kind {MOST_TIMES + 4} small' in kinds
 
 
 CELLS = strategies.builds(
--- a/bronzeglade/decisions/timings.py
+++ b/bronzeglade/decisions/timings.py
@@ -1,22 +1,20 @@
 """Counters of how long tries of a version take, by what they have to do.
 
 Times count in bins whose edges grow by half a power of two, so the counters of
-several nodes can be added up, and quantiles of the sum can be taken.
+several nodes can be added up, and quantiles of the sum can be taken. One node
+adds up those of all others several times a second, so the keys are tuples,
+whose hash is computed without a call of Python code.
 """
 
 import collections
-import dataclasses
 import datetime as dt
 import enum
 import math
 from collections.abc import Iterable, Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 BINS_PER_DOUBLING = 2
 HIGHEST_BIN = 34  # from 2 ** 17 ms, about two minutes
-# Distinct counters of one version that a node keeps, so that its row in the
-# store stays small; values beyond are dropped.
-MOST_COUNTERS = 1000
 # Tokens that an endpoint reads before an answer begins: the first level ends
 # at a quarter of a thousand, each further one is four times as wide.
 FIRST_LEVEL_TOKENS = 256
@@ -33,8 +31,7 @@
     EVENTS = 'events'  # from there until a few events of a stream have come
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stratum:
+class Stratum(NamedTuple):
     """Tries that should take equally long.
 
     `kind` is what is asked, `level` how much an endpoint has to do until then,
@@ -47,8 +44,7 @@
     share: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Place:
+class Place(NamedTuple):
     """Where a try ran; `open` when it took at least as long as counted."""
 
     failure_domain: str
@@ -56,8 +52,7 @@
     open: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Cell:
+class Cell(NamedTuple):
     """What is counted together."""
 
     stratum: Stratum
@@ -95,19 +90,12 @@
     return min(HIGHEST_LEVEL, int(max(0, load) * LEVELS_PER_LOAD))
 
 
-def note(timings: Timings, cell: Cell) -> bool:
-    """Count a try; return False when there are too many counters for it."""
-    if cell not in timings and len(timings) >= MOST_COUNTERS:
-        return False
-    timings[cell] += 1
-    return True
-
-
 def total(parts: Iterable[Timings]) -> Timings:
     """Return the sum of the counters of several nodes."""
     summed: Timings = collections.Counter()
     for part in parts:
-        summed.update(part)
+        for cell, number in part.items():
+            summed[cell] = summed.get(cell, 0) + number
     return summed
 
 
--- a/bronzeglade/forwarding/delivery_test.py
+++ b/bronzeglade/forwarding/delivery_test.py
@@ -351,7 +351,7 @@
     """They come fast, and would hide that the answers are slow."""
     route = builders.route(Kind.IDEMPOTENT, attempts=3)
     watch = timed(route, refusing, resetting, answering)
-    assert watch.stopwatch.control.total() == 1
+    assert len(watch.stopwatch.control) == 1
     assert not watch.stopwatch.running
 
 
--- a/bronzeglade/forwarding/rollouts.py
+++ b/bronzeglade/forwarding/rollouts.py
@@ -3,15 +3,15 @@
 import dataclasses
 import datetime as dt
 import enum
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
-from bronzeglade.adapters.table import Check, Put, Table, Transaction
+from bronzeglade.adapters.table import Check, Put, Row, Table, Transaction
 from bronzeglade.coordination import canary as plans
 from bronzeglade.coordination.canary import Order, Plan, Stage
 from bronzeglade.coordination.mirror import Mirror
-from bronzeglade.decisions import canary, evidence, slowness
+from bronzeglade.decisions import canary, evidence, slowness, stopwatch
 from bronzeglade.decisions.canary import CanarySettings
 from bronzeglade.decisions.evidence import Evidence, Observation
 from bronzeglade.decisions.rollout import Judge, JudgeSettings
@@ -63,6 +63,14 @@
     HARM = enum.auto()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decoded:
+    """A version of a node's row, and the record that it holds."""
+
+    version: int
+    outcome: Result[Record, str]
+
+
 class Watch:
     """What this node knows of one running roll-out."""
 
@@ -77,13 +85,16 @@
         self.seen = Record()
         self.judge = Judge(JUDGE, LIMITS)
         self.suspect = False
+        self.decoded: dict[str, Decoded] = {}
         self.lagging_since: dt.timedelta | None = None
         self.paused_until = dt.timedelta()
         self.halted = False
 
-    def mine(self, now: dt.timedelta) -> Record:
-        """Return what this node has seen."""
-        candidate, control = self.stopwatch.read(now)
+    def mine(self, now: dt.timedelta, nodes: int) -> Record:
+        """Return what this node has seen, in a fleet of some nodes."""
+        candidate, control = self.stopwatch.read(
+            now, stopwatch.times_for(nodes)
+        )
         return Record(
             VersionRecord(self.candidate, candidate),
             VersionRecord(self.control, control),
@@ -371,7 +382,7 @@
         now = self.clock.monotonic()
         if now - watch.written_at < EVIDENCE_INTERVAL:
             return
-        mine = watch.mine(now)
+        mine = watch.mine(now, self.roster.count())
         if mine == watch.written:
             return
         interval = writing_interval(self.roster.count(), _news(watch, mine))
@@ -392,7 +403,8 @@
 
     def _read_evidence(self, watch: Watch, plan: Plan) -> None:
         now = self.clock.monotonic()
-        if now - watch.read_at < EVIDENCE_INTERVAL:
+        interval = writing_interval(self.roster.count(), News.HARM)
+        if now - watch.read_at < interval:
             return
         watch.read_at = now
         outcome = self.table.scan(_evidence_prefix(watch.order), EVIDENCE_ROWS)
@@ -403,19 +415,30 @@
                 reason=outcome.err_value.detail,
             )
             return
-        parts = [watch.mine(now)]
-        for row in outcome.ok_value:
-            if row.key.endswith(f'/{self.roster.myself.name}'):
-                continue
-            one = records.decode(row.body)
-            if isinstance(one, Err):
-                self.log.event(
-                    'unreadable_evidence', key=row.key, reason=one.err_value
-                )
-            else:
-                parts.append(one.ok_value)
+        own = f'{_evidence_prefix(watch.order)}{self.roster.myself.name}'
+        others = [row for row in outcome.ok_value if row.key != own]
+        parts = [watch.mine(now, self.roster.count())]
+        parts.extend(self._decoded(watch, others))
         self._judge(watch, records.total(parts))
 
+    def _decoded(self, watch: Watch, rows: Sequence[Row]) -> Iterator[Record]:
+        """Return the records of rows; each version is decoded once."""
+        before = watch.decoded
+        watch.decoded = {}
+        for row in rows:
+            known = before.get(row.key)
+            if known is None or known.version != row.version:
+                known = Decoded(row.version, records.decode(row.body))
+                if isinstance(known.outcome, Err):
+                    self.log.event(
+                        'unreadable_evidence',
+                        key=row.key,
+                        reason=known.outcome.err_value,
+                    )
+            watch.decoded[row.key] = known
+            if isinstance(known.outcome, Ok):
+                yield known.outcome.ok_value
+
     def _judge(self, watch: Watch, seen: Record) -> None:
         candidate = seen.candidate.evidence
         control = seen.control.evidence
