--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -16,6 +16,7 @@
 from bronzeglade.forwarding import attempt as attempts
 from bronzeglade.forwarding.attempt import Attempt, Failed
 from bronzeglade.forwarding.caller import Caller
+from bronzeglade.forwarding.endpoint import Endpoint
 from bronzeglade.forwarding.event import EventSplitter, StreamEvent
 from bronzeglade.forwarding.message import AnswerFacts
 from bronzeglade.forwarding.route import Kind
@@ -357,14 +358,9 @@
             resume_after=self.last_event,
             configuration=self.router.version,
         )
-        task = Task(
-            kind=work.route.name,
-            model=model or '',
-            first_level=_first_level(placed, place, endpoint.slots),
-            events_level=timings.load_level(place.load / endpoint.slots),
-            failure_domain=endpoint.failure_domain,
-            endpoint=place.name,
-            endpoints=len(offered),
+        task = task_of(
+            Attempted(work.route.name, model, placed, endpoint, place),
+            len(offered),
         )
         return Attempt(endpoint, model, placed, unread, task)
 
@@ -531,11 +527,38 @@
         attempt.connection.abort()
 
 
-def _first_level(placed: PlacedRequest, place: Place, slots: int) -> int:
-    """Return how much an endpoint has to do before it answers."""
-    if placed.tokens:
-        return timings.token_level(place.cost)
-    return timings.load_level(place.load / slots)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempted:
+    """What a try asks of which endpoint, and why it was chosen."""
+
+    route: str
+    model: str | None
+    placed: PlacedRequest
+    endpoint: Endpoint
+    place: Place
+
+
+def task_of(attempted: Attempted, endpoints: int) -> Task:
+    """Return what the time of a try is compared by.
+
+    Args:
+      attempted: the try.
+      endpoints: number that could have run it.
+    """
+    place = attempted.place
+    endpoint = attempted.endpoint
+    prompt = attempted.placed.tokens > 0
+    load = timings.load_level(place.load / endpoint.slots)
+    return Task(
+        # The work of a prompt is its tokens, whatever route it came by.
+        kind='' if prompt else attempted.route,
+        model=attempted.model or '',
+        first_level=timings.token_level(place.cost) if prompt else load,
+        events_level=load,
+        failure_domain=endpoint.failure_domain,
+        endpoint=place.name,
+        endpoints=endpoints,
+    )
 
 
 def _placed(work: Work, model: str | None) -> PlacedRequest:
--- a/bronzeglade/forwarding/delivery_test.py
+++ b/bronzeglade/forwarding/delivery_test.py
@@ -7,13 +7,19 @@
 
 from bronzeglade.adapters.feed import Snapshot
 from bronzeglade.adapters.table import Row
+from bronzeglade.clock import BootClock
 from bronzeglade.coordination.canary import Order, first_plan
+from bronzeglade.decisions import timings
+from bronzeglade.decisions.placement import Place, PlacedRequest
 from bronzeglade.decisions.timings import Part
 from bronzeglade.forwarding import builders
 from bronzeglade.forwarding.builders import Client, ask, fleet
+from bronzeglade.forwarding.delivery import Attempted, task_of
+from bronzeglade.forwarding.endpoint import Endpoint
 from bronzeglade.forwarding.rollouts import Watch
 from bronzeglade.forwarding.route import Kind, Route
 from bronzeglade.forwarding.router import Router
+from bronzeglade.forwarding.upstream import ConnectionPool
 from bronzeglade.forwarding.scripted import (
     Peer,
     Script,
@@ -347,6 +353,22 @@
     assert parts(watch) == [Part.EVENTS, Part.FIRST]
 
 
+def test_prompts_of_all_routes_are_compared() -> None:
+    """Where traffic is thin, one route alone has too little to compare."""
+    endpoint = Endpoint(
+        builders.entry('e1'), ConnectionPool(('127.0.0.1', 1), 1, BootClock())
+    )
+    place = Place('e1', cost=2000, cached_tokens=0, load=5)
+    tasks = [
+        task_of(Attempted(route, 'm', placed, endpoint, place), 2)
+        for route in ('r1', 'r2')
+        for placed in (PlacedRequest(tokens=100), PlacedRequest())
+    ]
+    assert [one.kind for one in tasks] == ['', 'r1', '', 'r2']
+    assert tasks[0].first_level == timings.token_level(2000)
+    assert tasks[1].first_level == timings.load_level(5 / 4)
+
+
 def test_refusals_and_broken_connections_are_not_timed() -> None:
     """They come fast, and would hide that the answers are slow."""
     route = builders.route(Kind.IDEMPOTENT, attempts=3)
