Give what a node knows of a roll-out its own module; plainer names

The statistic that the other endpoints must show is named least_elsewhere, and the comparison of one part of a try no longer looks like a test.

--- a/bronzeglade/decisions/slowness.py
+++ b/bronzeglade/decisions/slowness.py
@@ -9,7 +9,7 @@
 import dataclasses
 import itertools
 import math
-from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from bronzeglade.decisions.evidence import Moments
 from bronzeglade.decisions.rollout import failure_ratio
@@ -28,8 +28,6 @@
 BINS_PER_LEVEL = int(math.log2(LEVEL_FACTOR) * BINS_PER_DOUBLING)
 # Answers and slow ones, by the share of the new version at their time.
 ByShare = Mapping[float, Moments]
-
-
 # Answers of the old version that are comparable with one: the work, and the
 # failure domain or '' for all.
 _Scope = tuple[Stratum, str]
@@ -39,13 +37,14 @@
 class SlownessSettings:
     """What counts as slow, and how many slow answers are harm.
 
-    An answer is slow that takes more than two to the power of `doublings`
-    times as long as `quantile` of the old version's answers, and the old
-    version needs `least_control` answers to tell. `tolerated` is the increase
-    of the part of slow answers that is no harm. An endpoint can be slow by
-    itself: without one in `left_out` of them, and at least one of several,
-    those with most slow answers, the others must still show the harm with the
-    statistic `without`. The prior keeps the old version's part away from zero.
+    An answer is slow that takes more than two to the power of `doublings` times
+    as long as `quantile` of the old version's answers, and the old version
+    needs `least_control` answers to tell. `tolerated` is the increase of the
+    part of slow answers that is no harm. An endpoint can be slow by itself:
+    without one in `left_out` of them, and at least one of several, those with
+    most slow answers, the others must still show the harm, with a statistic of
+    at least `least_elsewhere`. The prior keeps the old version's part away from
+    zero.
     """
 
     quantile: float = 0.8
@@ -54,7 +53,7 @@
     least_control: int = 8
     least_values: int = 4
     left_out: int = 3
-    without: float = 2
+    least_elsewhere: float = 2
     prior_requests: float = 10
     prior_slow: float = 0.5
 
@@ -126,16 +125,16 @@
     known = max(endpoints, len(new))
     dropped = max(int(known > 1), known // settings.left_out)
     kept = sorted(new, key=_least_slow)[: max(0, len(new) - dropped)]
-    everywhere = _test(settings, part, _merged(new), old)
-    elsewhere = _test(settings, part, _merged(kept), old)
-    if elsewhere.statistic >= settings.without:
+    everywhere = _slowness(settings, part, _merged(new), old)
+    elsewhere = _slowness(settings, part, _merged(kept), old)
+    if elsewhere.statistic >= settings.least_elsewhere:
         return everywhere
     return dataclasses.replace(
         everywhere, statistic=min(everywhere.statistic, elsewhere.statistic)
     )
 
 
-def _test(
+def _slowness(
     settings: SlownessSettings, part: Part, new: ByShare, old: ByShare
 ) -> Slowness:
     # A share for which the old version has too few answers tells nothing: all
@@ -296,13 +295,13 @@
 
 
 def _of_part(timings: Timings, part: Part) -> Timings:
-    return collections.Counter(dict(_cells(timings, part)))
-
-
-def _cells(timings: Timings, part: Part) -> Iterator[tuple[Cell, int]]:
-    for cell, number in timings.items():
-        if cell.stratum.part is part:
-            yield cell, number
+    return collections.Counter(
+        {
+            cell: number
+            for cell, number in timings.items()
+            if cell.stratum.part is part
+        }
+    )
 
 
 def _quantile(bins: Bins, part: float) -> int:
--- a/bronzeglade/decisions/slowness_test.py
+++ b/bronzeglade/decisions/slowness_test.py
@@ -14,7 +14,7 @@
 from bronzeglade.decisions.timings import Cell, Part, Place, Stratum, Timings
 
 SETTINGS = SlownessSettings()
-THRESHOLD = 6.0  # of a halt, as `rollouts.JUDGE` has it
+THRESHOLD = 6.0  # of a halt, as `forwarding.watch.JUDGE` has it
 SUSPICION = 2.0
 ENDPOINTS = 5
 DOMAINS = ('a', 'b', 'c')
--- a/bronzeglade/forwarding/delivery_test.py
+++ b/bronzeglade/forwarding/delivery_test.py
@@ -16,7 +16,7 @@
 from bronzeglade.forwarding.builders import Client, ask, fleet
 from bronzeglade.forwarding.delivery import Attempted, task_of
 from bronzeglade.forwarding.endpoint import Endpoint
-from bronzeglade.forwarding.rollouts import Watch
+from bronzeglade.forwarding.watch import Watch
 from bronzeglade.forwarding.route import Kind, Route
 from bronzeglade.forwarding.router import Router
 from bronzeglade.forwarding.upstream import ConnectionPool
--- a/bronzeglade/forwarding/rollouts.py
+++ b/bronzeglade/forwarding/rollouts.py
@@ -2,108 +2,38 @@
 
 import dataclasses
 import datetime as dt
-import enum
 from collections.abc import Iterator, Sequence
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from bronzeglade.adapters.table import Check, Put, Row, Table, Transaction
 from bronzeglade.coordination import canary as plans
 from bronzeglade.coordination.canary import Order, Plan, Stage
 from bronzeglade.coordination.mirror import Mirror
-from bronzeglade.decisions import canary, evidence, slowness, stopwatch
+from bronzeglade.decisions import canary, evidence, slowness
 from bronzeglade.decisions.canary import CanarySettings
-from bronzeglade.decisions.evidence import Evidence, Observation
-from bronzeglade.decisions.rollout import Judge, JudgeSettings
-from bronzeglade.decisions.slowness import SlownessSettings
-from bronzeglade.decisions.stopwatch import Stopwatch, Task, TimedTry
+from bronzeglade.decisions.evidence import Observation
+from bronzeglade.decisions.stopwatch import Task, TimedTry
 from bronzeglade.forwarding import record as records
+from bronzeglade.forwarding import watch as watches
 from bronzeglade.forwarding.endpoint import Endpoint
 from bronzeglade.forwarding.follower import propagation_time
 from bronzeglade.forwarding.log import Log
-from bronzeglade.forwarding.record import Record, VersionRecord
+from bronzeglade.forwarding.record import Record
 from bronzeglade.forwarding.roster import Roster
 from bronzeglade.forwarding.site import Documents
+from bronzeglade.forwarding.watch import Decoded, News, Watch
 from bronzeglade.forwarding.work import Work
-from bronzeglade.manifest import RolloutLimits
 
 EVIDENCE_TABLE = 'bronzeglade_evidence'
-# Evidence is written and read this often while a roll-out runs, and written
-# less often by a node that saw nothing more of the new version. In a small
-# fleet each answer of it counts; a large one has many and saves calls.
-EVIDENCE_INTERVAL = dt.timedelta(milliseconds=700)
-CALM_INTERVAL = dt.timedelta(milliseconds=2500)
-# Many nodes write less often each, so that they do not fill the store.
-EVIDENCE_PER_NODE = dt.timedelta(milliseconds=15)
-LONGEST_EVIDENCE = dt.timedelta(milliseconds=2000)
-CALM_PER_NODE = dt.timedelta(milliseconds=60)
-LONGEST_CALM = dt.timedelta(seconds=6)
 TICK = dt.timedelta(milliseconds=250)
 # Another node acts in place of the one whose turn it is after this time.
 TAKEOVER = dt.timedelta(milliseconds=700)
-# Harm that a new version may do. Its times are compared by kind of work, see
-# `slowness`; nothing is rated here.
-LIMITS = RolloutLimits(
-    max_error_increase=0.05, max_latency_ratio=3, max_rating_drop=1
-)
-SLOWNESS = SlownessSettings()
-# A bad version is cheaper to halt early than to keep: at a log likelihood ratio
-# of 6 a good one is halted in about one of 400 looks at the limit of harm.
-JUDGE = JudgeSettings(threshold=6, suspicion=2)
 EVIDENCE_ROWS = 500
-# Tries of a roll-out from which on the least share of a step suffices: a fifth
-# of as many again until the next step tells a slow version.
-MANY_REQUESTS = 1000
 # Pause after a step that the store did not take.
 COMMIT_PAUSE = dt.timedelta(milliseconds=700)
 
 
-class News(enum.Enum):
-    """What a node has seen of a new version."""
-
-    NONE = enum.auto()
-    ANSWERS = enum.auto()
-    HARM = enum.auto()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Decoded:
-    """A version of a node's row, and the record that it holds."""
-
-    version: int
-    outcome: Result[Record, str]
-
-
-class Watch:
-    """What this node knows of one running roll-out."""
-
-    def __init__(self, order: Order) -> None:
-        self.order = order
-        self.candidate = Evidence()
-        self.control = Evidence()
-        self.stopwatch = Stopwatch()
-        self.written = Record()
-        self.written_at = dt.timedelta()
-        self.read_at = dt.timedelta()
-        self.seen = Record()
-        self.judge = Judge(JUDGE, LIMITS)
-        self.suspect = False
-        self.decoded: dict[str, Decoded] = {}
-        self.lagging_since: dt.timedelta | None = None
-        self.paused_until = dt.timedelta()
-        self.halted = False
-
-    def mine(self, now: dt.timedelta, nodes: int) -> Record:
-        """Return what this node has seen, in a fleet of some nodes."""
-        candidate, control = self.stopwatch.read(
-            now, stopwatch.times_for(nodes)
-        )
-        return Record(
-            VersionRecord(self.candidate, candidate),
-            VersionRecord(self.control, control),
-        )
-
-
 class Rollouts:
     """Orders and plans of all services, as this node sees them."""
 
@@ -332,7 +262,7 @@
             self.settings, elapsed, duration
         ):
             return plans.advanced(plan, 1, Stage.COMPLETED, now)
-        spent = _spent(watch.seen, elapsed / duration)
+        spent = watches.spent(watch.seen, elapsed / duration)
         share = canary.share_at(
             self.settings, elapsed, duration, self.exposure, spent
         )
@@ -383,12 +313,14 @@
 
     def _write_evidence(self, service: str, watch: Watch) -> None:
         now = self.clock.monotonic()
-        if now - watch.written_at < EVIDENCE_INTERVAL:
+        if now - watch.written_at < watches.EVIDENCE_INTERVAL:
             return
         mine = watch.mine(now, self.roster.count())
         if mine == watch.written:
             return
-        interval = writing_interval(self.roster.count(), _news(watch, mine))
+        interval = watches.writing_interval(
+            self.roster.count(), watches.news_of(watch, mine)
+        )
         if now - watch.written_at < interval:
             return
         watch.written_at = now
@@ -406,7 +338,7 @@
 
     def _read_evidence(self, watch: Watch, plan: Plan) -> None:
         now = self.clock.monotonic()
-        interval = writing_interval(self.roster.count(), News.HARM)
+        interval = watches.writing_interval(self.roster.count(), News.HARM)
         if now - watch.read_at < interval:
             return
         watch.read_at = now
@@ -452,18 +384,18 @@
         watch.seen = seen
         verdict = watch.judge.verdict()
         compared = slowness.compare(
-            SLOWNESS,
+            watches.SLOWNESS,
             seen.candidate.timings,
             seen.control.timings,
             watch.stopwatch.endpoints,
         )
         slow = max(compared, key=lambda one: one.statistic)
         statistic = max(verdict.statistic, slow.statistic)
-        watch.suspect = statistic >= JUDGE.suspicion
+        watch.suspect = statistic >= watches.JUDGE.suspicion
         measure = verdict.measure.value
         if slow.statistic > verdict.statistic:
             measure = slow.part.value
-        halts = statistic >= JUDGE.threshold and not watch.halted
+        halts = statistic >= watches.JUDGE.threshold and not watch.halted
         watch.halted = watch.halted or halts
         self.log.event(
             'rollout_halt' if halts else 'rollout_evidence',
@@ -483,54 +415,5 @@
         )
 
 
-def _spent(seen: Record, passed: float) -> float | None:
-    """Return the part of all requests that the new version had.
-
-    None where it need not be known: with many requests, the least share of a
-    step has enough answers to tell a bad version.
-
-    Args:
-      seen: of all nodes.
-      passed: part of the duration.
-    """
-    new = seen.candidate.evidence.errors.count
-    both = new + seen.control.evidence.errors.count
-    return new / both * passed if 0 < both < MANY_REQUESTS else None
-
-
-def _news(watch: Watch, mine: Record) -> News:
-    """Return what the node has seen of the new version since its last row."""
-    before = watch.written
-    if _harm(mine) > _harm(before):
-        return News.HARM
-    if mine.candidate != before.candidate:
-        return News.ANSWERS
-    return News.NONE
-
-
-def _harm(seen: Record) -> float:
-    """Return failures of the new version and answers that look slow."""
-    candidate = seen.candidate
-    return candidate.evidence.errors.total + slowness.suspects(
-        SLOWNESS, candidate.timings, seen.control.timings
-    )
-
-
-def writing_interval(nodes: int, news: News) -> dt.timedelta:
-    """Return how often a node writes its evidence.
-
-    Args:
-      nodes: how many write.
-      news: what it saw of the new version and has not written yet.
-    """
-    if news is News.HARM:
-        scaled = min(LONGEST_EVIDENCE, EVIDENCE_PER_NODE * nodes)
-        return max(EVIDENCE_INTERVAL, scaled)
-    scaled = min(LONGEST_CALM, CALM_PER_NODE * nodes)
-    if news is News.ANSWERS:
-        return max(EVIDENCE_INTERVAL, scaled)
-    return max(CALM_INTERVAL, scaled)
-
-
 def _evidence_prefix(order: Order) -> str:
     return f'{EVIDENCE_TABLE}/{order.service}/{order.number}/'
--- a/bronzeglade/forwarding/rollouts_test.py
+++ b/bronzeglade/forwarding/rollouts_test.py
@@ -14,12 +14,13 @@
 from bronzeglade.coordination.canary import Stage
 from bronzeglade.decisions.evidence import Observation
 from bronzeglade.decisions.stopwatch import Task
-from bronzeglade.forwarding import builders, rollouts
+from bronzeglade.forwarding import builders, watch
 from bronzeglade.forwarding.endpoint import Endpoint
 from bronzeglade.forwarding.inbound import IncomingRequest
 from bronzeglade.forwarding.message import RequestFacts, RequestHead
-from bronzeglade.forwarding.rollouts import News, Rollouts
+from bronzeglade.forwarding.rollouts import Rollouts
 from bronzeglade.forwarding.upstream import ConnectionPool
+from bronzeglade.forwarding.watch import News
 from bronzeglade.forwarding.work import Work
 
 TICK = dt.timedelta(milliseconds=250)
@@ -318,11 +319,11 @@
     fleet = Fleet(1)
     fleet.order()
     fleet.serve(DURATION_S * 0.9, by_version(1))
-    watch = fleet.nodes[0].watches[builders.SERVICE]
-    watch.suspect = True
+    known = fleet.nodes[0].watches[builders.SERVICE]
+    known.suspect = True
     plan = fleet.nodes[0].plans[builders.SERVICE]
     fleet.clock.advance(dt.timedelta(seconds=DURATION_S))
-    assert fleet.nodes[0].wanted(watch, plan) == plan
+    assert fleet.nodes[0].wanted(known, plan) == plan
 
 
 def test_failures_of_both_versions_are_no_reason_to_halt() -> None:
@@ -377,8 +378,8 @@
         (News.ANSWERS, 12, 60),
         (News.NONE, 4, 60),
     ):
-        small = 8 / rollouts.writing_interval(8, news).total_seconds()
-        large = 330 / rollouts.writing_interval(330, news).total_seconds()
+        small = 8 / watch.writing_interval(8, news).total_seconds()
+        large = 330 / watch.writing_interval(330, news).total_seconds()
         assert small < few
         assert large < many
 
