--- a/bronzeglade/forwarding/watch.py
+++ b/bronzeglade/forwarding/watch.py
@@ -34,7 +34,7 @@
 # A bad version is cheaper to halt early than to keep: at a log likelihood ratio
 # of 6 a good one is halted in about one of 400 looks at the limit of harm.
 JUDGE = JudgeSettings(threshold=6, suspicion=2)
-# Tries of a roll-out from which on a step has enough answers at its least share.
+# Tries from which on a step has enough answers at its least share.
 MANY_REQUESTS = 1000
 
 
