Log the requests that a planned stop gives up on, and when each arrived

The log could not tell who ends a connection around a planned stop: a request that the stop abandons had no line at all, `stopped` only counted, and no line said when a request arrived relative to the signal.

`unfinished` names each such request with its endpoints, events and age; `request` and `unfinished` have `after_stop_ms`, `stopped` has `after_ms`. The router keeps the requests in progress instead of their number, and the time at which the stop began instead of a flag. What is served does not change.

--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -61,7 +61,7 @@
     CALLER_DISCONNECTED = 'left'
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Delivery:
     """State of one request during its delivery.
 
--- a/bronzeglade/forwarding/delivery_test.py
+++ b/bronzeglade/forwarding/delivery_test.py
@@ -449,7 +449,7 @@
     eventlet.sleep(0.2)
     assert endpoint.ended == 1
     assert len(endpoint.requests) == 1
-    assert router.in_flight == 0
+    assert not router.running
 
 
 def test_unknown_key_and_route_are_refused() -> None:
--- a/bronzeglade/forwarding/inbound_test.py
+++ b/bronzeglade/forwarding/inbound_test.py
@@ -101,7 +101,7 @@
     """A new connection's request is answered; idle connections close."""
     router, _endpoint, port = serving()
     client = Client(port)
-    router.draining = True
+    router.begin_shutdown()
     client.send(RouteKind.IDEMPOTENT)
     answer = client.read()
     assert answer.status == 200
--- a/bronzeglade/forwarding/request_handler.py
+++ b/bronzeglade/forwarding/request_handler.py
@@ -42,15 +42,32 @@
         )
         return
     request = created.ok_value
-    router.in_flight += 1
     delivery = Delivery(router, request, caller)
+    router.running.add(delivery)
     try:
         delivery.run()
     finally:
-        router.in_flight -= 1
+        router.running.remove(delivery)
         _log_outcome(router, delivery)
 
 
+def log_running(router: Router) -> None:
+    """Log each request in progress, which a shutdown is about to abandon."""
+    now = router.clock.monotonic()
+    for running in router.running:
+        request = running.request
+        router.log.event(
+            'unfinished',
+            request=request.request_id,
+            route=request.route.name,
+            endpoints=running.attempted,
+            events=running.events,
+            run_state=running.run_state.value,
+            age_ms=_milliseconds(now - request.received_at),
+            after_stop_ms=_after_stop_ms(router, request),
+        )
+
+
 def _create_work(
     router: Router,
     incoming: IncomingRequest,
@@ -127,10 +144,21 @@
         events=delivery.events,
         longest_gap_ms=_milliseconds(delivery.max_gap),
         total_ms=_milliseconds(now - request.received_at),
+        after_stop_ms=_after_stop_ms(router, request),
         detail=delivery.detail,
         configuration=router.version,
     )
 
 
+def _after_stop_ms(router: Router, request: AcceptedRequest) -> int | None:
+    """Return how long after the start of a shutdown a request arrived.
+
+    Negative if it arrived before, None without a shutdown.
+    """
+    if router.stopping_since is None:
+        return None
+    return _milliseconds(request.received_at - router.stopping_since)
+
+
 def _milliseconds(duration: dt.timedelta) -> int:
     return duration // dt.timedelta(milliseconds=1)
--- a/bronzeglade/forwarding/router.py
+++ b/bronzeglade/forwarding/router.py
@@ -5,6 +5,7 @@
 import math
 import random
 from collections.abc import Callable, Collection, Sequence
+from typing import Protocol
 
 from bronzeglade.clock import Clock
 from bronzeglade.decisions.escalation import EscalationSettings
@@ -28,6 +29,7 @@
 from bronzeglade.forwarding.route import RouteKind, RouteTable
 from bronzeglade.forwarding.service_rollouts import ServiceRollouts
 from bronzeglade.forwarding.settings import RetryBounds, RouterSettings
+from bronzeglade.outcome import RunState
 
 # Fraction of the cluster-wide retry bounds that nodes may use. The rest covers
 # the counts that a node loses when it restarts, and nodes that are not yet in
@@ -42,12 +44,22 @@
 PAUSE_JITTER = 0.25
 
 
+class RunningRequest(Protocol):
+    """A request that is being delivered."""
+
+    request: AcceptedRequest
+    attempted: list[str]
+    events: int
+    run_state: RunState
+
+
 @dataclasses.dataclass(slots=True)
 class Router:
     """State of one router process.
 
     `stream_objectives` maps each service to the lowest first-byte objective
-    of its streaming routes.
+    of its streaming routes. `running` holds the requests in progress, and
+    `stopping_since` is the monotonic time at which a graceful shutdown began.
     """
 
     settings: RouterSettings
@@ -69,8 +81,8 @@
     stream_objectives: dict[str, dt.timedelta] = dataclasses.field(
         default_factory=dict
     )
-    in_flight: int = 0
-    draining: bool = False
+    running: set[RunningRequest] = dataclasses.field(default_factory=set)
+    stopping_since: dt.timedelta | None = None
     # Called when an endpoint reports in an answer that it is shutting down.
     on_departure: Callable[[Incarnation], None] | None = None
 
@@ -79,6 +91,15 @@
         """Version of the active configuration, or 0 without one."""
         return 0 if self.table is None else self.table.version
 
+    @property
+    def draining(self) -> bool:
+        """Whether a graceful shutdown has begun."""
+        return self.stopping_since is not None
+
+    def begin_shutdown(self) -> None:
+        """Begin a graceful shutdown."""
+        self.stopping_since = self.clock.monotonic()
+
     def activate(self, table: RouteTable) -> bool:
         """Activate a configuration if it is newer than the active one.
 
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -65,6 +65,7 @@
 # remaining time is for sending the last answers.
 DRAIN_FRACTION = 0.87
 PAGE_TIMEOUT_S = 15
+MILLISECOND = dt.timedelta(milliseconds=1)
 EXIT_INVALID_SETTINGS = 2
 
 
@@ -411,7 +412,7 @@
 
     def _on_stop(self, _signal: int, _frame: Any) -> None:
         if not self.router.draining:
-            self.router.draining = True
+            self.router.begin_shutdown()
             eventlet.spawn(self._stop)
 
     def _stop(self) -> None:
@@ -422,7 +423,7 @@
         """
         settings = self.router.settings
         started_at = self.clock.monotonic()
-        self.log.event('stopping', in_flight=self.router.in_flight)
+        self.log.event('stopping', in_flight=len(self.router.running))
         eventlet.spawn(self._unregister)
         listed_until = started_at + settings.stop.listing
         deadline = started_at + settings.stop.grace * DRAIN_FRACTION
@@ -432,10 +433,12 @@
         # Connections without a request in progress close themselves.
         while self.connections and self.clock.monotonic() < deadline:
             eventlet.sleep(STOP_POLL_INTERVAL.total_seconds())
+        request_handler.log_running(self.router)
         self.log.event(
             'stopped',
-            in_flight=self.router.in_flight,
+            in_flight=len(self.router.running),
             connections=self.connections,
+            after_ms=(self.clock.monotonic() - started_at) // MILLISECOND,
         )
         self.stopped.send()
 
