--- a/fleet/reports_test.py
+++ b/fleet/reports_test.py
@@ -5,6 +5,7 @@
 
 import collections
 import functools
+import itertools
 import signal
 import socket
 import threading
@@ -174,6 +175,81 @@
     assert all(text == 'refused' or ' 200' in text for text in outcomes)
 
 
+def working(seconds: float) -> Script:
+    """Return a script that answers each request after some time."""
+
+    def script(connection: RawConnection) -> None:
+        while True:
+            request_id = connection.read_request()
+            time.sleep(seconds)
+            connection.answer(request_id, request_id)
+
+    return script
+
+
+# Guards against requests that a stopping process accepts and then cuts off,
+# because it ends before they do.
+def test_late_request_on_a_new_connection_is_not_cut_by_a_planned_stop(
+    fleet: PlatformFleet, serve: Callable[..., RawWorker]
+) -> None:
+    """A caller that still uses the address gets an answer or a refusal."""
+    serve(working(4.6))
+    fleet.send_signal('node-1', signal.SIGTERM)
+    time.sleep(2.7)
+    status_line = order_once(fleet, 'late')
+    assert status_line.split(' ')[1:2] in [['200'], ['503']]
+    assert fleet.processes['node-1'].wait(30) == 0
+
+
+def streaming_slowly(
+    may_end: threading.Event,
+) -> Callable[[RawConnection], None]:
+    """Return a script for streams: the first ends on demand, others late."""
+
+    def script(connection: RawConnection) -> None:
+        for count in itertools.count():
+            request_id = connection.read_request()
+            connection.send(
+                f'{SIGNED.replace("ID", request_id)}'
+                'Transfer-Encoding: chunked\r\n\r\n'
+                '11\r\nid: 1\ndata: one\n\n\r\n'
+            )
+            if count == 0:
+                may_end.wait(20)
+            else:
+                time.sleep(4.6)
+            connection.send('11\r\nid: 2\ndata: two\n\n\r\n0\r\n\r\n')
+
+    return script
+
+
+# Guards against requests that a stopping process accepts and then cuts off,
+# because it ends before they do.
+def test_next_request_on_a_connection_is_not_cut_by_a_planned_stop(
+    fleet: PlatformFleet, serve: Callable[..., RawWorker]
+) -> None:
+    """A request after a stream that began before the stop is not cut."""
+    may_end = threading.Event()
+    serve(streaming_slowly(may_end), 'models')
+    order = FIRST_HALF.replace(b'order', b'chat') + SECOND_HALF
+    address = (HOST, fleet.routers['node-1'].callers)
+    with socket.create_connection(address) as sock:
+        sock.settimeout(10)
+        sock.sendall(order)
+        received = sock.recv(65536)
+        fleet.send_signal('node-1', signal.SIGTERM)
+        sock.sendall(order.replace(b'late', b'next'))
+        time.sleep(2.7)
+        may_end.set()
+        while block := sock.recv(65536):
+            received += block
+    answers = received.split(b'HTTP/1.1 ')[1:]
+    assert answers[0].endswith(b'0\r\n\r\n')
+    for answer in answers[1:]:
+        assert answer.startswith(b'503') or answer.endswith(b'0\r\n\r\n')
+    assert fleet.processes['node-1'].wait(30) == 0
+
+
 def order_once(fleet: PlatformFleet, request_id: str) -> str:
     """Send an order on a new connection; return the outcome.
 
