Refuse requests that a planned stop leaves no time for

Cause: a stopping process accepted every request for 3 s and on open connections after that, whatever time it might take, and closed all connections at 0.87 of the grace period. Class: work is accepted without time to finish it.

A request is accepted if it ends in time by its own limit, or if a multiple of the longest recent duration on its route fits. Others get 503 `stopping` with Retry-After 0 at once and run nowhere. What still runs at the end gets an answer that does not claim that it has not run; a stream that has begun ends without its end, and is not resumed elsewhere.

--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -20,6 +20,7 @@
 from bronzeglade.decisions.pause import Pauses, PauseSettings
 from bronzeglade.decisions.placement import Placement, PlacementSettings
 from bronzeglade.decisions.rate_limit import RateLimits, RateLimitSettings
+from bronzeglade.decisions.shutdown import LongestDurations
 from bronzeglade.forwarding import request_handler
 from bronzeglade.forwarding.caller import Caller, CallerConnection
 from bronzeglade.forwarding.endpoint import EndpointEntry, Registry
@@ -220,6 +221,7 @@
         roster=roster('node-1'),
         pauses=Pauses(PauseSettings(), clock),
         rate_limits=RateLimits(RateLimitSettings()),
+        durations=LongestDurations(clock),
     )
     if routes:
         built.activate(table(*routes))
--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -49,6 +49,15 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 # Interval of checks whether a retry is allowed once an attempt is overdue.
 RETRY_CHECK_INTERVAL = dt.timedelta(milliseconds=100)
+# Refusal of a request that a graceful shutdown leaves no time for. Other nodes
+# accept it at once.
+STOPPING = Refusal(
+    503,
+    'stopping',
+    'the node is shutting down',
+    RunState.NOT_RUN,
+    dt.timedelta(),
+)
 _SERVER_ERROR = 500
 _MILLISECOND = dt.timedelta(milliseconds=1)
 
@@ -69,7 +78,7 @@
     attempts that reached an endpoint. `last_event` is the id of the last event
     that the caller has. `response_started` is set once the head of an answer
     was sent to the caller. `first_byte_at` and `last_byte_at` are monotonic
-    times.
+    times. `interrupted` is set when the process is about to exit.
     """
 
     router: Router
@@ -87,6 +96,8 @@
     events: int = 0
     outcome: str = ''
     detail: str = ''
+    current: Attempt | None = None
+    interrupted: bool = False
 
     def run(self) -> None:
         """Deliver the request and send the caller its final answer."""
@@ -96,6 +107,15 @@
         while not self.outcome:
             self._run_attempt()
 
+    def interrupt(self) -> None:
+        """End the request now, because the process is about to exit."""
+        self.interrupted = True
+        self._abort_attempt()
+
+    def _abort_attempt(self) -> None:
+        if self.current is not None and self.current.connection is not None:
+            self.current.connection.abort()
+
     def _run_attempt(self) -> None:
         attempt = self._next_attempt()
         if attempt is None:
@@ -103,7 +123,8 @@
             return
         self.attempted.append(attempt.endpoint.name)
         self.sent += 1
-        self.caller.on_disconnect = lambda: _abort(attempt)
+        self.current = attempt
+        self.caller.on_disconnect = self._abort_attempt
         failed: FailedAttempt | None = FailedAttempt(
             Failure.LOST, 'interrupted'
         )
@@ -111,7 +132,7 @@
         try:
             failed, complete = self._execute(attempt)
         finally:
-            self.caller.on_disconnect = None
+            self.current = None
             if self.caller.disconnected:
                 failed = None
             attempts.end_attempt(self.router, attempt, failed, complete)
@@ -372,7 +393,8 @@
 
     def _next_attempt(self) -> Attempt | None:
         request = self.request
-        if self.router.clock.monotonic() >= request.deadline:
+        late = self.router.clock.monotonic() >= request.deadline
+        if late or self.interrupted:
             return None
         model = self.model
         placed = _placed_request(request, model)
@@ -470,6 +492,8 @@
     def _may_retry(self, failed: FailedAttempt) -> bool:
         if not self._has_attempts_remaining() or self.caller.disconnected:
             return False
+        if self.interrupted:
+            return False
         if self.router.clock.monotonic() >= self.request.deadline:
             return False
         repeatable = self.request.route.repeatable
@@ -510,6 +534,8 @@
 
     def _refusal(self) -> Refusal:
         late = self.router.clock.monotonic() >= self.request.deadline
+        if self.interrupted:
+            return _interruption(self.run_state)
         if self.run_state is RunState.NOT_RUN:
             return Refusal(
                 503,
@@ -575,13 +601,15 @@
     caller.respond(refusal.status, headers, refusal.message.encode())
 
 
-def _milliseconds(duration: dt.timedelta | None) -> int | None:
-    return None if duration is None else duration // _MILLISECOND
+def _interruption(run_state: RunState) -> Refusal:
+    """Return the answer to a request that the end of the process ends."""
+    if run_state is RunState.NOT_RUN:
+        return STOPPING
+    return Refusal(502, STOPPING.code, STOPPING.message, run_state)
 
 
-def _abort(attempt: Attempt) -> None:
-    if attempt.connection is not None:
-        attempt.connection.abort()
+def _milliseconds(duration: dt.timedelta | None) -> int | None:
+    return None if duration is None else duration // _MILLISECOND
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bronzeglade/forwarding/request_handler.py
+++ b/bronzeglade/forwarding/request_handler.py
@@ -6,7 +6,7 @@
 
 from bronzeglade.forwarding.accepted_request import AcceptedRequest
 from bronzeglade.forwarding.caller import Caller
-from bronzeglade.forwarding.delivery import Delivery, refuse
+from bronzeglade.forwarding.delivery import STOPPING, Delivery, refuse
 from bronzeglade.forwarding.inbound import IncomingRequest
 from bronzeglade.forwarding.message import RequestFacts
 from bronzeglade.forwarding.route import Route, RouteTable, Team
@@ -28,6 +28,8 @@
     facts = router.dialect.read_request(incoming.head)
     request_id = facts.ok_value.request_id if isinstance(facts, Ok) else None
     created = _create_work(router, incoming, facts)
+    if isinstance(created, Ok) and not router.has_time_for(created.ok_value):
+        created = Err(STOPPING)
     if isinstance(created, Err):
         refusal = created.err_value
         refuse(router, caller, refusal, request_id)
@@ -51,10 +53,10 @@
         _log_outcome(router, delivery)
 
 
-def log_running(router: Router) -> None:
-    """Log each request in progress, which a shutdown is about to abandon."""
+def interrupt_running(router: Router) -> None:
+    """Log and end the requests in progress, before the process exits."""
     now = router.clock.monotonic()
-    for running in router.running:
+    for running in list(router.running):
         request = running.request
         router.log.event(
             'unfinished',
@@ -66,6 +68,7 @@
             age_ms=_milliseconds(now - request.received_at),
             after_stop_ms=_after_stop_ms(router, request),
         )
+        running.interrupt()
 
 
 def _create_work(
@@ -126,6 +129,8 @@
     now = router.clock.monotonic()
     first = delivery.first_byte_at
     outcome = delivery.outcome or 'interrupted'
+    if delivery.sent:
+        router.durations.record(request.route.name, now - request.received_at)
     router.metrics.ended(
         request.route.name, outcome, request.received_at, first, now
     )
@@ -155,9 +160,9 @@
 
     Negative if it arrived before, None without a shutdown.
     """
-    if router.stopping_since is None:
+    if router.shutdown is None:
         return None
-    return _milliseconds(request.received_at - router.stopping_since)
+    return _milliseconds(request.received_at - router.shutdown.started_at)
 
 
 def _milliseconds(duration: dt.timedelta) -> int:
--- a/bronzeglade/forwarding/router.py
+++ b/bronzeglade/forwarding/router.py
@@ -14,6 +14,11 @@
 from bronzeglade.decisions.placement import Placement
 from bronzeglade.decisions.rate_limit import RateLimits, Turn
 from bronzeglade.decisions.retry import WindowBudget, WindowSettings
+from bronzeglade.decisions.shutdown import (
+    LongestDurations,
+    Shutdown,
+    plan_shutdown,
+)
 from bronzeglade.forwarding.accepted_request import AcceptedRequest
 from bronzeglade.forwarding.departures import Incarnation
 from bronzeglade.forwarding.endpoint import (
@@ -52,6 +57,9 @@
     events: int
     run_state: RunState
 
+    def interrupt(self) -> None:
+        """End the request now, because the process is about to exit."""
+
 
 @dataclasses.dataclass(slots=True)
 class Router:
@@ -59,7 +67,7 @@
 
     `stream_objectives` maps each service to the lowest first-byte objective
     of its streaming routes. `running` holds the requests in progress, and
-    `stopping_since` is the monotonic time at which a graceful shutdown began.
+    `shutdown` is set once a graceful shutdown has begun.
     """
 
     settings: RouterSettings
@@ -75,6 +83,7 @@
     roster: Roster
     pauses: Pauses
     rate_limits: RateLimits
+    durations: LongestDurations
     escalation: EscalationSettings = EscalationSettings()
     table: RouteTable | None = None
     budgets: dict[str, WindowBudget] = dataclasses.field(default_factory=dict)
@@ -82,7 +91,7 @@
         default_factory=dict
     )
     running: set[RunningRequest] = dataclasses.field(default_factory=set)
-    stopping_since: dt.timedelta | None = None
+    shutdown: Shutdown | None = None
     # Called when an endpoint reports in an answer that it is shutting down.
     on_departure: Callable[[Incarnation], None] | None = None
 
@@ -94,11 +103,28 @@
     @property
     def draining(self) -> bool:
         """Whether a graceful shutdown has begun."""
-        return self.stopping_since is not None
-
-    def begin_shutdown(self) -> None:
-        """Begin a graceful shutdown."""
-        self.stopping_since = self.clock.monotonic()
+        return self.shutdown is not None
+
+    def begin_shutdown(self) -> Shutdown:
+        """Begin a graceful shutdown; return its times."""
+        bounds = self.settings.stop
+        now = self.clock.monotonic()
+        self.shutdown = plan_shutdown(now, bounds.grace, bounds.listing)
+        return self.shutdown
+
+    def has_time_for(self, request: AcceptedRequest) -> bool:
+        """Return whether a request can be finished before the process exits."""
+        if self.shutdown is None:
+            return True
+        now = self.clock.monotonic()
+        ages = (
+            now - running.request.received_at
+            for running in self.running
+            if running.request.route.name == request.route.name
+        )
+        longest = self.durations.longest(request.route.name)
+        expected = None if longest is None else max((longest, *ages))
+        return self.shutdown.accepts(now, request.deadline - now, expected)
 
     def activate(self, table: RouteTable) -> bool:
         """Activate a configuration if it is newer than the active one.
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -25,6 +25,7 @@
 from bronzeglade.decisions.pause import Pauses, PauseSettings
 from bronzeglade.decisions.placement import Placement, PlacementSettings
 from bronzeglade.decisions.rate_limit import RateLimits, RateLimitSettings
+from bronzeglade.decisions.shutdown import LongestDurations, Shutdown
 from bronzeglade.forwarding import (
     copies,
     node_registration,
@@ -61,9 +62,6 @@
 # Longer than a round trip to a caller, which ends the handshakes in progress.
 HANDSHAKE_TIME = dt.timedelta(milliseconds=200)
 STOP_POLL_INTERVAL = dt.timedelta(milliseconds=50)
-# Fraction of the grace period after which running requests are abandoned. The
-# remaining time is for sending the last answers.
-DRAIN_FRACTION = 0.87
 PAGE_TIMEOUT_S = 15
 MILLISECOND = dt.timedelta(milliseconds=1)
 EXIT_INVALID_SETTINGS = 2
@@ -134,6 +132,7 @@
             roster=self.roster,
             pauses=Pauses(PauseSettings(), self.clock),
             rate_limits=RateLimits(RateLimitSettings()),
+            durations=LongestDurations(self.clock),
         )
         self.exchange = LoadExchange(
             self.roster,
@@ -412,36 +411,41 @@
 
     def _on_stop(self, _signal: int, _frame: Any) -> None:
         if not self.router.draining:
-            self.router.begin_shutdown()
-            eventlet.spawn(self._stop)
+            eventlet.spawn(self._stop, self.router.begin_shutdown())
 
-    def _stop(self) -> None:
+    def _stop(self, shutdown: Shutdown) -> None:
         """Shut down gracefully.
 
         Unregisters this node, keeps accepting connections while callers may
         still use its address, and then waits for open connections to finish.
         """
-        settings = self.router.settings
-        started_at = self.clock.monotonic()
         self.log.event('stopping', in_flight=len(self.router.running))
         eventlet.spawn(self._unregister)
-        listed_until = started_at + settings.stop.listing
-        deadline = started_at + settings.stop.grace * DRAIN_FRACTION
-        while self.clock.monotonic() < listed_until:
-            eventlet.sleep(STOP_POLL_INTERVAL.total_seconds())
+        self._wait_until(shutdown.listed_until)
         self._accept_pending()
         # Connections without a request in progress close themselves.
-        while self.connections and self.clock.monotonic() < deadline:
-            eventlet.sleep(STOP_POLL_INTERVAL.total_seconds())
-        request_handler.log_running(self.router)
+        self._wait_until(shutdown.abandon_at, self._has_no_connections)
+        request_handler.interrupt_running(self.router)
+        self._wait_until(shutdown.exit_at, self._has_no_connections)
+        duration = self.clock.monotonic() - shutdown.started_at
         self.log.event(
             'stopped',
             in_flight=len(self.router.running),
             connections=self.connections,
-            after_ms=(self.clock.monotonic() - started_at) // MILLISECOND,
+            after_ms=duration // MILLISECOND,
         )
         self.stopped.send()
 
+    def _wait_until(
+        self, deadline: dt.timedelta, is_done: Callable[[], bool] = bool
+    ) -> None:
+        """Wait until a monotonic time, or until a condition holds before it."""
+        while not is_done() and self.clock.monotonic() < deadline:
+            eventlet.sleep(STOP_POLL_INTERVAL.total_seconds())
+
+    def _has_no_connections(self) -> bool:
+        return not self.connections
+
 
 def run(platform: PlatformAdapter, metrics_port: int) -> int:
     """Run a router process until it is stopped.
