Send no request that was cancelled while its connection was opened

A caller that left while a connection to an endpoint was being opened still had its request sent, and nothing ended the work: the cancellation found no connection to abort and was forgotten. The same held for a shutdown that ends what still runs.

An attempt remembers that it is cancelled, and is not sent. Both cases of the test failed before (the endpoint got the request) and pass; 65 tests of deliveries and hostile endpoints pass.

--- a/bronzeglade/forwarding/attempt.py
+++ b/bronzeglade/forwarding/attempt.py
@@ -63,7 +63,8 @@
     `started_at` is a monotonic time, and `time_to_head` the time from then to
     the head of the answer. `last_progress_at` is the monotonic time of the last
     event that the caller did not have yet. `timing` is set while a roll-out
-    compares versions.
+    compares versions. `cancelled` is set when its answer is not wanted any
+    more.
     """
 
     endpoint: Endpoint
@@ -78,8 +79,15 @@
     last_progress_at: dt.timedelta | None = None
     timing: TimedAttempt | None = None
     reading_prompt: bool = True
+    cancelled: bool = False
     ended: bool = False
 
+    def cancel(self) -> None:
+        """End the attempt, so that the endpoint stops working on it."""
+        self.cancelled = True
+        if self.connection is not None:
+            self.connection.abort()
+
     @property
     def latency_key(self) -> tuple[str, str | None]:
         """The service and model for which latencies are recorded."""
@@ -132,6 +140,9 @@
             )
         )
     attempt.connection = acquired.ok_value
+    if attempt.cancelled:
+        detail = 'the request was cancelled'
+        return Err(FailedAttempt(Failure.NOT_CONNECTED, detail, local=True))
     if not router.accepts_work(attempt.endpoint):
         # The endpoint's availability changed while the connection was opened.
         detail = 'the endpoint no longer accepts requests'
--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -110,11 +110,11 @@
     def interrupt(self) -> None:
         """End the request now, because the process is about to exit."""
         self.interrupted = True
-        self._abort_attempt()
+        self._cancel_attempt()
 
-    def _abort_attempt(self) -> None:
-        if self.current is not None and self.current.connection is not None:
-            self.current.connection.abort()
+    def _cancel_attempt(self) -> None:
+        if self.current is not None:
+            self.current.cancel()
 
     def _run_attempt(self) -> None:
         attempt = self._next_attempt()
@@ -124,7 +124,7 @@
         self.attempted.append(attempt.endpoint.name)
         self.sent += 1
         self.current = attempt
-        self.caller.on_disconnect = self._abort_attempt
+        self.caller.on_disconnect = self._cancel_attempt
         failed: FailedAttempt | None = FailedAttempt(
             Failure.LOST, 'interrupted'
         )
--- a/bronzeglade/forwarding/shutdown_test.py
+++ b/bronzeglade/forwarding/shutdown_test.py
@@ -4,9 +4,15 @@
 
 import eventlet
 import pytest
+from result import Result
 
 from bronzeglade.forwarding import builders, request_handler
 from bronzeglade.forwarding.builders import Client
+from bronzeglade.forwarding.endpoint_connection import (
+    ConnectionFailure,
+    ConnectionPool,
+    EndpointConnection,
+)
 from bronzeglade.forwarding.route import RouteKind
 from bronzeglade.forwarding.router import Router
 from bronzeglade.forwarding.scripted import (
@@ -100,3 +106,38 @@
     assert answer.body == 'id: 1\ndata: piece 1\n\n'
     assert not answer.complete
     assert not router.running
+
+
+class SlowPool(ConnectionPool):
+    """A pool to an endpoint that accepts connections late."""
+
+    def acquire(
+        self, connect_timeout: dt.timedelta, max_idle: dt.timedelta | None
+    ) -> Result[EndpointConnection, ConnectionFailure]:
+        """Return a connection after a while."""
+        eventlet.sleep(0.2)
+        return super().acquire(connect_timeout, max_idle)
+
+
+# Guards against requests that are sent to an endpoint although they were
+# cancelled while its connection was being opened.
+@pytest.mark.parametrize('caller_leaves', [True, False])
+def test_request_that_is_cancelled_while_connecting_is_not_sent(
+    caller_leaves: bool,
+) -> None:
+    """Neither a caller that has left nor a shutdown starts new work."""
+    router, endpoint, client = serving(RouteKind.NON_IDEMPOTENT, answering)
+    for registered in router.registry.endpoints.values():
+        pool = registered.pool
+        registered.pool = SlowPool(pool.address, pool.limit, pool.clock)
+    client.send(RouteKind.NON_IDEMPOTENT)
+    eventlet.sleep(0.1)
+    if caller_leaves:
+        client.close()
+    else:
+        router.begin_shutdown()
+        request_handler.interrupt_running(router)
+        assert client.read().status == 503
+    eventlet.sleep(0.3)
+    assert not endpoint.requests
+    assert not router.running
