Let running requests use more of the grace period of a planned stop

A stop ended running requests at 0.87 of the grace period, 1.04 s before the process is killed. The last answers take a few milliseconds to send.

Requests run until 0.94 of the grace period, the process exits by 0.98.

--- a/bronzeglade/decisions/shutdown.py
+++ b/bronzeglade/decisions/shutdown.py
@@ -8,8 +8,8 @@
 
 # Fractions of the grace period after which running requests are abandoned, and
 # after which the process exits. The time between is for the last answers.
-ABANDON_FRACTION = 0.87
-EXIT_FRACTION = 0.97
+ABANDON_FRACTION = 0.94
+EXIT_FRACTION = 0.98
 # A request whose time limit is too long is accepted if the remaining time is at
 # least this multiple of the longest recent duration of such requests: while
 # callers may know no other address, and after that.
