--- a/fleet/platform.py
+++ b/fleet/platform.py
@@ -14,7 +14,7 @@
 import time
 from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import Any
+from typing import Any, BinaryIO
 
 import urllib3
 
@@ -261,6 +261,10 @@
         """Send a signal to a process of this fleet."""
         self.processes[name].send_signal(number)
 
+    def open_output(self, name: str) -> BinaryIO:
+        """Return the standard output for a new process."""
+        return (self.folder / f'{name}.log').open('ab')
+
     def log_entries(self, name: str) -> list[Document]:
         """Return the parsed log lines of a router process."""
         text = (self.folder / f'{name}.log').read_text()
@@ -274,10 +278,10 @@
         python: str = sys.executable,
         python_path: str = '',
     ) -> None:
-        log = (self.folder / f'{name}.log').open('ab')
+        output = self.open_output(name)
         self.processes[name] = subprocess.Popen(  # noqa: S603
             [python, '-m', module, *arguments],
-            stdout=log,
+            stdout=output,
             stderr=subprocess.STDOUT,
             env={
                 **os.environ,
@@ -285,7 +289,7 @@
                 'PYTHONPATH': python_path,
             },
         )
-        log.close()
+        output.close()
 
     def _is_listening(self, port: int) -> bool:
         try:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -22,7 +22,7 @@
     serve,
 )
 
-EVENT_INTERVAL_S = 0.02
+DEFAULT_EVENT_INTERVAL_S = 0.02
 DEFAULT_EVENT_COUNT = 5
 LOW_CONFIDENCE_MODEL = 'small'
 
@@ -46,7 +46,8 @@
             fail=0,  # status 500 after the run
             lose=0,  # connection closed after the run, no answer
             cut=0,  # stream closed after two events
-            work_s=0,  # duration of a run in seconds
+            work_s=0,  # time until the head of an answer in seconds
+            event_interval_s=DEFAULT_EVENT_INTERVAL_S,  # between two events
             limit=0,  # requests per second named in answers; 0 names none
         )
 
@@ -100,7 +101,7 @@
             if should_cut and number == first + 2:
                 drop_connection(environ)
                 return
-            eventlet.sleep(EVENT_INTERVAL_S)
+            eventlet.sleep(self.faults.value_of('event_interval_s'))
             yield f'id: {number}\ndata: piece {number}\n\n'.encode()
 
 
