Check in the soak that planned stops cut no answer

Streams of up to 4 s are among the requests of the soak. An answer that a worker has begun and that a planned stop cuts is a violation, unless another fault affected the router, its link, or the worker or link that ran it, or the rule excuses it. A request that no worker has run isn't counted: the proxy of the soak accepts connections that the router drops, so the caller can't tell whether it was read.

--- a/fleet/soak.py
+++ b/fleet/soak.py
@@ -11,7 +11,7 @@
 import json
 import signal
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 
 from fleet.platform import (
@@ -154,6 +154,10 @@
         self.busy_until: dict[str, float] = collections.defaultdict(float)
         # Target, start and end (monotonic times, recovery included).
         self.disturbances: list[tuple[str, float, float]] = []
+        # Those disturbances that are planned stops.
+        self.stops: list[tuple[str, float, float]] = []
+        # Monotonic time from which each time-out of the routes applies.
+        self.timeouts_ms: list[tuple[float, int]] = []
         # Heap of due time, sequence number and action.
         self.scheduled: list[tuple[float, int, Callable[[], None]]] = []
         self.scheduled_count = 0
@@ -183,13 +187,19 @@
             violations = self._find_unrecovered()
         finally:
             self.callers.stop()
+        runs = self.fleet.worker_runs()
+        workers: dict[str, set[str]] = collections.defaultdict(set)
+        for run in runs:
+            workers[run.request_id].add(run.worker)
         records = [
             dataclasses.replace(
-                record, undisturbed=self._is_undisturbed(record)
+                record,
+                undisturbed=self._is_undisturbed(record),
+                stopped_s=self._planned_stop(record, workers),
+                limit_s=self._limit_s(record),
             )
             for record in self.callers.records
         ]
-        runs = self.fleet.worker_runs()
         return [
             *violations,
             *find_violations(records, runs, TENANTS),
@@ -212,7 +222,10 @@
         until = now + fault.duration_s
         self.busy_until[target_key] = until + DRAIN_S
         if fault.kind != 'limit':
-            self.disturbances.append((fault.target, now, until + RECOVERY_S))
+            disturbance = (fault.target, now, until + RECOVERY_S)
+            self.disturbances.append(disturbance)
+            if fault.kind == 'terminate':
+                self.stops.append(disturbance)
         injectors = {
             'router': self._inject_router_fault,
             'worker': self._inject_worker_fault,
@@ -305,6 +318,7 @@
         document = configuration(self.version, **self.keys)
         for route in document['op/config']['routes']:
             route['timeout-ms'] = self.timeout_ms
+        self.timeouts_ms.append((time.monotonic(), self.timeout_ms))
         self.fleet.put(document)
 
     def _start_router(self, name: str) -> int:
@@ -363,6 +377,34 @@
             for target, start, end in self.disturbances
         )
 
+    def _planned_stop(
+        self, record: CallerRecord, workers: Mapping[str, set[str]]
+    ) -> float | None:
+        """Return when the router was signalled, if only that disturbed."""
+        targets = {record.router, f'callers-{record.router}'}
+        for worker in workers.get(record.request_id, ()):
+            targets |= {worker, f'worker-{worker}'}
+        affecting = [
+            disturbance
+            for disturbance in self.disturbances
+            if disturbance[0] in targets
+            and record.sent_s <= disturbance[2]
+            and disturbance[1] <= record.ended_s
+        ]
+        if len(affecting) != 1 or affecting[0] not in self.stops:
+            return None
+        return affecting[0][1]
+
+    def _limit_s(self, record: CallerRecord) -> float:
+        """Return the lowest time limit that may have applied to a request."""
+        limits_s = [record.deadline_s]
+        for number, (start_s, timeout_ms) in enumerate(self.timeouts_ms):
+            later = self.timeouts_ms[number + 1 :]
+            ended_s = later[0][0] + RECOVERY_S if later else record.ended_s
+            if start_s <= record.ended_s and record.sent_s <= ended_s:
+                limits_s.append(timeout_ms / 1000)
+        return min(limits_s)
+
     def _find_unrecovered(self) -> list[str]:
         """Return which routers have not recovered after the last fault."""
         self.keys = {TENANT: [API_KEY, FINAL_KEY]}
--- a/fleet/soak_callers.py
+++ b/fleet/soak_callers.py
@@ -12,6 +12,9 @@
 from fleet.soak_rules import CHAT, EVENT_COUNT, ORDER, READ, CallerRecord
 
 DEADLINES_S = (1.0, 2.0, 4.0)
+LONG_DEADLINE_S = 8.0  # of streams
+# Numbers of events of streams; the longest take 4 seconds.
+EVENT_COUNTS = (EVENT_COUNT, EVENT_COUNT, 100, 200)
 TIMEOUT_SLACK_S = 5.0  # socket timeout beyond the deadline of the request
 MEAN_PAUSE_S = 0.03
 KINDS = (READ, READ, ORDER, ORDER, CHAT)
@@ -80,16 +83,18 @@
         request_id: str,
     ) -> CallerRecord:
         kind = rng.choice(KINDS)
-        key = rng.choice(self.keys)
         deadline_s = rng.choice(DEADLINES_S)
+        events = rng.choice(EVENT_COUNTS)
+        if kind == CHAT and events > EVENT_COUNT:
+            deadline_s = LONG_DEADLINE_S
         headers = {
             'Host': API_HOST,
             'Request-Id': request_id,
-            'Credential': key,
+            'Credential': rng.choice(self.keys),
             'Deadline-Ms': str(int(deadline_s * 1000)),
         }
         if kind == CHAT:
-            headers['Token-Count'] = f'40,{EVENT_COUNT}'
+            headers['Token-Count'] = f'40,{events}'
             headers['Model'] = '*'
         connection = connections.pop(router, None)
         if connection is None:
@@ -116,7 +121,7 @@
             request_id,
             kind,
             router,
-            key,
+            headers['Credential'],
             sent_s,
             time.monotonic(),
             deadline_s,
@@ -125,4 +130,5 @@
             signature,
             body.decode(),
             complete,
+            events=events,
         )
--- a/fleet/soak_rules.py
+++ b/fleet/soak_rules.py
@@ -7,11 +7,18 @@
 import dataclasses
 from collections.abc import Iterable, Mapping, Sequence
 
+from fleet.planned_stop_rule import (
+    Ending,
+    Exchange,
+    PlannedStop,
+    ending_of,
+)
+
 # Statuses which guarantee that no worker has executed the request.
 NOT_EXECUTED = frozenset((408, 421, 429, 503))
 READ, ORDER, CHAT = 'read', 'order', 'chat'
 PLAIN_BODY = 'done'
-EVENT_COUNT = 5
+EVENT_COUNT = 5  # of a short stream
 # Time after the deadline within which a router must answer; allows for timers
 # that fire late on a busy machine.
 DEADLINE_SLACK_S = 3.0
@@ -23,7 +30,10 @@
 
     `status` is 0 without an answer. `complete`: the answer ended as HTTP
     requires. `undisturbed`: from `sent_s` to `ended_s`, which are monotonic
-    times, no fault affected the router or the caller's link to it.
+    times, no fault affected the router or the caller's link to it. `stopped_s`
+    is set if only a planned stop affected the request, to the time of its
+    signal. `events` is the number of events of a stream, and `limit_s` the
+    lower one of the deadline and the route's time-out.
     """
 
     request_id: str
@@ -39,6 +49,9 @@
     body: str = ''
     complete: bool = False
     undisturbed: bool = False
+    stopped_s: float | None = None
+    events: int = EVENT_COUNT
+    limit_s: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,6 +101,7 @@
             _check_credential,
             _check_answer,
             _check_deadline,
+            _check_planned_stop,
         ):
             text = rule(record, found, tenants)
             if text:
@@ -141,7 +155,7 @@
     signers = {run.worker for run in runs}
     if record.signature.rpartition('.')[0] not in signers:
         return 'MIXED signature of a worker that did not run it'
-    if record.body != expected_body(record.kind):
+    if record.body != expected_body(record.kind, record.events):
         return 'ORDER' if record.kind == CHAT else 'MIXED body'
     return ''
 
@@ -153,11 +167,39 @@
     return 'HELD beyond the deadline' if record.undisturbed and late else ''
 
 
-def expected_body(kind: str) -> str:
-    """Return the body of a complete answer."""
+def _check_planned_stop(
+    record: CallerRecord, runs: Sequence[WorkerRun], _: Mapping[str, str]
+) -> str:
+    # The proxy accepts connections that the router does not, so a request that
+    # no worker has run may not have been read.
+    if record.stopped_s is None or not runs:
+        return ''
+    exchange = Exchange(
+        record.request_id,
+        record.kind,
+        record.router,
+        kept=False,
+        sent_s=record.sent_s,
+        ended_s=record.ended_s,
+        limit_s=record.limit_s,
+        status=record.status,
+        complete=record.complete,
+    )
+    stop = PlannedStop(record.router, record.stopped_s, record.ended_s, 0)
+    is_cut = ending_of(exchange, stop, ran=True) is Ending.CUT
+    return 'LOST around a planned stop' if is_cut else ''
+
+
+def expected_body(kind: str, events: int = EVENT_COUNT) -> str:
+    """Return the body of a complete answer.
+
+    Args:
+      kind: kind of the request.
+      events: number of events of a stream.
+    """
     if kind != CHAT:
         return PLAIN_BODY
     return ''.join(
         f'id: {number}\ndata: piece {number}\n\n'
-        for number in range(1, EVENT_COUNT + 1)
+        for number in range(1, events + 1)
     )
--- a/fleet/soak_test.py
+++ b/fleet/soak_test.py
@@ -38,6 +38,15 @@
     complete=True,
     undisturbed=True,
 )
+# An answer that ends 4 seconds after its request, in a planned stop.
+CUT = {
+    'ended_s': 14,
+    'complete': False,
+    'stopped_s': 9,
+    'deadline_s': 8,
+    'limit_s': 5,
+    'undisturbed': False,
+}
 
 
 @pytest.mark.parametrize('seed', SEEDS)
@@ -78,6 +87,16 @@
         ({'body': 'don', 'complete': False}, [RUN], ()),
         ({'ended_s': 15}, [RUN], ('HELD',)),
         ({'ended_s': 15, 'undisturbed': False}, [RUN], ()),
+        (CUT, [RUN], ('LOST',)),
+        ({**CUT, 'stopped_s': None}, [RUN], ()),
+        ({**CUT, 'complete': True, 'body': 'done'}, [RUN], ()),
+        (CUT, [], ()),
+        # It reached its time limit.
+        ({**CUT, 'limit_s': 4}, [RUN], ()),
+        # Sent early, it was cut in the last part of the grace period.
+        ({**CUT, 'stopped_s': 7.2}, [RUN], ()),
+        ({**CUT, 'stopped_s': 6.8}, [RUN], ('LOST',)),
+        ({**CUT, 'stopped_s': 7.5}, [RUN], ('LOST',)),
     ],
 )
 def test_each_broken_rule_is_found(
