--- a/fleet/planned_stops.py
+++ b/fleet/planned_stops.py
@@ -112,7 +112,8 @@
         self.version = 10
         self.stops: list[PlannedStop] = []
         self.runs: dict[str, set[str]] = collections.defaultdict(set)
-        self.killed: dict[str, float] = {}  # monotonic time by worker
+        # Monotonic times by worker.
+        self.killed: dict[str, list[float]] = collections.defaultdict(list)
         self._configure()
         for name in _WORKERS:
             self.fleet.start_worker(name)
@@ -153,9 +154,9 @@
             stop_of(exchange, self.stops),
             bool(workers),
             any(
-                exchange.sent_s <= self.killed.get(worker, 0)
-                and self.killed[worker] <= exchange.ended_s + WORK_S
+                exchange.sent_s <= killed_s <= exchange.ended_s + WORK_S
                 for worker in workers
+                for killed_s in self.killed[worker]
             ),
         )
 
@@ -298,7 +299,7 @@
     def _kill_worker(self, worker: str) -> None:
         self._collect_runs(worker)
         self.fleet.send_signal(worker, signal.SIGKILL)
-        self.killed[worker] = time.monotonic()
+        self.killed[worker].append(time.monotonic())
         self.fleet.processes[worker].wait()
 
     def _restart_worker(self, worker: str) -> None:
