Read the answer that follows a surplus answer in a later packet

Callers got a 502 for requests that the endpoint answered, whenever a late duplicate of an earlier answer came first and the answer itself arrived in another packet.

Cause: skip_answer passed the bytes left over to a new parser. With none left over, the empty block marked the end of the input, so the parser reported a closed connection.

Change: an empty block is passed on only if the connection has ended.

The other test of the new module passed before: a refusal of an earlier request (with its id, an empty one or none; empty, with a length or in chunks; while idle, joined to the answer, before or after it) neither moves the next request to another endpoint nor makes it "not run". In a trial, with _belongs_to_request changed to return True for every refusal, it failed.

--- a/bronzeglade/forwarding/endpoint_connection.py
+++ b/bronzeglade/forwarding/endpoint_connection.py
@@ -204,12 +204,16 @@
         An endpoint may send a surplus answer; the answer to the current request
         then follows on the same connection.
         """
-        trailing_bytes, _closed = self.parser.trailing_data
+        trailing_bytes, closed = self.parser.trailing_data
         self.reused = True
         self.parser = h11.Connection(h11.CLIENT)
         if self.request is not None:
             self._serialize(self.request)
-        self.parser.receive_data(trailing_bytes)
+        if trailing_bytes:
+            self.parser.receive_data(trailing_bytes)
+        if closed:
+            # An empty block marks the end of the input.
+            self.parser.receive_data(b'')
 
     def finish(self) -> bool:
         """End the exchange; return whether the connection can be reused."""
--- /dev/null
+++ b/bronzeglade/forwarding/refusal_test.py
@@ -0,0 +1,136 @@
+"""Guards that callers are told "not run" only of requests that did not run.
+
+A refusal lets a request that must not run twice move to another endpoint, so
+it counts only if it answers that request.
+"""
+
+import itertools
+from collections.abc import Iterator
+
+import eventlet
+import pytest
+
+from bronzeglade.forwarding import builders
+from bronzeglade.forwarding.builders import (
+    Answer,
+    Client,
+    router_with_endpoints,
+)
+from bronzeglade.forwarding.route import RouteKind
+from bronzeglade.forwarding.scripted import ScriptedConnection, answering
+
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+ROUTE = builders.route(RouteKind.NON_IDEMPOTENT, attempts=2)
+FULL = {
+    'empty': 'Content-Length: 0\r\n\r\n',
+    'length': 'Content-Length: 4\r\n\r\nfull',
+    'chunked': 'Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n',
+}
+
+
+@pytest.fixture(autouse=True)
+def _time_limit() -> Iterator[None]:
+    with eventlet.Timeout(60):
+        yield
+
+
+def refusal(request_id: str | None, body: str = 'length') -> str:
+    """Return a refusal that names a request, or none."""
+    name = '' if request_id is None else f'Id: {request_id}\r\n'
+    return f'HTTP/1.1 503 Full\r\n{name}Not-Run: 1\r\n{FULL[body]}'
+
+
+def success(request_id: str) -> str:
+    """Return a signed answer to a request."""
+    return (
+        f'HTTP/1.1 200 OK\r\nId: {request_id}\r\nSignature: s\r\n'
+        'Content-Length: 3\r\n\r\nran'
+    )
+
+
+class Repeater:
+    """An endpoint that answers `r1`, then repeats a refusal during `r2`.
+
+    `ran` counts the runs of `r2` at this endpoint.
+    """
+
+    def __init__(
+        self, refuse_first: bool, repeated: str, when: str, run: bool
+    ) -> None:
+        """Create a script.
+
+        Args:
+          refuse_first: whether `r1` is refused rather than answered.
+          repeated: the refusal that is sent once more.
+          when: `idle` (before `r2` is sent), `joined` (in one packet with the
+            answer to `r2`), `before` (that answer) or `after` it.
+          run: whether `r2` runs or is refused.
+        """
+        self.refuse_first = refuse_first
+        self.repeated = repeated
+        self.when = when
+        self.run = run
+        self.ran = 0
+
+    def __call__(self, connection: ScriptedConnection) -> None:
+        """Run the script on one connection."""
+        request = connection.read_request()
+        if request['id'] == 'r1':
+            connection.send(
+                refusal('r1') if self.refuse_first else success('r1')
+            )
+            if self.when == 'idle':
+                eventlet.sleep(0.01)
+                connection.send(self.repeated)
+            request = connection.read_request()
+        self.ran += self.run
+        answer = success('r2') if self.run else refusal('r2')
+        if self.when == 'before':
+            connection.send(self.repeated)
+            eventlet.sleep(0.02)
+        connection.send(
+            {
+                'idle': answer,
+                'joined': self.repeated + answer,
+                'before': answer,
+                'after': answer + self.repeated,
+            }[self.when]
+        )
+        connection.read_request()
+
+
+def send_second(repeater: Repeater) -> tuple[Answer, int]:
+    """Send `r1` and `r2`; return the answer and the number of runs of `r2`."""
+    router, endpoints = router_with_endpoints(ROUTE, repeater, answering)
+    client = Client(builders.serve(router))
+    client.send(RouteKind.NON_IDEMPOTENT, 'r1')
+    client.read()
+    eventlet.sleep(0.02)
+    client.send(RouteKind.NON_IDEMPOTENT, 'r2')
+    answer = client.read()
+    elsewhere = sum(request['id'] == 'r2' for request in endpoints[1].requests)
+    return answer, repeater.ran + elsewhere
+
+
+@pytest.mark.parametrize('refuse_first', [True, False])
+@pytest.mark.parametrize('when', ['idle', 'joined', 'before', 'after'])
+@pytest.mark.parametrize('run', [True, False])
+def test_repeated_refusal_does_not_answer_the_next_request(
+    refuse_first: bool, when: str, run: bool
+) -> None:
+    """The next request would run twice, or be called not run."""
+    for request_id, body in itertools.product(('r1', None, ''), FULL):
+        repeater = Repeater(refuse_first, refusal(request_id, body), when, run)
+        answer, runs = send_second(repeater)
+        assert runs <= 1
+        assert not (runs and answer.status in NOT_RUN_STATUSES)
+
+
+@pytest.mark.parametrize('run', [True, False])
+@pytest.mark.parametrize('when', ['joined', 'before'])
+def test_answer_after_a_repeated_refusal_is_read(when: str, run: bool) -> None:
+    """A request that was answered would be reported as failed."""
+    for body in FULL:
+        repeater = Repeater(True, refusal('r1', body), when, run)
+        answer, runs = send_second(repeater)
+        assert (answer.status, runs) == (200, 1)
