Report a request as run once its first model was escalated

Callers got a 503, which states that the request did not run, for a stream whose small model had run: its answer was dropped for the larger model, and all endpoints then refused the larger one.

Cause: an escalated attempt is no failed one, so it left the run state at "not run".

Evidence: test_escalated_request_is_not_reported_as_not_run failed before with 503.

Change: an escalation sets the run state to "ran", so the refusal is a 502.

refusal_test and delivery_test pass.

--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -203,6 +203,7 @@
             confidence=facts.confidence,
         )
         self.model = model
+        self.run_state = RunState.RAN
         # The endpoint is healthy, so it may also run the larger model.
         self.attempted.remove(attempt.endpoint.name)
 
--- a/bronzeglade/forwarding/refusal_test.py
+++ b/bronzeglade/forwarding/refusal_test.py
@@ -15,6 +15,7 @@
     Answer,
     Client,
     router_with_endpoints,
+    send_request,
 )
 from bronzeglade.forwarding.route import RouteKind
 from bronzeglade.forwarding.scripted import ScriptedConnection, answering
@@ -134,3 +135,23 @@
         repeater = Repeater(True, refusal('r1', body), when, run)
         answer, runs = send_second(repeater)
         assert (answer.status, runs) == (200, 1)
+
+
+def test_escalated_request_is_not_reported_as_not_run() -> None:
+    """The smaller model ran it before the larger model was refused."""
+
+    def small_only(connection: ScriptedConnection) -> None:
+        request = connection.read_request()
+        if request['model'] == 'large':
+            connection.send(refusal('r1'))
+        else:
+            connection.begin_stream(request, ('Confidence: 5',))
+            connection.send_event(1)
+        connection.read_request()
+
+    route = builders.route(RouteKind.STREAM, sizes=('small', 'large'))
+    router, (endpoint,) = router_with_endpoints(route, small_only)
+    answer = send_request(router, RouteKind.STREAM)
+    models = [request['model'] for request in endpoint.requests]
+    assert models == ['small', 'large']
+    assert answer.status == 502
