Forward no status that callers take for "not run" unless the endpoint says so

Callers got a signed 408, 429 or 503 of an endpoint unchanged, also without the header that states that the request did not run. They send a request again after these statuses, so one that must not run twice could.

Evidence: test_status_without_a_statement_is_not_a_refusal failed before for 408, 429 and 503: they were forwarded. 421 is covered as well; the platform's dialect reads it as "not run" by itself.

Change: such an answer is a lost attempt. A repeatable request goes to another endpoint, any other gets a 502, which states nothing.

--- a/bronzeglade/forwarding/attempt.py
+++ b/bronzeglade/forwarding/attempt.py
@@ -35,6 +35,8 @@
 REFUSAL_DISCARD_TIMEOUT = dt.timedelta(milliseconds=100)
 SURPLUS_DISCARD_TIMEOUT = dt.timedelta(seconds=1)
 MAX_DISCARD_BYTES = 64 * 1024
+# Callers repeat any request after these statuses, as one that has not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 Read = TypeVar('Read')
 
@@ -295,6 +297,9 @@
     if not facts.signed:
         detail = f'unsigned answer with status {facts.status}'
         return Err(FailedAttempt(Failure.LOST, detail, facts.status))
+    if facts.status in NOT_RUN_STATUSES:
+        detail = f'status {facts.status} without "not run"'
+        return Err(FailedAttempt(Failure.LOST, detail, facts.status))
     router.latencies.record(attempt.latency_key, attempt.time_to_head)
     if attempt.timing is not None:
         attempt.timing.progress.record_head(router.clock.monotonic())
--- a/bronzeglade/forwarding/refusal_test.py
+++ b/bronzeglade/forwarding/refusal_test.py
@@ -11,6 +11,7 @@
 import pytest
 
 from bronzeglade.forwarding import builders
+from bronzeglade.forwarding.attempt import NOT_RUN_STATUSES
 from bronzeglade.forwarding.builders import (
     Answer,
     Client,
@@ -20,7 +21,6 @@
 from bronzeglade.forwarding.route import RouteKind
 from bronzeglade.forwarding.scripted import ScriptedConnection, answering
 
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 ROUTE = builders.route(RouteKind.NON_IDEMPOTENT, attempts=2)
 FULL = {
     'empty': 'Content-Length: 0\r\n\r\n',
@@ -155,3 +155,16 @@
     models = [request['model'] for request in endpoint.requests]
     assert models == ['small', 'large']
     assert answer.status == 502
+
+
+@pytest.mark.parametrize('status', [408, 421, 429, 503])
+def test_status_without_a_statement_is_not_a_refusal(status: int) -> None:
+    """Callers send a request again after these statuses."""
+
+    def failing(connection: ScriptedConnection) -> None:
+        connection.answer(connection.read_request(), 'failed', status)
+
+    router, endpoints = router_with_endpoints(ROUTE, failing, answering)
+    answer = send_request(router, RouteKind.NON_IDEMPOTENT)
+    assert answer.status == 502
+    assert not endpoints[1].requests
