Take Not-Executed only with the status of a refusal

A success, or a 500 or 504 (which count as run), with a stray Not-Executed counted as a refusal: a request that had run was sent to a second endpoint, or called not run.

Evidence: test_answer_of_a_run_is_no_refusal failed before for all of 200, 204, 302, 500, 502 and 504. test_refusal_states_that_the_request_did_not_run passed before; with 429 left out of the statuses (trial) it failed.

Change: the header counts with 400, 408, 421, 429 and 503.

All tests of bronzeglade/platform pass.

--- a/bronzeglade/platform/headers.py
+++ b/bronzeglade/platform/headers.py
@@ -29,6 +29,8 @@
 _HTTP_UNAVAILABLE = 503
 # Another endpoint has the address now; the request did not run.
 _HTTP_MISDIRECTED = 421
+# With any other status, the request may have run despite Not-Executed.
+_REFUSAL_STATUSES = frozenset((400, 408, 421, 429, 503))
 ANY_MODEL = '*'  # the router may choose the model
 _MAX_LOGGED_CHARS = 40  # of the value of an unreadable header
 
@@ -149,6 +151,7 @@
         unreadable: list[str] = []
         read = functools.partial(_parse_optional, fields, unreadable)
         leaving = read(b'server-leaving', _parse_flag)
+        refused = b'not-executed' in fields and status in _REFUSAL_STATUSES
         no_work_for: dt.timedelta | None = None
         if status == _HTTP_UNAVAILABLE and b'retry-after' in fields:
             retry_after = read(b'retry-after', _parse_seconds)
@@ -165,7 +168,7 @@
             ],
             request_id=fields.get(b'request-id'),
             signed=b'server-signature' in fields,
-            not_run=b'not-executed' in fields or status == _HTTP_MISDIRECTED,
+            not_run=refused or status == _HTTP_MISDIRECTED,
             misdirected=status == _HTTP_MISDIRECTED,
             encoded=fields.get(b'content-encoding', 'identity') != 'identity',
             load=read(b'server-load', _parse_load),
--- a/bronzeglade/platform/headers_test.py
+++ b/bronzeglade/platform/headers_test.py
@@ -188,3 +188,17 @@
     assert facts.rate_limit == rate
     assert bool(facts.unreadable) == (rate is None)
     assert HEADERS.read_answer(200, []).rate_limit == math.inf
+
+
+@pytest.mark.parametrize('status', [200, 204, 302, 500, 502, 504])
+def test_answer_of_a_run_is_no_refusal(status: int) -> None:
+    """A request that may have run would be sent to another endpoint."""
+    fields = ((b'Not-Executed', b'1'), (b'Server-Signature', b's'))
+    assert not HEADERS.read_answer(status, fields).not_run
+
+
+@pytest.mark.parametrize('status', [400, 408, 421, 429, 503])
+def test_refusal_states_that_the_request_did_not_run(status: int) -> None:
+    """A refused request moves to another endpoint."""
+    fields = ((b'Not-Executed', b'1'),)
+    assert HEADERS.read_answer(status, fields).not_run
