Claim nothing after a refusal that an answer contradicts

A request ran at a second endpoint, or its caller was told "not run", though the first endpoint had run it: it sent a refusal of the request and then an answer to it.

Cause: a refusal counted as soon as its head was read. The bytes after it only kept the connection from being reused.

Change: after the body of a refusal, an answer that has already arrived is looked at. If it names the request, or none, and is no refusal, the attempt is lost.

A contradiction that arrives later, in another packet, isn't seen: the request has already moved on.

--- a/bronzeglade/forwarding/attempt.py
+++ b/bronzeglade/forwarding/attempt.py
@@ -220,7 +220,7 @@
             head.ok_value.status, head.ok_value.headers
         )
         if _belongs_to_request(facts, request, connection):
-            return _check_answer(router, attempt, facts)
+            return _check_answer(router, request, attempt, facts)
         if facts.request_id is None:
             detail = 'answer without a request id on a reused connection'
             return Err(FailedAttempt(Failure.LOST, detail, facts.status))
@@ -267,7 +267,10 @@
 
 
 def _check_answer(
-    router: Router, attempt: Attempt, facts: AnswerFacts
+    router: Router,
+    request: AcceptedRequest,
+    attempt: Attempt,
+    facts: AnswerFacts,
 ) -> Result[AnswerFacts, FailedAttempt]:
     attempt.facts = facts
     attempt.time_to_head = router.clock.monotonic() - attempt.started_at
@@ -289,6 +292,9 @@
         connection.idle_limit = usable_idle_time(facts.idle_limit)
     if facts.misdirected:
         attempt.endpoint.address_reused = True
+    if facts.not_run and _is_contradicted(router, request, attempt):
+        detail = 'the endpoint refused the request and answered it'
+        return Err(FailedAttempt(Failure.LOST, detail, facts.status))
     if facts.not_run:
         detail = f'the endpoint refused with status {facts.status}'
         return Err(FailedAttempt(Failure.REFUSED, detail, facts.status))
@@ -306,6 +312,31 @@
     return Ok(facts)
 
 
+def _is_contradicted(
+    router: Router, request: AcceptedRequest, attempt: Attempt
+) -> bool:
+    """Return whether another answer to the request follows its refusal.
+
+    Reads the body of the refusal, so that the connection can be reused.
+    """
+    connection = attempt.connection
+    if connection is None:
+        return False
+    deadline = router.clock.monotonic() + REFUSAL_DISCARD_TIMEOUT
+    discarded = connection.discard_body(deadline, MAX_DISCARD_BYTES)
+    if isinstance(discarded, Err) or not connection.has_further_input():
+        return False
+    connection.skip_answer()
+    head = connection.read_head(deadline)
+    if isinstance(head, Err):
+        return False
+    facts = router.dialect.read_answer(
+        head.ok_value.status, head.ok_value.headers
+    )
+    named = facts.request_id in {None, request.request_id}
+    return named and not facts.not_run
+
+
 def mark_prompt_read(router: Router, attempt: Attempt) -> None:
     """Subtract the prompt of an attempt from the unread tokens, once."""
     if attempt.reading_prompt:
@@ -367,12 +398,9 @@
     if connection is None:
         return
     attempt.connection = None
-    if failed is not None and failed.failure is Failure.REFUSED:
-        # A refusal has a short body; reading it keeps the connection usable.
-        deadline = router.clock.monotonic() + REFUSAL_DISCARD_TIMEOUT
-        discarded = connection.discard_body(deadline, MAX_DISCARD_BYTES)
-        complete = isinstance(discarded, Ok)
-    if complete:
+    refused = failed is not None and failed.failure is Failure.REFUSED
+    if complete or refused:
+        # The pool closes the connection if its answer was not read to the end.
         attempt.endpoint.pool.release(connection)
     else:
         attempt.endpoint.pool.discard(connection)
--- a/bronzeglade/forwarding/endpoint_connection.py
+++ b/bronzeglade/forwarding/endpoint_connection.py
@@ -215,6 +215,11 @@
             # An empty block marks the end of the input.
             self.parser.receive_data(b'')
 
+    def has_further_input(self) -> bool:
+        """Return whether bytes or the end of the input follow an answer."""
+        trailing_bytes, _closed = self.parser.trailing_data
+        return bool(trailing_bytes) or not tcp.is_quiet(self.sock)
+
     def finish(self) -> bool:
         """End the exchange; return whether the connection can be reused."""
         self.last_used_at = self.clock.monotonic()
--- a/bronzeglade/forwarding/refusal_test.py
+++ b/bronzeglade/forwarding/refusal_test.py
@@ -168,3 +168,39 @@
     answer = send_request(router, RouteKind.NON_IDEMPOTENT)
     assert answer.status == 502
     assert not endpoints[1].requests
+
+
+@pytest.mark.parametrize('body', FULL)
+@pytest.mark.parametrize('named', [True, False])
+def test_refusal_that_an_answer_contradicts_is_no_refusal(
+    body: str, named: bool
+) -> None:
+    """An endpoint that sends both may have run the request."""
+
+    def contradicting(connection: ScriptedConnection) -> None:
+        connection.read_request()
+        refused = refusal('r1' if named else None, body)
+        connection.send(refused + success('r1'))
+        connection.read_request()
+
+    router, endpoints = router_with_endpoints(ROUTE, contradicting, answering)
+    answer = send_request(router, RouteKind.NON_IDEMPOTENT)
+    assert answer.status == 502
+    assert not endpoints[1].requests
+
+
+@pytest.mark.parametrize(
+    'surplus', [refusal('r0'), success('r0'), refusal('r1'), 'x' * 99, '\r\n']
+)
+def test_bytes_after_a_refusal_do_not_change_it(surplus: str) -> None:
+    """Bytes that answer no request must not fail a refused request."""
+
+    def refusing(connection: ScriptedConnection) -> None:
+        connection.read_request()
+        connection.send(refusal('r1') + surplus)
+        connection.read_request()
+
+    router, endpoints = router_with_endpoints(ROUTE, refusing, answering)
+    answer = send_request(router, RouteKind.NON_IDEMPOTENT)
+    assert (answer.status, answer.body) == (200, 'done')
+    assert endpoints[0].ended == 1  # the connection is not reused
