Send no request on a new connection that already holds bytes

An endpoint that sent a refusal without an id as soon as a connection was open refused a request that it had not received. It could still run it, while the request ran at a second endpoint or its caller was told "not run".

Cause: only reused connections were checked for waiting bytes.

Evidence: test_refusal_before_the_request_is_no_answer failed before: the request was sent to both endpoints.

Change: the pool closes such a connection. No byte of the request has left, so the request moves on without using up an attempt. The same holds for a connection that the endpoint has closed or reset by then, which made the outcome unknown.

Bytes that are still on their way when the request is sent can't be told from an early answer; on a new connection they count if they name the request or none.

--- a/bronzeglade/forwarding/endpoint_connection.py
+++ b/bronzeglade/forwarding/endpoint_connection.py
@@ -370,7 +370,13 @@
         except BaseException:
             self.open -= 1
             raise
-        return Ok(EndpointConnection(sock, self))
+        connection = EndpointConnection(sock, self)
+        if not tcp.is_quiet(sock):
+            # Bytes that precede the request would be read as its answer.
+            self._drop(connection)
+            detail = 'the endpoint sent bytes or closed before the request'
+            return Err(ConnectionFailure(sent=False, detail=detail))
+        return Ok(connection)
 
     def release(self, connection: EndpointConnection) -> None:
         """Return a connection to the pool; close it unless it is reusable."""
--- a/bronzeglade/forwarding/refusal_test.py
+++ b/bronzeglade/forwarding/refusal_test.py
@@ -4,13 +4,15 @@
 it counts only if it answers that request.
 """
 
+import datetime as dt
 import itertools
 from collections.abc import Iterator
+from typing import Any
 
 import eventlet
 import pytest
 
-from bronzeglade.forwarding import builders
+from bronzeglade.forwarding import builders, tcp
 from bronzeglade.forwarding.attempt import NOT_RUN_STATUSES
 from bronzeglade.forwarding.builders import (
     Answer,
@@ -204,3 +206,25 @@
     answer = send_request(router, RouteKind.NON_IDEMPOTENT)
     assert (answer.status, answer.body) == (200, 'done')
     assert endpoints[0].ended == 1  # the connection is not reused
+
+
+def test_refusal_before_the_request_is_no_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The endpoint may still run a request that it receives afterwards."""
+    connect = tcp.connect
+
+    def connect_slowly(address: tuple[str, int], limit: dt.timedelta) -> Any:
+        sock = connect(address, limit)
+        eventlet.sleep(0.02)
+        return sock
+
+    def early(connection: ScriptedConnection) -> None:
+        connection.send(refusal(None))
+        connection.read_request()
+
+    monkeypatch.setattr(tcp, 'connect', connect_slowly)
+    router, endpoints = router_with_endpoints(ROUTE, early, answering)
+    answer = send_request(router, RouteKind.NON_IDEMPOTENT)
+    assert (answer.status, answer.body) == (200, 'done')
+    assert not endpoints[0].requests
