Keep the text of errors out of a stream that has begun

Callers found the text of an error, or a whole HTTP head, in the middle of their stream, and the stream ended as complete, when the next endpoint sent it with status 200 or an endpoint wrote it before it broke off.

Cause: an event without a number was forwarded as it came, whatever the caller had.

Change: event_sequence.py selects what the caller gets. Once the caller has a numbered event, one without a number is held until the next numbered event or the end of the stream, and dropped if the stream breaks. A stream that resumes with one is broken. Comments are still forwarded at once, but not at the start of a resumed stream. The body of an unbroken stream stays as the endpoint sent it.

--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -28,6 +28,7 @@
 from bronzeglade.forwarding.endpoint import Endpoint
 from bronzeglade.forwarding.endpoint_connection import EndpointConnection
 from bronzeglade.forwarding.event import EventSplitter, StreamEvent
+from bronzeglade.forwarding.event_sequence import EventSequence
 from bronzeglade.forwarding.message import AnswerFacts
 from bronzeglade.forwarding.route import RouteKind
 from bronzeglade.forwarding.router import Router
@@ -293,6 +294,7 @@
         self, attempt: Attempt, facts: AnswerFacts
     ) -> tuple[StreamEnd, str]:
         splitter = EventSplitter()
+        sequence = EventSequence(self.last_event, self.response_started)
         connection = attempt.connection
         if connection is None:
             return StreamEnd.BROKEN, 'no connection'
@@ -306,28 +308,25 @@
             if block.ok_value is None:
                 if splitter.buffer:
                     return StreamEnd.BROKEN, 'stream ended inside an event'
+                self._forward(facts, sequence.end())
                 return StreamEnd.COMPLETE, ''
             events = splitter.feed(block.ok_value)
             if isinstance(events, Err):
                 return StreamEnd.BROKEN, events.err_value
-            if not self._forward_events(attempt, facts, events.ok_value):
-                return StreamEnd.BROKEN, 'stream skipped an event'
+            for event in events.ok_value:
+                self._record_event(attempt, event)
+                accepted = sequence.accept(event)
+                if isinstance(accepted, Err):
+                    return StreamEnd.BROKEN, accepted.err_value
+                self._forward(facts, accepted.ok_value)
+                self.last_event = sequence.last_event
         return StreamEnd.CALLER_DISCONNECTED, ''
 
-    def _forward_events(
-        self, attempt: Attempt, facts: AnswerFacts, events: list[StreamEvent]
-    ) -> bool:
-        """Forward events; return False when an earlier event is missing."""
-        for event in events:
-            attempts.mark_prompt_read(self.router, attempt)
-            self._record_progress(attempt, event.number)
-            if attempt.timing is not None:
-                attempt.timing.progress.record_event(
-                    self.router.clock.monotonic()
-                )
-            if not self._forward_event(facts, event.number, event.content):
-                return False
-        return True
+    def _record_event(self, attempt: Attempt, event: StreamEvent) -> None:
+        attempts.mark_prompt_read(self.router, attempt)
+        self._record_progress(attempt, event.number)
+        if attempt.timing is not None:
+            attempt.timing.progress.record_event(self.router.clock.monotonic())
 
     def _record_progress(self, attempt: Attempt, number: int | None) -> None:
         """Update the time of the last progress if an event is new.
@@ -340,23 +339,15 @@
         if first or (number is not None and number > known):
             attempt.last_progress_at = self.router.clock.monotonic()
 
-    def _forward_event(
-        self, facts: AnswerFacts, number: int | None, content: bytes
-    ) -> bool:
-        """Forward an event unless repeated; return False after a gap."""
-        if number is not None and self.last_event is not None:
-            if number <= self.last_event:
-                return True
-            if number > self.last_event + 1:
-                return False
+    def _forward(self, facts: AnswerFacts, content: bytes) -> None:
+        """Forward the bytes of events, if any, and begin the response first."""
+        if not content:
+            return
         if not self.response_started:
             self._start_response(facts)
         self._record_event_time()
         self.caller.write(content)
         self.run_state = RunState.RAN
-        if number is not None:
-            self.last_event = number
-        return True
 
     def _record_event_time(self) -> None:
         now = self.router.clock.monotonic()
--- a/bronzeglade/forwarding/event.py
+++ b/bronzeglade/forwarding/event.py
@@ -20,6 +20,12 @@
     number: int | None
     content: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether the event has only comments, which callers ignore."""
+        lines = self.content.splitlines()
+        return all(not line or line.startswith(b':') for line in lines)
+
 
 def event_number(content: bytes) -> int | None:
     """Return the numeric id of an event, or None if it has none."""
--- /dev/null
+++ b/bronzeglade/forwarding/event_sequence.py
@@ -0,0 +1,65 @@
+"""Order of the events that a caller gets from the streams of endpoints."""
+
+from result import Err, Ok, Result
+
+from bronzeglade.forwarding.event import MAX_EVENT_BYTES, StreamEvent
+
+
+class EventSequence:
+    """Selects the events of one endpoint's stream that the caller gets.
+
+    These continue the numbers of the events that the caller has. Once it has
+    a numbered event, one without a number is held until the stream goes on or
+    ends, since it may be the text of an error in a stream that breaks off.
+
+    `last_event` is the number of the last event that the caller has.
+    """
+
+    def __init__(self, last_event: int | None, resumes: bool) -> None:
+        """Create the sequence of a stream of which no event was read.
+
+        Args:
+          last_event: number of the last event that the caller has, or None.
+          resumes: whether the stream resumes one that broke off.
+        """
+        self.last_event = last_event
+        self.resumes = resumes
+        self.advanced = False  # the stream had an event that is new
+        self.held = b''
+
+    def accept(self, event: StreamEvent) -> Result[bytes, str]:
+        """Return the bytes that the caller gets after an event.
+
+        Returns:
+          The bytes, none if the event is repeated or held, or why the stream
+          cannot go on.
+        """
+        if event.number is None:
+            return self._accept_unnumbered(event)
+        if self.last_event is not None and event.number <= self.last_event:
+            self.held = b''
+            return Ok(b'')
+        if self.last_event is not None and event.number > self.last_event + 1:
+            return Err('stream skipped an event')
+        content = self.held + event.content
+        self.held = b''
+        self.last_event = event.number
+        self.advanced = True
+        return Ok(content)
+
+    def end(self) -> bytes:
+        """Return the bytes that the caller gets at the end of the stream."""
+        return self.held
+
+    def _accept_unnumbered(self, event: StreamEvent) -> Result[bytes, str]:
+        starts = self.resumes and not self.advanced
+        if event.is_comment and not self.held:
+            return Ok(b'' if starts else event.content)
+        if self.last_event is None:
+            return Ok(event.content)
+        if starts:
+            return Err('stream resumed with an event without a number')
+        self.held += event.content
+        if len(self.held) > MAX_EVENT_BYTES:
+            return Err('too many events without a number')
+        return Ok(b'')
--- /dev/null
+++ b/bronzeglade/forwarding/resume_test.py
@@ -0,0 +1,163 @@
+"""Guards that a stream holds whole events of one stream, in order.
+
+What another endpoint answers after the stream has begun must neither get into
+it nor make it look complete before its last event.
+"""
+
+from collections.abc import Iterator
+
+import eventlet
+import pytest
+
+from bronzeglade.forwarding import builders
+from bronzeglade.forwarding.builders import (
+    Answer,
+    router_with_endpoints,
+    send_request,
+)
+from bronzeglade.forwarding.route import RouteKind
+from bronzeglade.forwarding.scripted import (
+    Script,
+    ScriptedConnection,
+    event_text,
+    reset_after,
+)
+
+SIGNED = 'Id: ID\r\nSignature: s\r\n'
+OK = f'HTTP/1.1 200 OK\r\n{SIGNED}'
+CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n'
+LAST_CHUNK = '0\r\n\r\n'
+ERROR = 'event: error\ndata: overloaded\n\n'
+HEAD = 'HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n'
+RESUMABLE = builders.route(RouteKind.STREAM, attempts=2, resumable=True)
+
+
+@pytest.fixture(autouse=True)
+def _time_limit() -> Iterator[None]:
+    with eventlet.Timeout(60):
+        yield
+
+
+def events(first: int, last: int) -> str:
+    """Return the text of numbered events."""
+    return ''.join(event_text(number) for number in range(first, last + 1))
+
+
+def chunks(*texts: str) -> str:
+    """Return texts as chunks of a body."""
+    return ''.join(f'{len(text):x}\r\n{text}\r\n' for text in texts)
+
+
+def stream(*texts: str) -> str:
+    """Return a complete signed stream with a chunk for each text."""
+    return f'{OK}{CHUNKED}{chunks(*texts)}{LAST_CHUNK}'
+
+
+def raw(text: str, reset: bool = False) -> Script:
+    """Return a script that sends bytes and ends the connection.
+
+    Args:
+      text: the bytes; `ID` in them is replaced by the request id.
+      reset: whether to reset the connection rather than close it.
+    """
+
+    def script(connection: ScriptedConnection) -> None:
+        request = connection.read_request()
+        connection.send(text.replace('ID', request['id']))
+        eventlet.sleep(0.02)
+        if reset:
+            connection.reset()
+        else:
+            connection.sock.close()
+
+    return script
+
+
+def send_to(*scripts: Script) -> Answer:
+    """Send a resumable stream to the given endpoints in turn."""
+    router, _endpoints = router_with_endpoints(RESUMABLE, *scripts)
+    return send_request(router, RouteKind.STREAM)
+
+
+FAILURES = {
+    'error': f'HTTP/1.1 500 Failed\r\n{SIGNED}Content-Length: 5\r\n\r\nerror',
+    'error that looks like events': (
+        f'HTTP/1.1 500 Failed\r\n{SIGNED}{CHUNKED}'
+        f'{chunks(events(3, 4))}{LAST_CHUNK}'
+    ),
+    'unsigned error': (
+        'HTTP/1.1 500 Failed\r\nId: ID\r\nContent-Length: 5\r\n\r\nerror'
+    ),
+    'error without id': (
+        'HTTP/1.1 500 Failed\r\nContent-Length: 5\r\n\r\nerror'
+    ),
+    'invalid': f'HTTP/1.1 400 No\r\n{SIGNED}Content-Length: 5\r\n\r\nerror',
+    'redirect': f'HTTP/1.1 302 Moved\r\n{SIGNED}Content-Length: 0\r\n\r\n',
+    'refusal': (
+        'HTTP/1.1 503 Full\r\nId: ID\r\nNot-Run: 1\r\n'
+        'Content-Length: 4\r\n\r\nfull'
+    ),
+    'unsigned stream': (
+        f'HTTP/1.1 200 OK\r\nId: ID\r\n{CHUNKED}'
+        f'{chunks(events(3, 4))}{LAST_CHUNK}'
+    ),
+    'encoded stream': (
+        f'{OK}Content-Encoding: gzip\r\n{CHUNKED}'
+        f'{chunks(events(3, 4))}{LAST_CHUNK}'
+    ),
+    'skipped event': stream(events(4, 5)),
+    'no answer': 'error error\r\n\r\n',
+}
+
+
+@pytest.mark.parametrize('kind', FAILURES)
+def test_failure_after_a_break_stays_out_of_the_stream(kind: str) -> None:
+    """Callers would take the failure for a part or the end of the stream."""
+    answer = send_to(reset_after(2), raw(FAILURES[kind]))
+    assert not answer.complete
+    assert answer.body == events(1, 2)
+
+
+@pytest.mark.parametrize('text', [ERROR, HEAD, 'x\r\n\r\n', 'id: x\n\n'])
+def test_stream_does_not_resume_with_an_unnumbered_event(text: str) -> None:
+    """It is the text of an error rather than the next event."""
+    answer = send_to(reset_after(2), raw(stream(text)))
+    assert not answer.complete
+    assert answer.body == events(1, 2)
+
+
+@pytest.mark.parametrize('text', [ERROR, HEAD])
+def test_error_text_before_a_break_is_dropped(text: str) -> None:
+    """It would end up in the middle of the stream that resumes."""
+    start = f'{OK}{CHUNKED}{chunks(events(1, 2), text)}'
+    answer = send_to(raw(start, reset=True), raw(stream(events(3, 4))))
+    assert answer.complete
+    assert answer.body == events(1, 4)
+
+
+def test_unnumbered_events_of_an_unbroken_stream_are_forwarded() -> None:
+    """The caller gets the whole body of the endpoint."""
+    texts = [': start\n\n', ERROR, event_text(1), ERROR, event_text(2), ERROR]
+    answer = send_to(raw(stream(*texts)))
+    assert answer.complete
+    assert answer.body == ''.join(texts)
+
+
+def test_comments_do_not_wait_for_the_next_event() -> None:
+    """They keep a slow stream open at callers and proxies."""
+
+    def slow(connection: ScriptedConnection) -> None:
+        connection.begin_stream(connection.read_request())
+        connection.send_event(1)
+        connection.send_chunk(': waiting\n\n')
+        connection.read_request()
+
+    route = builders.route(
+        RouteKind.STREAM,
+        attempts=1,
+        objective=100 * builders.MILLISECOND,
+        pause=10 * builders.MILLISECOND,
+    )
+    router, _endpoints = router_with_endpoints(route, slow)
+    answer = send_request(router, RouteKind.STREAM)
+    assert answer.body == f'{event_text(1)}: waiting\n\n'
