Resume a stream only with an answer of the same status and type

A stream that had broken off ended as complete before its last event when the next endpoint answered 204 or an empty document, and a document's text got into it.

Cause: any signed answer with a status of success counted as the rest of the stream.

Evidence: test_answer_of_another_kind_does_not_resume_a_stream failed before in its 4 cases (204; empty JSON; events as text/html; no type).

Change: the status and the media type must be those of the response that has begun; else the attempt is lost.

All tests of bronzeglade/forwarding pass.

--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -68,9 +68,9 @@
 
     `attempted` lists the endpoints that are not chosen again; `sent` counts the
     attempts that reached an endpoint. `last_event` is the id of the last event
-    that the caller has. `response_started` is set once the head of an answer
-    was sent to the caller. `first_byte_at` and `last_byte_at` are monotonic
-    times.
+    that the caller has. `response_facts` is the head of the answer that began
+    the response to the caller, or None before. `first_byte_at` and
+    `last_byte_at` are monotonic times.
     """
 
     router: Router
@@ -81,7 +81,7 @@
     model: str | None = None
     run_state: RunState = RunState.NOT_RUN
     last_event: int | None = None
-    response_started: bool = False
+    response_facts: AnswerFacts | None = None
     first_byte_at: dt.timedelta | None = None
     last_byte_at: dt.timedelta | None = None
     max_gap: dt.timedelta = dt.timedelta()
@@ -89,6 +89,11 @@
     outcome: str = ''
     detail: str = ''
 
+    @property
+    def response_started(self) -> bool:
+        """Whether the head of an answer was sent to the caller."""
+        return self.response_facts is not None
+
     def run(self) -> None:
         """Deliver the request and send the caller its final answer."""
         self.last_event = self.request.facts.last_event
@@ -149,6 +154,9 @@
             after_ms=_milliseconds(attempt.time_to_head),
         )
         if self.request.route.kind is RouteKind.STREAM and facts.succeeded:
+            if not self._fits_response(facts):
+                detail = 'the answer has another kind than the response'
+                return FailedAttempt(Failure.LOST, detail, facts.status), False
             larger_model = self._larger_model(facts)
             if larger_model is not None:
                 self._escalate(attempt, facts, larger_model)
@@ -156,6 +164,14 @@
             return self._relay_stream(attempt, facts)
         return self._deliver_body(attempt, facts)
 
+    def _fits_response(self, facts: AnswerFacts) -> bool:
+        """Return whether a stream may continue the started response, if any."""
+        started = self.response_facts
+        return started is None or (
+            facts.status == started.status
+            and facts.media_type == started.media_type
+        )
+
     def _larger_model(self, facts: AnswerFacts) -> str | None:
         """Return the model to escalate to, or None to keep the answer."""
         if (
@@ -357,7 +373,7 @@
         self.events += 1
 
     def _start_response(self, facts: AnswerFacts) -> None:
-        self.response_started = True
+        self.response_facts = facts
         self.first_byte_at = self.router.clock.monotonic()
         chunked = (b'Transfer-Encoding', b'chunked')
         self.caller.begin(facts.status, [*facts.headers, chunked])
--- a/bronzeglade/forwarding/message.py
+++ b/bronzeglade/forwarding/message.py
@@ -118,6 +118,14 @@
         """Whether the status is one of success (2xx)."""
         return 200 <= self.status < 300
 
+    @property
+    def media_type(self) -> bytes | None:
+        """The type of the body without parameters, or None."""
+        for name, content in self.headers:
+            if name.lower() == b'content-type':
+                return content.partition(b';')[0].strip().lower()
+        return None
+
 
 class Dialect(Protocol):
     """Parses and builds the headers of callers and endpoints."""
--- a/bronzeglade/forwarding/resume_test.py
+++ b/bronzeglade/forwarding/resume_test.py
@@ -161,3 +161,32 @@
     router, _endpoints = router_with_endpoints(route, slow)
     answer = send_request(router, RouteKind.STREAM)
     assert answer.body == f'{event_text(1)}: waiting\n\n'
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        f'HTTP/1.1 204 No Content\r\n{SIGNED}\r\n',
+        f'{OK}Content-Type: application/json\r\nContent-Length: 0\r\n\r\n',
+        f'{OK}Content-Type: text/html\r\n{CHUNKED}'
+        f'{chunks(events(3, 4))}{LAST_CHUNK}',
+        stream(events(3, 4)),  # without a type
+    ],
+)
+def test_answer_of_another_kind_does_not_resume_a_stream(text: str) -> None:
+    """It would end up in the stream, or end it as if complete."""
+    typed = f'{OK}Content-Type: text/event-stream\r\n{CHUNKED}'
+    first = raw(f'{typed}{chunks(events(1, 2))}', reset=True)
+    answer = send_to(first, raw(text))
+    assert not answer.complete
+    assert answer.body == events(1, 2)
+
+
+def test_stream_resumes_with_another_charset() -> None:
+    """Only the type itself tells whether an answer is a stream."""
+    head = f'{OK}Content-Type: text/event-stream%s\r\n{CHUNKED}'
+    first = raw(f'{head % ""}{chunks(events(1, 2))}', reset=True)
+    rest = f'{chunks(events(3, 4))}{LAST_CHUNK}'
+    answer = send_to(first, raw(f'{head % "; charset=utf-8"}{rest}'))
+    assert answer.complete
+    assert answer.body == events(1, 4)
