Count no stream as complete that closes or ends before a known event

A stream ended as complete before its last event when it ended with its connection (neither a length nor chunks) because the endpoint crashed, or when the next endpoint sent another, shorter stream.

Cause: any end that the parser accepts ended the response, also without a new event.

Evidence: test_resumed_stream_that_ends_early_is_not_complete failed before in its 4 cases (ends at event 1 of 2; closed at once; closed after the events that the caller has; closed after an HTTP head in the body), and test_stream_closed_before_its_first_event_is_not_complete.

Change: such an end breaks the stream, so it is resumed where that is allowed.

A crash that closes such a stream between two new events still looks like its end: the protocol allows an answer to end with its connection.

All tests of bronzeglade/forwarding pass.

--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -5,7 +5,7 @@
 import enum
 import functools
 
-from result import Err
+from result import Err, Result
 
 from bronzeglade.decisions import duration_histograms
 from bronzeglade.decisions.attempt_timing import Task
@@ -324,8 +324,9 @@
             if block.ok_value is None:
                 if splitter.buffer:
                     return StreamEnd.BROKEN, 'stream ended inside an event'
-                self._forward(facts, sequence.end())
-                return StreamEnd.COMPLETE, ''
+                return self._end_stream(
+                    facts, sequence.end(connection.input_ended())
+                )
             events = splitter.feed(block.ok_value)
             if isinstance(events, Err):
                 return StreamEnd.BROKEN, events.err_value
@@ -338,6 +339,14 @@
                 self.last_event = sequence.last_event
         return StreamEnd.CALLER_DISCONNECTED, ''
 
+    def _end_stream(
+        self, facts: AnswerFacts, rest: Result[bytes, str]
+    ) -> tuple[StreamEnd, str]:
+        if isinstance(rest, Err):
+            return StreamEnd.BROKEN, rest.err_value
+        self._forward(facts, rest.ok_value)
+        return StreamEnd.COMPLETE, ''
+
     def _record_event(self, attempt: Attempt, event: StreamEvent) -> None:
         attempts.mark_prompt_read(self.router, attempt)
         self._record_progress(attempt, event.number)
--- a/bronzeglade/forwarding/endpoint_connection.py
+++ b/bronzeglade/forwarding/endpoint_connection.py
@@ -220,6 +220,14 @@
         trailing_bytes, _closed = self.parser.trailing_data
         return bool(trailing_bytes) or not tcp.is_quiet(self.sock)
 
+    def input_ended(self) -> bool:
+        """Return whether the endpoint has closed the connection.
+
+        At the end of a body, this tells that nothing else marked its end.
+        """
+        _trailing_bytes, closed = self.parser.trailing_data
+        return closed
+
     def finish(self) -> bool:
         """End the exchange; return whether the connection can be reused."""
         self.last_used_at = self.clock.monotonic()
--- a/bronzeglade/forwarding/event_sequence.py
+++ b/bronzeglade/forwarding/event_sequence.py
@@ -25,6 +25,7 @@
         self.last_event = last_event
         self.resumes = resumes
         self.advanced = False  # the stream had an event that is new
+        self.last_number: int | None = None  # of this stream
         self.held = b''
 
     def accept(self, event: StreamEvent) -> Result[bytes, str]:
@@ -36,6 +37,7 @@
         """
         if event.number is None:
             return self._accept_unnumbered(event)
+        self.last_number = event.number
         if self.last_event is not None and event.number <= self.last_event:
             self.held = b''
             return Ok(b'')
@@ -47,15 +49,33 @@
         self.advanced = True
         return Ok(content)
 
-    def end(self) -> bytes:
-        """Return the bytes that the caller gets at the end of the stream."""
-        return self.held
+    def end(self, closed: bool) -> Result[bytes, str]:
+        """Return the bytes that the caller gets at the end of the stream.
+
+        Args:
+          closed: whether the stream ended with its connection, as it does if
+            the endpoint crashes.
+
+        Returns:
+          The bytes, or why the stream does not count as complete.
+        """
+        if closed and self.held:
+            return Err('stream closed after an event without a number')
+        if self.advanced:
+            return Ok(self.held)
+        if closed:
+            return Err('stream closed without a new event')
+        repeated = self.last_number
+        if repeated is not None and repeated < (self.last_event or 0):
+            return Err('stream ended before the last known event')
+        return Ok(self.held)
 
     def _accept_unnumbered(self, event: StreamEvent) -> Result[bytes, str]:
         starts = self.resumes and not self.advanced
         if event.is_comment and not self.held:
             return Ok(b'' if starts else event.content)
         if self.last_event is None:
+            self.advanced = True
             return Ok(event.content)
         if starts:
             return Err('stream resumed with an event without a number')
--- a/bronzeglade/forwarding/resume_test.py
+++ b/bronzeglade/forwarding/resume_test.py
@@ -190,3 +190,42 @@
     answer = send_to(first, raw(f'{head % "; charset=utf-8"}{rest}'))
     assert answer.complete
     assert answer.body == events(1, 4)
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        stream(events(1, 1)),  # ends before an event that the caller has
+        f'{OK}\r\n',
+        f'{OK}\r\n{events(1, 2)}',
+        f'{OK}\r\n{events(3, 3)}{HEAD}',
+    ],
+)
+def test_resumed_stream_that_ends_early_is_not_complete(text: str) -> None:
+    """An endpoint that crashes closes the stream, or starts another one."""
+    answer = send_to(reset_after(2), raw(text))
+    assert not answer.complete
+    assert answer.body.replace(event_text(3), '') == events(1, 2)
+
+
+def test_stream_closed_before_its_first_event_is_not_complete() -> None:
+    """The endpoint may have crashed; the next one answers instead."""
+    answer = send_to(raw(f'{OK}\r\n'), raw(stream(events(1, 2))))
+    assert answer.complete
+    assert answer.body == events(1, 2)
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        stream(),
+        f'{OK}Content-Length: 0\r\n\r\n',
+        stream(events(1, 2)),
+        f'{OK}\r\n{events(3, 4)}',
+    ],
+)
+def test_resumed_stream_ends_after_its_last_event(text: str) -> None:
+    """A stream may break between its last event and its end."""
+    answer = send_to(reset_after(2), raw(text))
+    assert answer.complete
+    assert answer.body in {events(1, 2), events(1, 4)}
