Send no long answer again once it has begun

Callers whose long answer broke off waited for a second run of their request, of which they could get nothing, before the connection was closed. It drew on the budget for further attempts.

Cause: a repeatable request was retried whether or not its response had begun; nothing but a stream can continue one.

Evidence: test_long_answer_that_broke_off_is_not_sent_again failed before: the second endpoint got the request. Nothing of its answer reached the caller.

Change: once a response has begun, only a stream is sent to another endpoint.

Two more tests passed before: a stream resumes after an unnumbered and a numbered event, and one of which the caller has only comments starts again.

--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -487,6 +487,8 @@
     def _may_retry(self, failed: FailedAttempt) -> bool:
         if not self._has_attempts_remaining() or self.caller.disconnected:
             return False
+        if self.response_started and not self._may_resume():
+            return False
         if self.router.clock.monotonic() >= self.request.deadline:
             return False
         repeatable = self.request.route.repeatable
@@ -499,6 +501,10 @@
             return True
         return self.router.retry_budget(self.request.service).allows()
 
+    def _may_resume(self) -> bool:
+        """Return whether another endpoint may continue the response."""
+        return self.request.route.kind is RouteKind.STREAM
+
     def _handle_failure(self, failed: FailedAttempt) -> None:
         if failed.failure.run_state is not RunState.NOT_RUN:
             if self.run_state is RunState.NOT_RUN:
--- a/bronzeglade/forwarding/resume_test.py
+++ b/bronzeglade/forwarding/resume_test.py
@@ -229,3 +229,32 @@
     answer = send_to(reset_after(2), raw(text))
     assert answer.complete
     assert answer.body in {events(1, 2), events(1, 4)}
+
+
+def test_stream_resumes_after_unnumbered_and_numbered_events() -> None:
+    """The next endpoint continues after the last number."""
+    start = OK + CHUNKED + chunks('retry: 9\n\n', events(1, 2))
+    answer = send_to(raw(start, reset=True), raw(stream(events(3, 4))))
+    assert answer.complete
+    assert answer.body == f'retry: 9\n\n{events(1, 4)}'
+
+
+def test_stream_with_only_comments_starts_again() -> None:
+    """Callers ignore comments, so no event is repeated."""
+    first = raw(OK + CHUNKED + chunks(': wait\n\n'), reset=True)
+    answer = send_to(first, raw(stream(events(1, 2))))
+    assert answer.complete
+    assert answer.body == f': wait\n\n{events(1, 2)}'
+
+
+def test_long_answer_that_broke_off_is_not_sent_again() -> None:
+    """Nothing but a stream can continue a response that has begun."""
+    half = 'y' * 300_000  # more than is buffered
+    first = raw(f'{OK}Content-Length: 600000\r\n\r\n{half}', reset=True)
+    router, endpoints = router_with_endpoints(
+        builders.route(), first, raw(f'{OK}Content-Length: 4\r\n\r\ndone')
+    )
+    answer = send_request(router, RouteKind.IDEMPOTENT)
+    assert not answer.complete
+    assert not answer.body.strip('y')
+    assert not endpoints[1].requests
