--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -5,7 +5,7 @@
 import enum
 import functools
 
-from result import Err
+from result import Err, Result
 
 from bronzeglade.decisions import duration_histograms
 from bronzeglade.decisions.attempt_timing import Task
@@ -28,6 +28,7 @@
 from bronzeglade.forwarding.endpoint import Endpoint
 from bronzeglade.forwarding.endpoint_connection import EndpointConnection
 from bronzeglade.forwarding.event import EventSplitter, StreamEvent
+from bronzeglade.forwarding.event_sequence import EventSequence
 from bronzeglade.forwarding.message import AnswerFacts
 from bronzeglade.forwarding.route import RouteKind
 from bronzeglade.forwarding.router import Router
@@ -76,9 +77,10 @@
 
     `attempted` lists the endpoints that are not chosen again; `sent` counts the
     attempts that reached an endpoint. `last_event` is the id of the last event
-    that the caller has. `response_started` is set once the head of an answer
-    was sent to the caller. `first_byte_at` and `last_byte_at` are monotonic
-    times. `interrupted` is set when the process is about to exit.
+    that the caller has. `response_facts` is the head of the answer that began
+    the response to the caller, or None before. `first_byte_at` and
+    `last_byte_at` are monotonic times. `interrupted` is set when the process is
+    about to exit.
     """
 
     router: Router
@@ -89,7 +91,7 @@
     model: str | None = None
     run_state: RunState = RunState.NOT_RUN
     last_event: int | None = None
-    response_started: bool = False
+    response_facts: AnswerFacts | None = None
     first_byte_at: dt.timedelta | None = None
     last_byte_at: dt.timedelta | None = None
     max_gap: dt.timedelta = dt.timedelta()
@@ -99,6 +101,11 @@
     current: Attempt | None = None
     interrupted: bool = False
 
+    @property
+    def response_started(self) -> bool:
+        """Whether the head of an answer was sent to the caller."""
+        return self.response_facts is not None
+
     def run(self) -> None:
         """Deliver the request and send the caller its final answer."""
         self.last_event = self.request.facts.last_event
@@ -169,6 +176,9 @@
             after_ms=_milliseconds(attempt.time_to_head),
         )
         if self.request.route.kind is RouteKind.STREAM and facts.succeeded:
+            if not self._fits_response(facts):
+                detail = 'the answer has another kind than the response'
+                return FailedAttempt(Failure.LOST, detail, facts.status), False
             larger_model = self._larger_model(facts)
             if larger_model is not None:
                 self._escalate(attempt, facts, larger_model)
@@ -176,6 +186,14 @@
             return self._relay_stream(attempt, facts)
         return self._deliver_body(attempt, facts)
 
+    def _fits_response(self, facts: AnswerFacts) -> bool:
+        """Return whether a stream may continue the started response, if any."""
+        started = self.response_facts
+        return started is None or (
+            facts.status == started.status
+            and facts.media_type == started.media_type
+        )
+
     def _larger_model(self, facts: AnswerFacts) -> str | None:
         """Return the model to escalate to, or None to keep the answer."""
         if (
@@ -224,6 +242,7 @@
             confidence=facts.confidence,
         )
         self.model = model
+        self.run_state = RunState.RAN
         # The endpoint is healthy, so it may also run the larger model.
         self.attempted.remove(attempt.endpoint.name)
 
@@ -313,6 +332,7 @@
         self, attempt: Attempt, facts: AnswerFacts
     ) -> tuple[StreamEnd, str]:
         splitter = EventSplitter()
+        sequence = EventSequence(self.last_event, self.response_started)
         connection = attempt.connection
         if connection is None:
             return StreamEnd.BROKEN, 'no connection'
@@ -326,28 +346,34 @@
             if block.ok_value is None:
                 if splitter.buffer:
                     return StreamEnd.BROKEN, 'stream ended inside an event'
-                return StreamEnd.COMPLETE, ''
+                return self._end_stream(
+                    facts, sequence.end(connection.input_ended())
+                )
             events = splitter.feed(block.ok_value)
             if isinstance(events, Err):
                 return StreamEnd.BROKEN, events.err_value
-            if not self._forward_events(attempt, facts, events.ok_value):
-                return StreamEnd.BROKEN, 'stream skipped an event'
+            for event in events.ok_value:
+                self._record_event(attempt, event)
+                accepted = sequence.accept(event)
+                if isinstance(accepted, Err):
+                    return StreamEnd.BROKEN, accepted.err_value
+                self._forward(facts, accepted.ok_value)
+                self.last_event = sequence.last_event
         return StreamEnd.CALLER_DISCONNECTED, ''
 
-    def _forward_events(
-        self, attempt: Attempt, facts: AnswerFacts, events: list[StreamEvent]
-    ) -> bool:
-        """Forward events; return False when an earlier event is missing."""
-        for event in events:
-            attempts.mark_prompt_read(self.router, attempt)
-            self._record_progress(attempt, event.number)
-            if attempt.timing is not None:
-                attempt.timing.progress.record_event(
-                    self.router.clock.monotonic()
-                )
-            if not self._forward_event(facts, event.number, event.content):
-                return False
-        return True
+    def _end_stream(
+        self, facts: AnswerFacts, rest: Result[bytes, str]
+    ) -> tuple[StreamEnd, str]:
+        if isinstance(rest, Err):
+            return StreamEnd.BROKEN, rest.err_value
+        self._forward(facts, rest.ok_value)
+        return StreamEnd.COMPLETE, ''
+
+    def _record_event(self, attempt: Attempt, event: StreamEvent) -> None:
+        attempts.mark_prompt_read(self.router, attempt)
+        self._record_progress(attempt, event.number)
+        if attempt.timing is not None:
+            attempt.timing.progress.record_event(self.router.clock.monotonic())
 
     def _record_progress(self, attempt: Attempt, number: int | None) -> None:
         """Update the time of the last progress if an event is new.
@@ -360,23 +386,15 @@
         if first or (number is not None and number > known):
             attempt.last_progress_at = self.router.clock.monotonic()
 
-    def _forward_event(
-        self, facts: AnswerFacts, number: int | None, content: bytes
-    ) -> bool:
-        """Forward an event unless repeated; return False after a gap."""
-        if number is not None and self.last_event is not None:
-            if number <= self.last_event:
-                return True
-            if number > self.last_event + 1:
-                return False
+    def _forward(self, facts: AnswerFacts, content: bytes) -> None:
+        """Forward the bytes of events, if any, and begin the response first."""
+        if not content:
+            return
         if not self.response_started:
             self._start_response(facts)
         self._record_event_time()
         self.caller.write(content)
         self.run_state = RunState.RAN
-        if number is not None:
-            self.last_event = number
-        return True
 
     def _record_event_time(self) -> None:
         now = self.router.clock.monotonic()
@@ -386,7 +404,7 @@
         self.events += 1
 
     def _start_response(self, facts: AnswerFacts) -> None:
-        self.response_started = True
+        self.response_facts = facts
         self.first_byte_at = self.router.clock.monotonic()
         chunked = (b'Transfer-Encoding', b'chunked')
         self.caller.begin(facts.status, [*facts.headers, chunked])
@@ -494,6 +512,8 @@
             return False
         if self.interrupted:
             return False
+        if self.response_started and not self._may_resume():
+            return False
         if self.router.clock.monotonic() >= self.request.deadline:
             return False
         repeatable = self.request.route.repeatable
@@ -506,6 +526,10 @@
             return True
         return self.router.retry_budget(self.request.service).allows()
 
+    def _may_resume(self) -> bool:
+        """Return whether another endpoint may continue the response."""
+        return self.request.route.kind is RouteKind.STREAM
+
     def _handle_failure(self, failed: FailedAttempt) -> None:
         if failed.failure.run_state is not RunState.NOT_RUN:
             if self.run_state is RunState.NOT_RUN:
--- a/bronzeglade/forwarding/endpoint_connection.py
+++ b/bronzeglade/forwarding/endpoint_connection.py
@@ -204,12 +204,29 @@
         An endpoint may send a surplus answer; the answer to the current request
         then follows on the same connection.
         """
-        trailing_bytes, _closed = self.parser.trailing_data
+        trailing_bytes, closed = self.parser.trailing_data
         self.reused = True
         self.parser = h11.Connection(h11.CLIENT)
         if self.request is not None:
             self._serialize(self.request)
-        self.parser.receive_data(trailing_bytes)
+        if trailing_bytes:
+            self.parser.receive_data(trailing_bytes)
+        if closed:
+            # An empty block marks the end of the input.
+            self.parser.receive_data(b'')
+
+    def has_further_input(self) -> bool:
+        """Return whether bytes or the end of the input follow an answer."""
+        trailing_bytes, _closed = self.parser.trailing_data
+        return bool(trailing_bytes) or not tcp.is_quiet(self.sock)
+
+    def input_ended(self) -> bool:
+        """Return whether the endpoint has closed the connection.
+
+        At the end of a body, this tells that nothing else marked its end.
+        """
+        _trailing_bytes, closed = self.parser.trailing_data
+        return closed
 
     def finish(self) -> bool:
         """End the exchange; return whether the connection can be reused."""
@@ -361,7 +378,13 @@
         except BaseException:
             self.open -= 1
             raise
-        return Ok(EndpointConnection(sock, self))
+        connection = EndpointConnection(sock, self)
+        if not tcp.is_quiet(sock):
+            # Bytes that precede the request would be read as its answer.
+            self._drop(connection)
+            detail = 'the endpoint sent bytes or closed before the request'
+            return Err(ConnectionFailure(sent=False, detail=detail))
+        return Ok(connection)
 
     def release(self, connection: EndpointConnection) -> None:
         """Return a connection to the pool; close it unless it is reusable."""
