Give up a silent endpoint only for one that takes the request

Callers saw a stream close without its end, or a 502, though its endpoint was only slow and time was left.

Cause: a stream was abandoned at three quarters of the time that callers wait for its next event, and a request without an answer at its answer time-out, if the route and the retry budget allowed another attempt. Nothing asked whether any endpoint was there to take it. When all others were leaving, refused or had been tried, the response was broken off.

An attempt is abandoned for silence only if another endpoint is eligible. If that one refuses, the silent endpoint may continue the request after the last event that the caller has.

test_slow_stream_that_no_other_endpoint_takes (three cases, real processes) and three tests of stall_test.py failed before and pass. The table of test_next_event_is_waited_for_as_long_as_callers_wait had no endpoint at all and expected a fail-over; it has the same cases with another endpoint, and two without. 89 tests of streams and deliveries pass.

--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -68,6 +68,7 @@
 
     COMPLETE = 'complete'
     BROKEN = 'broken'
+    SILENT = 'silent'
     CALLER_DISCONNECTED = 'left'
 
 
@@ -75,7 +76,8 @@
 class Delivery:
     """State of one request during its delivery.
 
-    `attempted` lists the endpoints that are not chosen again; `sent` counts the
+    `attempted` lists the endpoints that are not chosen again, `silent` those of
+    them that were abandoned because nothing came from them; `sent` counts the
     attempts that reached an endpoint. `last_event` is the id of the last event
     that the caller has. `response_facts` is the head of the answer that began
     the response to the caller, or None before. `first_byte_at` and
@@ -87,6 +89,7 @@
     request: AcceptedRequest
     caller: Caller
     attempted: list[str] = dataclasses.field(default_factory=list)
+    silent: list[str] = dataclasses.field(default_factory=list)
     sent: int = 0
     model: str | None = None
     run_state: RunState = RunState.NOT_RUN
@@ -326,7 +329,8 @@
             return None, True
         if end is StreamEnd.CALLER_DISCONNECTED:
             return None, False
-        return FailedAttempt(Failure.LOST, detail), False
+        silent = end is StreamEnd.SILENT
+        return FailedAttempt(Failure.LOST, detail, timed_out=silent), False
 
     def _read_stream(
         self, attempt: Attempt, facts: AnswerFacts
@@ -342,7 +346,9 @@
                 connection.read_block, next_deadline
             )
             if isinstance(block, Err):
-                return StreamEnd.BROKEN, block.err_value.detail
+                silent = block.err_value.timed_out
+                end = StreamEnd.SILENT if silent else StreamEnd.BROKEN
+                return end, block.err_value.detail
             if block.ok_value is None:
                 if splitter.buffer:
                     return StreamEnd.BROKEN, 'stream ended inside an event'
@@ -416,7 +422,7 @@
             return None
         model = self.model
         placed = _placed_request(request, model)
-        eligible = self.router.eligible_endpoints(request, self.attempted)
+        eligible = self._eligible_endpoints()
         choice = self.router.placement.choose(eligible, placed)
         if choice is None:
             self.detail = f'none of {len(eligible)} endpoints is available'
@@ -443,6 +449,19 @@
         )
         return Attempt(endpoint, model, placed, uncached_tokens, task)
 
+    def _eligible_endpoints(self) -> list[Endpoint]:
+        """Return the endpoints that the next attempt may be sent to.
+
+        If no other endpoint is left, one that was abandoned because it was
+        silent may still continue.
+        """
+        eligible = self.router.eligible_endpoints(self.request, self.attempted)
+        if eligible or not self.silent:
+            return eligible
+        return self.router.eligible_endpoints(
+            self.request, set(self.attempted) - set(self.silent)
+        )
+
     def _read_deadline(self, attempt: Attempt) -> dt.timedelta | None:
         """Return the monotonic time until which to read, or None to stop.
 
@@ -460,7 +479,7 @@
         give_up_at = attempt.started_at + self._answer_timeout(attempt)
         if now < give_up_at:
             return min(deadline, give_up_at)
-        if self._may_retry(FailedAttempt(Failure.LOST, 'no answer')):
+        if self._may_fail_over():
             return None
         return min(deadline, now + RETRY_CHECK_INTERVAL)
 
@@ -487,7 +506,7 @@
         )
         if now < resume_at:
             return min(ends_at, resume_at)
-        if self._may_retry(FailedAttempt(Failure.LOST, 'stalled')):
+        if self._may_fail_over():
             return None
         return min(ends_at, now + RETRY_CHECK_INTERVAL)
 
@@ -526,6 +545,12 @@
             return True
         return self.router.retry_budget(self.request.service).allows()
 
+    def _may_fail_over(self) -> bool:
+        """Return whether another endpoint may take over from a silent one."""
+        return self._may_retry(FailedAttempt(Failure.LOST, 'silent')) and bool(
+            self.router.eligible_endpoints(self.request, self.attempted)
+        )
+
     def _may_resume(self) -> bool:
         """Return whether another endpoint may continue the response."""
         return self.request.route.kind is RouteKind.STREAM
@@ -535,6 +560,8 @@
             if self.run_state is RunState.NOT_RUN:
                 self.run_state = RunState.UNKNOWN
         self.detail = failed.detail
+        if failed.timed_out:
+            self.silent.append(self.attempted[-1])
         if failed.failure is Failure.NOT_CONNECTED:
             self.sent -= 1
             if self._may_retry(failed):
