--- a/bronzeglade/forwarding/log_test.py
+++ b/bronzeglade/forwarding/log_test.py
@@ -1,15 +1,29 @@
 """Tests that logging is bounded and non-blocking."""
 
 import datetime as dt
+import fcntl
 import json
 import os
+import posix
+from collections.abc import Callable
+from pathlib import Path
 
 import eventlet
+import pytest
+from eventlet import hubs
 
+from bronzeglade import green
 from bronzeglade.builders import ManualClock
 from bronzeglade.forwarding import log as logs
 from bronzeglade.forwarding.log import Log
 
+# As in the processes; `posix` keeps the functions of the system.
+green.patch()
+
+PIPE_BYTES = 4096
+SMALL_READ = 700
+TIMEOUT_S = 20
+
 
 def lines(descriptor: int) -> list[dict[str, object]]:
     """Return the lines that are in a pipe now."""
@@ -18,6 +32,49 @@
     return [json.loads(line) for line in text.splitlines()]
 
 
+def small_pipe() -> tuple[int, int]:
+    """Return the ends of a pipe that holds `PIPE_BYTES`."""
+    reader, writer = os.pipe()
+    fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+    os.set_blocking(reader, False)
+    return reader, writer
+
+
+def started_log(descriptor: int) -> Log:
+    """Return a log that writes to a descriptor."""
+    log = Log(descriptor, 'n', ManualClock())
+    log.start()
+    return log
+
+
+def fill(log: Log) -> None:
+    """Log events until the writer waits for the reader of a small pipe."""
+    for number in range(20):
+        log.event('long', number=number, text='x' * 1000)
+        eventlet.sleep(0)
+    eventlet.sleep(0.01)
+    assert log.lines
+
+
+def read_all(reader: int, done: Callable[[bytes], bool]) -> bytes:
+    """Read from a pipe a little at a time until a condition holds."""
+    text = b''
+    with eventlet.Timeout(TIMEOUT_S):
+        while not done(text):
+            try:
+                text += posix.read(reader, SMALL_READ)
+            except BlockingIOError:
+                eventlet.sleep(0.001)
+            else:
+                eventlet.sleep(0)
+    return text
+
+
+def numbers(text: bytes) -> list[int]:
+    """Return the field `number` of each line."""
+    return [json.loads(line)['number'] for line in text.splitlines()]
+
+
 def test_lines_above_the_rate_are_counted() -> None:
     """A burst of events is limited; dropped lines are counted."""
     reader, writer = os.pipe()
@@ -52,3 +109,114 @@
     os.read(reader, 1 << 20)
     eventlet.sleep(0.05)
     assert len(log.lines) < queued
+
+
+# A router ended with RuntimeError: Second simultaneous write.
+def test_flush_while_the_writer_waits_for_the_reader() -> None:
+    """Flushing a full pipe neither fails nor blocks."""
+    _reader, writer = small_pipe()
+    log = started_log(writer)
+    fill(log)
+    with eventlet.Timeout(TIMEOUT_S):
+        log.flush()
+
+
+# A router that was to stop waited for a reader that did not read.
+def test_flush_of_a_full_pipe_returns_before_the_writer_has_run() -> None:
+    """Flushing a full pipe does not wait for its reader."""
+    _reader, writer = small_pipe()
+    posix.write(writer, b'x' * PIPE_BYTES)
+    log = started_log(writer)
+    log.event('last')
+    with eventlet.Timeout(TIMEOUT_S):
+        log.flush()
+
+
+# A router used a whole processor after the reader had closed the pipe.
+def test_closed_reader_costs_no_processor_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Lines for a closed pipe are dropped and counted; nothing spins."""
+    reader, writer = small_pipe()
+    log = started_log(writer)
+    dropped: list[int] = []
+    log.on_drop = lambda: dropped.append(1)
+    fill(log)
+    posix.close(reader)
+    hub = hubs.get_hub()
+    waits: list[float | None] = []
+    wait = hub.wait
+
+    def counted_wait(seconds: float | None = None) -> None:
+        waits.append(seconds)
+        wait(seconds)
+
+    monkeypatch.setattr(hub, 'wait', counted_wait)
+    for number in range(3):
+        log.event('lost', number=number)
+        eventlet.sleep(0.02)
+    assert len(waits) < 50
+    assert not log.lines
+    assert len(dropped) > 3
+    with eventlet.Timeout(TIMEOUT_S):
+        log.flush()
+
+
+# A flush wrote queued lines into the middle of a line.
+def test_flush_keeps_the_line_that_a_full_pipe_has_cut() -> None:
+    """The rest of a line precedes the next one, also after a flush."""
+    reader, writer = small_pipe()
+    log = started_log(writer)
+    for number in range(3):
+        log.event('long', number=number, text='x' * 3 * PIPE_BYTES)
+    eventlet.sleep(0.01)
+    text = posix.read(reader, PIPE_BYTES)
+    with eventlet.Timeout(TIMEOUT_S):
+        log.flush()
+    text += read_all(reader, lambda more: more.count(b'\n') == 3)
+    assert numbers(text) == [0, 1, 2]
+
+
+def test_slow_reader_gets_the_last_lines() -> None:
+    """A flush waits for a reader that is slow."""
+    reader, writer = small_pipe()
+    log = started_log(writer)
+    fill(log)
+    for number in range(20, 23):
+        log.event('last', number=number)
+    texts: list[bytes] = []
+    reading = eventlet.spawn(
+        lambda: texts.append(
+            read_all(reader, lambda text: text.count(b'\n') == 23)
+        )
+    )
+    with eventlet.Timeout(TIMEOUT_S):
+        log.flush(dt.timedelta(hours=1))
+    assert not log.lines
+    reading.wait()
+    assert numbers(texts[0]) == list(range(23))
+
+
+def test_lines_reach_a_regular_file(tmp_path: Path) -> None:
+    """A descriptor that cannot be polled is written to."""
+    path = tmp_path / 'log'
+    descriptor = posix.open(path, os.O_WRONLY | os.O_CREAT)
+    log = started_log(descriptor)
+    for number in range(3):
+        log.event('short', number=number)
+    eventlet.sleep(0)
+    log.event('short', number=3)
+    log.flush()
+    assert numbers(path.read_bytes()) == [0, 1, 2, 3]
+
+
+# A router whose output was /dev/null ended as one with a full pipe.
+def test_flush_to_the_null_device() -> None:
+    """The null device, which cannot be polled, takes lines."""
+    log = started_log(posix.open(os.devnull, os.O_WRONLY))
+    for number in range(3):
+        log.event('short', number=number)
+        eventlet.sleep(0.01)
+    log.event('last')
+    log.flush()
+    assert not log.lines
