Keep the newest lines of a full log, and those of a stop

A stop left no line if the queue was full for a slow reader or if more than 400 lines had been logged in that second: the newest lines were dropped, also those of start, reload and stop.

Now a line for which there is no room replaces the oldest one, and the rate limit doesn't apply to the few lines of a start, reload or stop. The dropped lines are counted as before, so that a stop also reports those of the last second.

--- a/bronzeglade/forwarding/log.py
+++ b/bronzeglade/forwarding/log.py
@@ -10,6 +10,8 @@
 
 # A process at its highest load writes about 100 lines a second.
 MAX_LINES_PER_SECOND = 400
+# Logged above the rate limit too; there are few of them.
+LIFECYCLE_EVENTS = frozenset(('start', 'reload', 'stopping', 'stopped', 'stop'))
 
 
 class Log(LineWriter):
@@ -62,7 +64,8 @@
             self.current_second = second
             self.lines_this_second = 0
         self.lines_this_second += 1
-        if self.lines_this_second > MAX_LINES_PER_SECOND:
-            self.drop()
-        else:
+        exempt = line.get('event') in LIFECYCLE_EVENTS
+        if exempt or self.lines_this_second <= MAX_LINES_PER_SECOND:
             self.append(line)
+        else:
+            self.drop()
--- a/bronzeglade/forwarding/log_test.py
+++ b/bronzeglade/forwarding/log_test.py
@@ -16,6 +16,7 @@
 from bronzeglade.builders import ManualClock
 from bronzeglade.forwarding import log as logs
 from bronzeglade.forwarding.log import Log
+from bronzeglade.line_writer import MAX_QUEUED_LINES
 
 # As in the processes; `posix` keeps the functions of the system.
 green.patch()
@@ -220,3 +221,34 @@
     log.event('last')
     log.flush()
     assert not log.lines
+
+
+# The lines of a stop were lost when the reader had been slow before.
+def test_full_queue_keeps_the_newest_lines() -> None:
+    """A line for which there is no room replaces the oldest one."""
+    reader, writer = small_pipe()
+    clock = ManualClock()
+    log = Log(writer, 'n', clock)
+    log.start()
+    count = MAX_QUEUED_LINES + 100
+    for number in range(count):
+        clock.advance(dt.timedelta(milliseconds=10))
+        log.event('early', number=number)
+    log.event('stop', number=count)
+    text = read_all(reader, lambda more: b'"stop"' in more)
+    received = [json.loads(line) for line in text.splitlines()]
+    assert numbers(text) == list(range(101, count + 1))
+    assert sum(line.get('dropped_before', 0) for line in received) == 101
+
+
+# A stop right after a burst left no line.
+@pytest.mark.parametrize('event', ['start', 'reload', 'stop'])
+def test_lifecycle_events_are_logged_above_the_rate(event: str) -> None:
+    """The rate limit doesn't apply to the line of a start, reload or stop."""
+    _reader, writer = small_pipe()
+    log = Log(writer, 'n', ManualClock())
+    for number in range(logs.MAX_LINES_PER_SECOND + 7):
+        log.event('flood', number=number)
+    log.event(event)
+    last = json.loads(log.lines[-1].text)
+    assert (last['event'], last['dropped_before']) == (event, 7)
--- a/bronzeglade/line_writer.py
+++ b/bronzeglade/line_writer.py
@@ -10,7 +10,7 @@
 import eventlet
 from eventlet import hubs, patcher
 
-# Lines queued for a slow reader; further lines are counted and dropped.
+# Lines queued for a slow reader; above it, the oldest line is dropped.
 MAX_QUEUED_LINES = 2000
 FLUSH_LIMIT = dt.timedelta(milliseconds=500)
 
@@ -56,14 +56,13 @@
         self.thread = eventlet.spawn(self._write_lines)
 
     def append(self, fields: Mapping[str, Any]) -> None:
-        """Queue a line, or drop it if the queue is full.
+        """Queue a line; it replaces the oldest one if the queue is full.
 
         Args:
           fields: JSON-compatible values.
         """
         if len(self.lines) >= MAX_QUEUED_LINES:
-            self.drop()
-            return
+            self._drop_oldest()
         counted = {'dropped_before': self.dropped} if self.dropped else {}
         text = json.dumps({**fields, **counted}, default=str)
         self.lines.append(Line(text.encode() + b'\n', self.dropped))
@@ -119,5 +118,8 @@
 
     def _drop_queued(self) -> None:
         while self.lines:
-            self.dropped += self.lines.popleft().dropped_before
-            self.drop()
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        self.dropped += self.lines.popleft().dropped_before
+        self.drop()
