Write the standard error of a router into its log

An exception in a green thread could end or block the router: eventlet's hub prints the traceback to the standard error. If that was the full pipe of the log, which is non-blocking, the print raised BlockingIOError in the hub, and the process ended with exit code 120. If it was a full pipe of its own, the print blocked the process for as long as nobody read. In any case the traceback stood between the JSON lines.

Now the log replaces sys.stderr once it has started: each line becomes an event `stderr` with the field `text`, within the limits of the log. The traceback of an uncaught exception is flushed at the end of the process.

Without the redirection, the flush or the bound a test fails.

--- a/bronzeglade/forwarding/log.py
+++ b/bronzeglade/forwarding/log.py
@@ -1,11 +1,14 @@
 """Structured log of a router process; bounded and non-blocking."""
 
 import datetime as dt
+import sys
+from types import TracebackType
 from typing import Any
 
 import eliot
 
 from bronzeglade.clock import Clock
+from bronzeglade.line_stream import LineStream
 from bronzeglade.line_writer import LineWriter
 
 # A process at its highest load writes about 100 lines a second.
@@ -32,9 +35,16 @@
         self.lines_this_second = 0
 
     def start(self) -> None:
-        """Start writing lines; messages logged through eliot are included."""
+        """Start writing lines.
+
+        They include the messages logged through eliot, and the lines that the
+        process writes to its standard error: a pipe there may be full, and an
+        exception from writing to it would end eventlet's hub.
+        """
         super().start()
         eliot.add_destinations(self.write_message)
+        sys.stderr = LineStream(self._write_error_line)
+        sys.excepthook = self._write_uncaught
 
     def event(self, name: str, **fields: Any) -> None:
         """Log an event, such as a decision with its inputs.
@@ -58,6 +68,18 @@
         """Log a message from eliot, such as a traceback."""
         self._limit({**message, 'node': self.node}, self.clock.now())
 
+    def _write_error_line(self, text: str) -> None:
+        self.event('stderr', text=text)
+
+    def _write_uncaught(
+        self,
+        kind: type[BaseException],
+        error: BaseException,
+        trace: TracebackType | None,
+    ) -> None:
+        sys.__excepthook__(kind, error, trace)
+        self.flush()
+
     def _limit(self, line: dict[str, Any], now: dt.datetime) -> None:
         second = int(now.timestamp())
         if second != self.current_second:
--- a/bronzeglade/forwarding/log_test.py
+++ b/bronzeglade/forwarding/log_test.py
@@ -5,6 +5,8 @@
 import json
 import os
 import posix
+import subprocess  # noqa: S404
+import sys
 from collections.abc import Callable
 from pathlib import Path
 
@@ -48,6 +50,29 @@
     return log
 
 
+def run_script(script: str, output: int, errors: int) -> int:
+    """Run a script with buffered standard streams; return its exit code."""
+    environment = {**os.environ, 'PYTHONPATH': os.pathsep.join(sys.path)}
+    environment.pop('PYTHONUNBUFFERED', None)
+    process = subprocess.Popen(  # noqa: S603
+        [sys.executable, '-c', script],
+        stdout=output,
+        stderr=errors,
+        env=environment,
+    )
+    try:
+        return process.wait(TIMEOUT_S)
+    finally:
+        process.kill()
+
+
+@pytest.fixture(autouse=True)
+def restored_streams(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Undo the redirection of the standard error after each test."""
+    monkeypatch.setattr(sys, 'stderr', sys.stderr)
+    monkeypatch.setattr(sys, 'excepthook', sys.excepthook)
+
+
 def fill(log: Log) -> None:
     """Log events until the writer waits for the reader of a small pipe."""
     for number in range(20):
@@ -252,3 +277,55 @@
     log.event(event)
     last = json.loads(log.lines[-1].text)
     assert (last['event'], last['dropped_before']) == (event, 7)
+
+
+FAILING_THREADS = """
+import sys
+from bronzeglade import green
+green.patch()
+import eventlet
+from bronzeglade.clock import BootClock
+from bronzeglade.forwarding.log import Log
+
+def fail():
+    raise ValueError('x' * 1000)
+
+log = Log(sys.stdout.fileno(), 'n', BootClock())
+log.start()
+for _number in range(20):
+    eventlet.spawn(fail)
+    eventlet.sleep(0.001)
+log.flush()
+"""
+
+
+# A traceback of the event loop ended the process, or blocked it for ever.
+@pytest.mark.parametrize('shared', [True, False])
+def test_full_standard_error_does_not_stop_the_process(*, shared: bool) -> None:
+    """Tracebacks don't need room in the pipe that is the standard error."""
+    _reader, output = small_pipe()
+    _error_reader, errors = small_pipe()
+    error_output = output if shared else errors
+    assert run_script(FAILING_THREADS, output, error_output) == 0
+
+
+# A traceback is text, not one JSON object.
+def test_standard_error_is_logged() -> None:
+    """What is written to the standard error becomes lines of the log."""
+    reader, output = os.pipe()
+    script = FAILING_THREADS.replace('20', '1')
+    assert run_script(script, output, output) == 0
+    posix.close(output)
+    assert any(
+        line['event'] == 'stderr' and 'ValueError' in str(line['text'])
+        for line in lines(reader)
+    )
+
+
+def test_uncaught_exception_is_logged() -> None:
+    """The traceback of the main green thread is written out at the end."""
+    reader, output = os.pipe()
+    script = f'{FAILING_THREADS}\nfail()\n'.replace('range(20)', '()')
+    assert run_script(script, output, output) == 1
+    posix.close(output)
+    assert any('ValueError' in str(line['text']) for line in lines(reader))
