--- a/fleet/platform.py
+++ b/fleet/platform.py
@@ -94,6 +94,7 @@
         self.workers: dict[str, int] = {}
         self.started_ms: dict[str, int] = {}  # Unix milliseconds
         self.routers: dict[str, RouterPorts] = {}
+        self.outputs: dict[str, int] = {}  # descriptors, instead of a log file
         self._spawn('store', 'standins.rows', f'--port={self.store_port}')
         wait_until(
             lambda: self._is_listening(self.store_port), 'the store listens'
@@ -274,18 +275,17 @@
         python: str = sys.executable,
         python_path: str = '',
     ) -> None:
-        log = (self.folder / f'{name}.log').open('ab')
-        self.processes[name] = subprocess.Popen(  # noqa: S603
-            [python, '-m', module, *arguments],
-            stdout=log,
-            stderr=subprocess.STDOUT,
-            env={
-                **os.environ,
-                'PYTHONUNBUFFERED': '1',
-                'PYTHONPATH': python_path,
-            },
-        )
-        log.close()
+        with (self.folder / f'{name}.log').open('ab') as log:
+            self.processes[name] = subprocess.Popen(  # noqa: S603
+                [python, '-m', module, *arguments],
+                stdout=self.outputs.get(name, log),
+                stderr=subprocess.STDOUT,
+                env={
+                    **os.environ,
+                    'PYTHONUNBUFFERED': '1',
+                    'PYTHONPATH': python_path,
+                },
+            )
 
     def _is_listening(self, port: int) -> bool:
         try:
