Drop a datagram rather than wait for room in the send buffer

The datagrams of a node are sent by several green threads: the loop, the receiver, and each request whose answer says that its endpoint shuts down. With a full send buffer eventlet's sendto waits, which delays that request, and fails for a second green thread with "RuntimeError: Second simultaneous write", which is no OSError: it would end the request.

Now bronzeglade/datagram_socket.py sends with the system's call: the datagram is lost, as on the network, and reported as `datagram_send_failed`. The heartbeats of the OpenAI door use it too.

--- a/bronzeglade/entry/heartbeats.py
+++ b/bronzeglade/entry/heartbeats.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from eventlet.green import socket
 from result import Err
 
 from bronzeglade import loops
@@ -27,6 +26,7 @@
 )
 from bronzeglade.coordination.gossip import DocumentKey, Gossip, fingerprint
 from bronzeglade.coordination.membership import Membership
+from bronzeglade.datagram_socket import DatagramSocket
 from bronzeglade.entry.configuration import Distribution
 from bronzeglade.entry.peers import Peer, Peers
 from bronzeglade.settings import EntrySettings
@@ -77,8 +77,7 @@
 
     def start(self, host: str, port: int) -> None:
         """Bind the UDP control port and start the loops."""
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.bind((host, port))
+        self.socket = DatagramSocket((host, port))
         self.services.peers.update_candidates()
         loops.spawn_loop(self._receive_next)
         loops.spawn_loop(self._tick_next)
--- a/bronzeglade/forwarding/load_exchange.py
+++ b/bronzeglade/forwarding/load_exchange.py
@@ -22,10 +22,10 @@
 import eventlet
 import msgpack
 import pydantic as pd
-from eventlet.green import socket
 from result import Err, Ok, Result
 
 from bronzeglade.clock import Clock
+from bronzeglade.datagram_socket import DatagramSocket
 from bronzeglade.decisions.outstanding import (
     Outstanding,
     OutstandingReports,
@@ -117,8 +117,7 @@
 
     def open(self) -> None:
         """Bind the socket to the exchange address of this node."""
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.sock.bind(self.roster.local_node.exchange)
+        self.sock = DatagramSocket(self.roster.local_node.exchange)
 
     def receive_next(self) -> None:
         """Receive and apply one datagram; the body of a loop."""
--- a/bronzeglade/forwarding/load_exchange_test.py
+++ b/bronzeglade/forwarding/load_exchange_test.py
@@ -1,6 +1,11 @@
 """Tests that each node receives the load of all others on the endpoints."""
 
 import collections
+import dataclasses
+import errno
+import json
+import os
+import posix
 import random
 
 import eventlet
@@ -224,3 +229,57 @@
     fleet.start_prompt('a-2', 'e', 5)
     wait(3)
     assert fleet.peer_load('a-1')['e'] == Outstanding(1, 5)
+
+
+class FullDescriptor:
+    """The system's socket when its send buffer is full, and stays so."""
+
+    def __init__(self, descriptor: int) -> None:
+        """Wait, if at all, for a descriptor that can't be written to."""
+        self.descriptor = descriptor
+
+    def fileno(self) -> int:
+        """Return the descriptor that a green thread would wait for."""
+        return self.descriptor
+
+    def sendto(self, _content: bytes, _address: Address) -> int:
+        """Fail as the system does."""
+        raise BlockingIOError(errno.EAGAIN, 'full')
+
+
+def exchange_with_full_socket() -> LoadExchange:
+    """Return an exchange whose sends can't be completed."""
+    roster = builders.roster('a-1', 'a-1', 'a-2', 'b-1')
+    roster.local_node = dataclasses.replace(
+        roster.local_node, exchange=('127.0.0.1', 0)
+    )
+    exchange = LoadExchange(
+        roster,
+        Placement(PlacementSettings(), 'a', BootClock(), random.Random(1)),
+        BootClock(),
+        builders.log(),
+        random.Random(1),
+    )
+    exchange.open()
+    _reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    posix.write(writer, b'x' * (1 << 20))
+    exchange.sock.fd = FullDescriptor(writer)
+    return exchange
+
+
+# A request waited for the send buffer, and the next one failed with "Second
+# simultaneous write".
+def test_full_send_buffer_delays_no_request() -> None:
+    """A datagram for which there is no room is dropped."""
+    exchange = exchange_with_full_socket()
+    threads = [
+        eventlet.spawn(
+            exchange.announce_departure, Incarnation('e', 1, ('h', 1))
+        )
+        for _ in range(3)
+    ]
+    for thread in threads:
+        thread.wait()
+    events = [json.loads(line.text)['event'] for line in exchange.log.lines]
+    assert set(events) == {'datagram_send_failed'}
