--- a/bronzeglade/forwarding/metrics.py
+++ b/bronzeglade/forwarding/metrics.py
@@ -87,7 +87,7 @@
         )
         self.dropped_lines = Counter(
             'bronzeglade_log_lines_dropped',
-            'Log lines dropped above the rate limit.',
+            'Log lines dropped, above the rate limit or for a slow reader.',
             registry=registry,
         )
 
