Reject an entry whose port has thousands of digits

Callers saw that a node kept the endpoints it knew and followed no further change of them: no new endpoint got requests, and removed ones still did.

Cause: read_endpoint converted any decimal text to a port. Python refuses to convert more than 4300 digits, so one entry with such a port raised ValueError in the step that decodes all entries, at every change of the table.

Change: a port is at most five ASCII digits; the reason quotes at most 40 characters of the value.

--- a/bronzeglade/platform/documents.py
+++ b/bronzeglade/platform/documents.py
@@ -52,6 +52,8 @@
 _MAX_DURATION_MS = 1e12
 _MAX_ID = 2**63 - 1
 _MAX_PORT = 65535
+_PORT_DIGITS = 5
+_MAX_LOGGED_CHARS = 40  # of a malformed value
 
 _Milliseconds = Annotated[float, Field(ge=0, le=_MAX_DURATION_MS)]
 
@@ -180,10 +182,10 @@
     except pd.ValidationError as error:
         return Err(_first_error(error))
     if entry.state not in _ENDPOINT_STATES:
-        return Err(f'unknown state {entry.state!r}')
+        return Err(f'unknown state {entry.state[:_MAX_LOGGED_CHARS]!r}')
     address = _parse_address(entry.address)
     if address is None:
-        return Err(f'malformed address {entry.address!r}')
+        return Err(f'malformed address {entry.address[:_MAX_LOGGED_CHARS]!r}')
     return Ok(
         EndpointEntry(
             name=row.key.partition('/')[2],
@@ -226,7 +228,11 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         return None
-    if not port.isdecimal() or not 0 < int(port) <= _MAX_PORT:
+    # The conversion fails for texts of thousands of digits.
+    is_number = (
+        port.isascii() and port.isdecimal() and len(port) <= _PORT_DIGITS
+    )
+    if not is_number or not 0 < int(port) <= _MAX_PORT:
         return None
     return host, int(port)
 
