Bound the numbers and texts of an endpoint's entry

Callers saw that every request to a service failed once one entry of it named a number of slots beyond a float.

Cause: the cost of an endpoint is divided by its slots, which had no upper bound; with an integer beyond 1.8e308 the choice among all endpoints of the service raised OverflowError. Texts had no bound either: an entry with a long failure domain made the evidence row of each node too long for the store.

Change: slots are at most 2**31 - 1; service, zone and version have at most 200 characters, as the store's own texts.

--- a/bronzeglade/platform/documents.py
+++ b/bronzeglade/platform/documents.py
@@ -47,15 +47,20 @@
 }
 _MILLISECOND = dt.timedelta(milliseconds=1)
 
-# Bounds that keep durations within the range of timedelta arithmetic, and ids
-# within 64 bits for messages to other nodes.
+# Bounds that keep durations within the range of timedelta arithmetic, counts
+# within that of floating point, and ids within 64 bits for messages to other
+# nodes.
 _MAX_DURATION_MS = 1e12
 _MAX_ID = 2**63 - 1
+_MAX_COUNT = 2**31 - 1
+# The store accepts texts of 200 bytes as keys.
+_MAX_TEXT_CHARS = 200
 _MAX_PORT = 65535
 _PORT_DIGITS = 5
 _MAX_LOGGED_CHARS = 40  # of a malformed value
 
 _Milliseconds = Annotated[float, Field(ge=0, le=_MAX_DURATION_MS)]
+_Text = Annotated[str, Field(max_length=_MAX_TEXT_CHARS)]
 
 
 class _Backend(PlatformDocument):
@@ -115,11 +120,11 @@
     `sequence` counts its writes since then.
     """
 
-    service: str
+    service: _Text
     address: str
-    zone: str
-    version: str = ''
-    slots: int = Field(ge=1)
+    zone: _Text
+    version: _Text = ''
+    slots: int = Field(ge=1, le=_MAX_COUNT)
     state: str
     born: int = Field(0, ge=0, le=_MAX_ID)
     sequence: int = Field(0, ge=0, le=_MAX_ID)
@@ -183,12 +188,13 @@
         return Err(_first_error(error))
     if entry.state not in _ENDPOINT_STATES:
         return Err(f'unknown state {entry.state[:_MAX_LOGGED_CHARS]!r}')
+    name = row.key.partition('/')[2]
     address = _parse_address(entry.address)
     if address is None:
         return Err(f'malformed address {entry.address[:_MAX_LOGGED_CHARS]!r}')
     return Ok(
         EndpointEntry(
-            name=row.key.partition('/')[2],
+            name=name,
             service=entry.service,
             address=address,
             failure_domain=entry.zone,
