Reject an entry whose key no header can carry

Callers saw their connections closed without an answer whenever the router chose an endpoint whose key has a control character or a space at an end.

Cause: the key is sent as Expect-Instance, and the HTTP library raises LocalProtocolError for such a value, which nothing handled. A very long key exceeded the head that endpoints accept, so every attempt there failed.

Change: a key that is empty, longer than 200 characters, or no value of a header makes the entry unreadable.

--- a/bronzeglade/platform/documents.py
+++ b/bronzeglade/platform/documents.py
@@ -6,6 +6,7 @@
 import datetime as dt
 import ipaddress
 import json
+import re
 from typing import Annotated, Any
 
 import pydantic as pd
@@ -57,6 +58,10 @@
 _MAX_TEXT_CHARS = 200
 _MAX_PORT = 65535
 _PORT_DIGITS = 5
+# Value of a header: no control characters, no spaces at its ends.
+_HEADER_TEXT = re.compile(
+    r'[^\x00-\x20\x7f](?:[^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?'
+)
 _MAX_LOGGED_CHARS = 40  # of a malformed value
 
 _Milliseconds = Annotated[float, Field(ge=0, le=_MAX_DURATION_MS)]
@@ -189,6 +194,8 @@
     if entry.state not in _ENDPOINT_STATES:
         return Err(f'unknown state {entry.state[:_MAX_LOGGED_CHARS]!r}')
     name = row.key.partition('/')[2]
+    if len(name) > _MAX_TEXT_CHARS or not _HEADER_TEXT.fullmatch(name):
+        return Err(f'unusable key {name[:_MAX_LOGGED_CHARS]!r}')
     address = _parse_address(entry.address)
     if address is None:
         return Err(f'malformed address {entry.address[:_MAX_LOGGED_CHARS]!r}')
--- a/bronzeglade/platform/malformed_entries_test.py
+++ b/bronzeglade/platform/malformed_entries_test.py
@@ -86,3 +86,12 @@
     outcome = documents.read_endpoint(Row('servers/i-1', 1, body))
     if isinstance(outcome, Ok):
         use(outcome.ok_value)
+
+
+@pytest.mark.parametrize('key', [*malformed.TEXTS, 'a\rb', 'a\tb', '\x7f'])
+def test_entry_with_an_odd_key(key: str) -> None:
+    """A key that no header can carry closed the connections of callers."""
+    row = Row(f'servers/{key}', 1, json.dumps(ENTRY).encode())
+    outcome = documents.read_endpoint(row)
+    if isinstance(outcome, Ok):
+        use(outcome.ok_value)
