Reject an order whose duration rounds to zero

Operators saw that no roll-out of any service advanced once one order had the duration 0.

Cause: the elapsed fraction is the elapsed time divided by the duration. The step that advances all roll-outs raised ZeroDivisionError at this order, at every tick, and never reached those behind it.

Change: such an order is unreadable; its texts have at most 200 characters, since they become keys of the store.

--- a/bronzeglade/platform/documents.py
+++ b/bronzeglade/platform/documents.py
@@ -136,9 +136,9 @@
 
 
 class _Order(PlatformDocument):
-    service: str
+    service: _Text
     # The version that the service moves to.
-    target: str
+    target: _Text
     duration_s: float = Field(
         alias='duration-s', ge=0, le=_MAX_DURATION_MS / 1000
     )
@@ -221,6 +221,8 @@
     except pd.ValidationError as error:
         return Err(_first_error(error))
     duration = dt.timedelta(seconds=order.duration_s)
+    if not duration:
+        return Err('duration-s: rounds to zero')
     return Ok(Order(order.service, order.target, duration, row.version))
 
 
--- a/bronzeglade/platform/malformed_documents_test.py
+++ b/bronzeglade/platform/malformed_documents_test.py
@@ -27,24 +27,23 @@
     'sequence': 4,
     'born': 17,
 }
-CONFIGURATION = {
+ROUTE = {
+    'name': 'r',
+    'hostname': 'api.example',
+    'prefix': '/a/',
+    'kind': 'streaming',
+    'timeout-ms': 10000,
+    'target-latency-ms': 6000,
+    'gap-aim-ms': 2000,
+    'priority': 2,
+    'sizes': ['s', 'l'],
+    'service': 'x',
+    'weighted-backends': [{'service': 'x', 'weight': 90}],
+    'max-attempts': 3,
+}
+CONFIGURATION: dict[str, Any] = {
     'version': 7,
-    'routes': [
-        {
-            'name': 'r',
-            'hostname': 'api.example',
-            'prefix': '/a/',
-            'kind': 'streaming',
-            'timeout-ms': 10000,
-            'target-latency-ms': 6000,
-            'gap-aim-ms': 2000,
-            'priority': 2,
-            'sizes': ['s', 'l'],
-            'service': 'x',
-            'weighted-backends': [{'service': 'x', 'weight': 90}],
-            'max-attempts': 3,
-        }
-    ],
+    'routes': [ROUTE],
     'services': [{'name': 'x', 'max-connections': 370}],
     'limits': {
         'max-header-bytes': 16384,
