Answer requests of a route without a service

Callers saw their connections closed without an answer on a route that names no service, or only ones with the weight 0.

Cause: service_of took the last of no services and raised IndexError.

Change: such a route gets the service with the empty name. An entry must name its service, so no endpoint has it and the requests are refused as for every service without endpoints.

--- a/bronzeglade/platform/documents.py
+++ b/bronzeglade/platform/documents.py
@@ -125,7 +125,7 @@
     `sequence` counts its writes since then.
     """
 
-    service: _Text
+    service: Annotated[_Text, Field(min_length=1)]
     address: str
     zone: _Text
     version: _Text = ''
@@ -258,8 +258,9 @@
         for backend in route.backends
         if backend.weight > 0
     )
-    if not backends and route.service is not None:
-        backends = (WeightedService(route.service, 1),)
+    if not backends:
+        # No endpoint has the service with the empty name.
+        backends = (WeightedService(route.service or '', 1),)
     return Route(
         name=route.name,
         host=route.host,
