Reject a configuration with values that no node can use

Callers and operators saw a configuration that was active in part: the log had its version, but limits of connections stayed those of the one before, and each later change of the nodes failed too. Requests of a team, or for a model, whose name has control characters ended without an answer.

Cause: a version or a number of connections beyond 1.8e308 raised OverflowError after the table had been replaced. Names went into headers, for which the HTTP library raises LocalProtocolError. Infinite weights sent all requests to the last service of a route.

Change: versions and connections have 64 bits, weights at most 2**31 - 1, and names of tenants and models must be values of headers. The configuration before stays active, and the log names the field.

--- a/bronzeglade/platform/documents.py
+++ b/bronzeglade/platform/documents.py
@@ -58,19 +58,20 @@
 _MAX_TEXT_CHARS = 200
 _MAX_PORT = 65535
 _PORT_DIGITS = 5
+_MAX_LOGGED_CHARS = 40  # of a malformed value
 # Value of a header: no control characters, no spaces at its ends.
 _HEADER_TEXT = re.compile(
     r'[^\x00-\x20\x7f](?:[^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?'
 )
-_MAX_LOGGED_CHARS = 40  # of a malformed value
 
 _Milliseconds = Annotated[float, Field(ge=0, le=_MAX_DURATION_MS)]
 _Text = Annotated[str, Field(max_length=_MAX_TEXT_CHARS)]
+_HeaderText = Annotated[str, Field(pattern=f'^(?:{_HEADER_TEXT.pattern})?$')]
 
 
 class _Backend(PlatformDocument):
     service: str
-    weight: float = Field(ge=0)
+    weight: float = Field(ge=0, le=_MAX_COUNT)
 
 
 class _Route(PlatformDocument):
@@ -82,7 +83,7 @@
     objective_ms: _Milliseconds = Field(1000, alias='target-latency-ms')
     attempts: int = Field(1, alias='max-attempts')
     priority: int = 0
-    sizes: tuple[str, ...] = ()
+    sizes: tuple[_HeaderText, ...] = ()
     service: str | None = None
     backends: tuple[_Backend, ...] = Field((), alias='weighted-backends')
     public: bool = False
@@ -94,7 +95,7 @@
 
 class _Service(PlatformDocument):
     name: str
-    max_connections: int = Field(64, alias='max-connections')
+    max_connections: int = Field(64, alias='max-connections', le=_MAX_ID)
 
 
 class _Limits(PlatformDocument):
@@ -105,13 +106,13 @@
 
 
 class _Tenant(PlatformDocument):
-    name: str
+    name: _HeaderText
     keys: tuple[str, ...] = Field((), alias='api-keys')
     priority: int | None = None
 
 
 class _Configuration(PlatformDocument):
-    version: int
+    version: int = Field(le=_MAX_ID)
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits.model_construct()
--- a/bronzeglade/platform/malformed_configurations_test.py
+++ b/bronzeglade/platform/malformed_configurations_test.py
@@ -5,7 +5,10 @@
 
 import h11
 import pytest
+from hypothesis import given
+from result import Ok
 
+from bronzeglade import malformed
 from bronzeglade.adapters.table import Row
 from bronzeglade.forwarding import builders
 from bronzeglade.forwarding.message import Dispatch, RequestHead
@@ -51,6 +54,25 @@
             )
 
 
+def test_configuration_with_one_malformed_value() -> None:
+    """A configuration was active in part, and no later one was complete."""
+    used = 0
+    for body in malformed.json_variants(CONFIGURATION):
+        outcome = documents.read_configuration(Row('op/config', 1, body))
+        if isinstance(outcome, Ok):
+            use(outcome.ok_value)
+            used += 1
+    assert used
+
+
+@given(malformed.json_like(CONFIGURATION))
+def test_configuration_with_generated_values(body: bytes) -> None:
+    """No combination of values may decode to an unusable configuration."""
+    outcome = documents.read_configuration(Row('op/config', 1, body))
+    if isinstance(outcome, Ok):
+        use(outcome.ok_value)
+
+
 @pytest.mark.parametrize('backends', [[], [{'service': 'x', 'weight': 0}]])
 def test_route_without_a_service(backends: list[dict[str, object]]) -> None:
     """Requests of such a route ended without an answer."""
@@ -61,3 +83,22 @@
     }
     body = json.dumps({**CONFIGURATION, 'routes': [route]}).encode()
     use(documents.read_configuration(Row('op/config', 1, body)).unwrap())
+
+
+@pytest.mark.parametrize('weight', ['1e400', 'Infinity', 'NaN'])
+def test_weight_without_a_ratio(weight: str) -> None:
+    """Infinite weights sent all requests to the last service."""
+    template = json.dumps(CONFIGURATION).replace('"weight": 90', '"weight": W')
+    body = template.replace('W', weight).encode()
+    assert documents.read_configuration(Row('op/config', 1, body)).is_err()
+
+
+@pytest.mark.parametrize('name', ['a\r\nb', 'a\x00', ' a'])
+def test_name_that_no_header_can_carry(name: str) -> None:
+    """Requests of such a tenant or model ended without an answer."""
+    tenants = [{'name': name, 'api-keys': ['k']}]
+    routes = [{**ROUTE, 'sizes': [name]}]
+    for changed in ({'tenants': tenants}, {'routes': routes}):
+        body = json.dumps({**CONFIGURATION, **changed}).encode()
+        outcome = documents.read_configuration(Row('op/config', 1, body))
+        assert outcome.is_err()
