Reject evidence rows with values that cannot be evaluated

Operators saw that no roll-out advanced or was rolled back while one evidence row was malformed.

Cause: the numbers of a row were taken as they came. A text or null among them raised TypeError when the rows of all nodes were summed, deep nesting raised RecursionError when the row was decoded; both at every tick, in the step that advances all roll-outs.

Change: the decoders accept numbers within bounds, of the right types, and RecursionError is an error of the row.

--- a/bronzeglade/decisions/duration_histograms.py
+++ b/bronzeglade/decisions/duration_histograms.py
@@ -21,6 +21,7 @@
 FIRST_LEVEL_TOKENS = 256
 LEVEL_FACTOR = 4
 MAX_LEVEL = 6
+MAX_NUMBER = 10**12  # of attempts in one bin that is read
 LEVELS_PER_LOAD = 2  # each load level spans half of the slots
 _MILLISECOND = dt.timedelta(milliseconds=1)
 
@@ -144,7 +145,12 @@
     """
     timings: Timings = collections.Counter()
     for phase, kind, level, share, sources in document:
-        stratum = Stratum(Phase(phase), str(kind), int(level), float(share))
+        stratum = Stratum(
+            Phase(phase),
+            _name(kind),
+            int(_bounded(level, MAX_LEVEL)),
+            float(_bounded(share, 1)),
+        )
         for source in sources:
             timings.update(_decode_source(stratum, source))
     return timings
@@ -152,11 +158,26 @@
 
 def _decode_source(stratum: Stratum, document: Sequence[Any]) -> Timings:
     failure_domain, endpoint, is_open, *counts = document
-    source = TimingSource(str(failure_domain), str(endpoint), bool(is_open))
+    source = TimingSource(_name(failure_domain), _name(endpoint), bool(is_open))
     pairs = zip(counts[::2], counts[1::2], strict=True)
     return collections.Counter(
         {
-            Cell(stratum, source, int(index)): max(0, int(number))
+            Cell(stratum, source, int(_bounded(index, MAX_BIN))): int(
+                _bounded(max(0, number), MAX_NUMBER)
+            )
             for index, number in pairs
         }
     )
+
+
+def _name(text: object) -> str:
+    if not isinstance(text, str):
+        raise TypeError('not a name')
+    return text
+
+
+def _bounded(number: float, highest: float) -> float:
+    # Comparisons with NaN are false, and ones with a text raise TypeError.
+    if not 0 <= number <= highest:
+        raise ValueError('number out of range')
+    return number
--- a/bronzeglade/decisions/evidence.py
+++ b/bronzeglade/decisions/evidence.py
@@ -4,6 +4,8 @@
 import math
 from collections.abc import Iterable, Sequence
 
+# Bound of the numbers that are read; their sums and products are finite.
+MAX_SUM = 1e12
 MAX_LOG_RATIO = 3.0  # bound of abs(log(latency / target)), natural logarithm
 
 
@@ -123,7 +125,24 @@
 
 
 def decode(document: Sequence[float]) -> Evidence:
-    """Return the counters from a list made by `encode`."""
-    return Evidence(
-        Moments(*document[:3]), Moments(*document[3:6]), Moments(*document[6:9])
+    """Return the counters from a list made by `encode`.
+
+    Raises:
+      ValueError or TypeError: the document is malformed.
+    """
+    errors, latency, ratings = (
+        _decode_moments(document[start : start + 3]) for start in (0, 3, 6)
     )
+    return Evidence(errors, latency, ratings)
+
+
+def _decode_moments(numbers: Sequence[float]) -> Moments:
+    counted, summed, squares = numbers
+    # Comparisons with NaN are false, and ones with a text raise TypeError.
+    if not (
+        0 <= counted <= MAX_SUM
+        and abs(summed) <= MAX_SUM
+        and 0 <= squares <= MAX_SUM
+    ):
+        raise ValueError('number out of range')
+    return Moments(counted, summed, squares)
--- a/bronzeglade/forwarding/evidence_record.py
+++ b/bronzeglade/forwarding/evidence_record.py
@@ -13,7 +13,15 @@
 from bronzeglade.decisions.evidence import Evidence
 
 # Raised when decoding bytes that are not a valid record.
-_DECODE_ERRORS = (ValueError, TypeError, LookupError, OverflowError)
+_DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    LookupError,
+    OverflowError,
+    RecursionError,
+)
+_MAX_SENT = 10**12
+_MAX_REASON_CHARS = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,7 +74,7 @@
             EvidenceRecord(_decode_version(candidate), _decode_version(control))
         )
     except _DECODE_ERRORS as error:
-        return Err(repr(error))
+        return Err(repr(error)[:_MAX_REASON_CHARS])
 
 
 def _total(records: Sequence[VersionRecord]) -> VersionRecord:
@@ -89,6 +97,8 @@
 
 def _decode_version(document: Sequence[Any]) -> VersionRecord:
     encoded_evidence, encoded_timings, encoded_busy, sent = document
+    if not 0 <= sent <= _MAX_SENT:
+        raise ValueError('number of attempts out of range')
     return VersionRecord(
         evidence.decode(encoded_evidence),
         duration_histograms.decode(encoded_timings),
