Reject plans of roll-outs with values that cannot be carried out

Callers and operators saw that a malformed plan row stopped the steps that follow the operator's and the nodes' rows: new orders and plans of all services were not applied, and requests of its service could fail.

Cause: the fields of a plan were taken as they came. A service that is no text raised TypeError when the plan was stored, deep nesting raised RecursionError when it was decoded, at each change of the table. A row under the key of one service replaced the plan of the service that its body names.

Change: the body is a validated model with bounded numbers and times, and the row's key must be that of its service.

--- a/bronzeglade/coordination/rollout_plan.py
+++ b/bronzeglade/coordination/rollout_plan.py
@@ -9,14 +9,20 @@
 import datetime as dt
 import enum
 import json
+from typing import Annotated
 
+import pydantic as pd
+from pydantic import Field
 from result import Err, Ok, Result
 
 from bronzeglade.adapters.table import Row
+from bronzeglade.validation import first_error
 
 PLAN_PREFIX = 'bronzeglade/rollout/'
-# Raised when the bytes of a row are not a valid plan.
-_DECODE_ERRORS = (ValueError, TypeError, LookupError, OverflowError)
+# Bounds that keep times within the range of timedelta arithmetic, and numbers
+# of orders within 64 bits.
+_MAX_TIME_MS = 10**15
+_MAX_ORDER = 2**63 - 1
 _MILLISECOND = dt.timedelta(milliseconds=1)
 
 
@@ -133,14 +139,35 @@
     return json.dumps(document).encode()
 
 
+_Milliseconds = Annotated[int, Field(ge=-_MAX_TIME_MS, le=_MAX_TIME_MS)]
+_Share = Annotated[float, Field(ge=0, le=1)]
+
+
+class _Document(pd.BaseModel):
+    """The body of a row; times are in milliseconds."""
+
+    service: str
+    target: str
+    order: int = Field(ge=0, le=_MAX_ORDER)
+    stage: Stage
+    share: _Share
+    began: _Milliseconds
+    stepped: _Milliseconds
+    withdrawn: tuple[str, ...] = ()
+    reason: str = ''
+    writer: str = ''
+    share_before: _Share = 0
+
+
 def decode(row: Row) -> Result[Plan, str]:
     """Decode the plan of a row, or return why it is not valid."""
     try:
-        document = json.loads(row.body)
-        document['stage'] = Stage(document['stage'])
-        for name in ('began', 'stepped'):
-            document[name] = document[name] * _MILLISECOND
-        document['withdrawn'] = tuple(document['withdrawn'])
-        return Ok(Plan(**document))
-    except _DECODE_ERRORS as error:
-        return Err(repr(error))
+        document = _Document.model_validate_json(row.body)
+    except pd.ValidationError as error:
+        return Err(first_error(error))
+    if row.key != PLAN_PREFIX + document.service:
+        return Err('the plan of another service')
+    fields = dict(document)
+    for name in ('began', 'stepped'):
+        fields[name] *= _MILLISECOND
+    return Ok(Plan(**fields))
--- a/bronzeglade/platform/documents.py
+++ b/bronzeglade/platform/documents.py
@@ -28,6 +28,7 @@
 )
 from bronzeglade.forwarding.settings import Address
 from bronzeglade.platform.model import PlatformDocument
+from bronzeglade.validation import first_error
 
 OPERATOR_TABLE = 'op'
 ENDPOINT_TABLE = 'servers'
@@ -153,7 +154,7 @@
     try:
         document = _Configuration.model_validate_json(row.body)
     except pd.ValidationError as error:
-        return Err(_first_error(error))
+        return Err(first_error(error))
     routes = tuple(
         _decode_route(route)
         for route in document.routes
@@ -191,7 +192,7 @@
     try:
         entry = _Entry.model_validate_json(row.body, strict=True)
     except pd.ValidationError as error:
-        return Err(_first_error(error))
+        return Err(first_error(error))
     if entry.state not in _ENDPOINT_STATES:
         return Err(f'unknown state {entry.state[:_MAX_LOGGED_CHARS]!r}')
     name = row.key.partition('/')[2]
@@ -220,7 +221,7 @@
     try:
         order = _Order.model_validate_json(row.body)
     except pd.ValidationError as error:
-        return Err(_first_error(error))
+        return Err(first_error(error))
     duration = dt.timedelta(seconds=order.duration_s)
     if not duration:
         return Err('duration-s: rounds to zero')
@@ -277,9 +278,3 @@
         resumable=route.resumable,
         pause=route.pause_ms * _MILLISECOND,
     )
-
-
-def _first_error(error: pd.ValidationError) -> str:
-    first = error.errors(include_url=False, include_input=False)[0]
-    location = '.'.join(str(part) for part in first['loc'])
-    return f'{location}: {first["msg"]}'
