Isolate a fault of a decoder at one row from the other rows

Callers saw that a node stopped following the endpoints, and kept sending to those that had gone, after one entry that its decoder raised an exception for.

Cause: RowDecoder.read decodes all rows of a table in one pass. An exception at one row ended the pass and the step that follows the table, and since the cache was cleared first, at each later change again.

Change: an exception of the decoder is an error of its row, logged once for each version with at most 200 characters. The decoders themselves raise none for the inputs of the tests; this bounds the harm of one that is not known.

--- a/bronzeglade/forwarding/decoding.py
+++ b/bronzeglade/forwarding/decoding.py
@@ -13,6 +13,7 @@
 from bronzeglade.forwarding.log import Log
 
 Content = TypeVar('Content')
+_MAX_REASON_CHARS = 200
 
 
 class RowDecoder(Generic[Content]):
@@ -53,7 +54,14 @@
         return contents
 
     def _decode(self, row: Row) -> Result[Content, str]:
-        outcome = self.decode(row)
+        outcome = self._try_decode(row)
         if isinstance(outcome, Err):
             self.log.event(self.event, key=row.key, reason=outcome.err_value)
         return outcome
+
+    def _try_decode(self, row: Row) -> Result[Content, str]:
+        try:
+            return self.decode(row)
+        except Exception as error:
+            # A fault of the decoder at one row must not hide the other rows.
+            return Err(repr(error)[:_MAX_REASON_CHARS])
--- a/bronzeglade/forwarding/decoding_test.py
+++ b/bronzeglade/forwarding/decoding_test.py
@@ -1,4 +1,4 @@
-"""Guards that a change of one row does not decode a whole table again."""
+"""Guards that rows are decoded once, and that each may fail alone."""
 
 from result import Err, Ok, Result
 
@@ -27,3 +27,25 @@
     # version may have other content then.
     assert decoder.read(rows[1:]) == decoder.read(rows)[1:]
     assert decoded[202:] == ['n0']
+
+
+def test_row_on_which_the_decoder_fails() -> None:
+    """One such entry stopped the following of all entries for good."""
+    decoded: list[str] = []
+
+    def decode(row: Row) -> Result[str, str]:
+        decoded.append(row.key)
+        if row.key == 'odd':
+            raise RecursionError('x' * 5000)
+        return Ok(row.key)
+
+    log = builders.log()
+    decoder = RowDecoder(decode, 'unreadable', log)
+    rows = [Row('a', 1, b''), Row('odd', 1, b''), Row('z', 1, b'')]
+    assert decoder.read(rows) == ['a', 'z']
+    assert decoder.read(rows) == ['a', 'z']
+    # Once for each version, with a short reason.
+    assert decoded == ['a', 'odd', 'z']
+    assert len(log.lines) == 1
+    assert b'RecursionError' in log.lines[0]
+    assert len(log.lines[0]) < 500
