Decode configuration, plans and orders once for each version

Operators saw the same unreadable plan, order or configuration in the log at each change of any row; with changes of the nodes this used up the lines that a node may log in a second.

Cause: only entries and nodes were decoded through RowDecoder. All plans and orders were decoded again at each change, and an exception of a decoder ended the step that follows the table.

Evidence: test_unreadable_row_is_logged_once fails on: three lines of unreadable_plan for three refreshes.

Change: all rows of the followed tables are decoded through RowDecoder. The event unreadable_configuration has the key of the row too.

Result: the test failed before and passes now.

--- a/bronzeglade/forwarding/malformed_rows_test.py
+++ b/bronzeglade/forwarding/malformed_rows_test.py
@@ -81,3 +81,14 @@
     row = Row(f'{rollout_plan.PLAN_PREFIX}other', 1, body)
     assert rollout_plan.decode(row).is_err()
     assert rollout_plan.decode(Row(KEY, 1, body)).is_ok()
+
+
+def test_unreadable_row_is_logged_once() -> None:
+    """Each change of any row logged all unreadable plans again."""
+    rollouts = builders.rollouts(ManualClock())
+    plan = Row(KEY, 1, b'{}')
+    rollouts.router_rows.replace(Snapshot(1, {plan.key: plan}))
+    for _ in range(3):
+        rollouts.refresh()
+    events = [json.loads(line)['event'] for line in rollouts.log.lines]
+    assert events == ['unreadable_plan']
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -98,6 +98,9 @@
         )
         documents = platform.documents
         self.tables = Tables(documents, self.clock)
+        self.configuration_decoder = RowDecoder(
+            documents.read_configuration, 'unreadable_configuration', self.log
+        )
         self.entry_decoder = RowDecoder(
             documents.read_endpoint, 'unreadable_entry', self.log
         )
@@ -268,14 +271,9 @@
         row = self.tables.operator.rows.get(
             self.platform.documents.configuration_key
         )
-        if row is not None:
-            outcome = self.platform.documents.read_configuration(row)
-            if isinstance(outcome, Ok):
-                self.router.activate(outcome.ok_value)
-            else:
-                self.log.event(
-                    'unreadable_configuration', reason=outcome.err_value
-                )
+        rows = () if row is None else (row,)
+        for table in self.configuration_decoder.read(rows):
+            self.router.activate(table)
         self.rollouts.refresh()
 
     def _endpoint_rows_changed(self) -> None:
--- a/bronzeglade/forwarding/service_rollouts.py
+++ b/bronzeglade/forwarding/service_rollouts.py
@@ -20,6 +20,7 @@
 from bronzeglade.decisions.rollout_schedule import CanarySettings, Exposure
 from bronzeglade.forwarding import evidence_record, running_rollout
 from bronzeglade.forwarding.accepted_request import AcceptedRequest
+from bronzeglade.forwarding.decoding import RowDecoder
 from bronzeglade.forwarding.endpoint import Endpoint
 from bronzeglade.forwarding.evidence_record import EvidenceRecord
 from bronzeglade.forwarding.follower import propagation_time
@@ -72,6 +73,12 @@
         self.roster = roster
         self.log = log
         self.clock = router_rows.clock
+        self.plan_decoder = RowDecoder(
+            rollout_plan.decode, 'unreadable_plan', log
+        )
+        self.order_decoder = RowDecoder(
+            documents.read_order, 'unreadable_order', log
+        )
         self.settings = CanarySettings()
         self.bounds = RolloutBounds(share=0.1, slack=0)
         self.orders: dict[str, Order] = {}
@@ -80,24 +87,12 @@
 
     def refresh(self) -> None:
         """Apply the orders and plans in the local copies of the tables."""
-        for key, row in self.router_rows.rows.items():
-            if key.startswith(rollout_plan.PLAN_PREFIX):
-                plan = rollout_plan.decode(row)
-                if isinstance(plan, Err):
-                    self.log.event(
-                        'unreadable_plan', key=key, reason=plan.err_value
-                    )
-                else:
-                    self._apply_plan(plan.ok_value)
-        for key, row in self.operator_rows.rows.items():
-            if key.startswith(self.documents.order_prefix):
-                order = self.documents.read_order(row)
-                if isinstance(order, Err):
-                    self.log.event(
-                        'unreadable_order', key=key, reason=order.err_value
-                    )
-                else:
-                    self._apply_order(order.ok_value)
+        plans = _with_prefix(self.router_rows, rollout_plan.PLAN_PREFIX)
+        for plan in self.plan_decoder.read(plans):
+            self._apply_plan(plan)
+        orders = _with_prefix(self.operator_rows, self.documents.order_prefix)
+        for order in self.order_decoder.read(orders):
+            self._apply_order(order)
 
     def select(
         self, request: AcceptedRequest, endpoints: Sequence[Endpoint]
@@ -577,3 +572,7 @@
 
 def _evidence_prefix(order: Order) -> str:
     return f'{EVIDENCE_TABLE}/{order.service}/{order.number}/'
+
+
+def _with_prefix(mirror: TableMirror, prefix: str) -> list[Row]:
+    return [row for key, row in mirror.rows.items() if key.startswith(prefix)]
