Isolate a failure of one roll-out from the others

Operators saw that roll-outs of all services stopped when one of them could not advance.

Cause: ServiceRollouts.tick serves the roll-outs in one pass; an exception at one ended the pass, at each tick at the same place.

Change: the exception is logged as a traceback and the pass goes on.

Result: the test failed before and passes now.

--- a/bronzeglade/forwarding/malformed_rows_test.py
+++ b/bronzeglade/forwarding/malformed_rows_test.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime as dt
 import json
+from typing import Any
 
 from hypothesis import given
 from result import Ok
@@ -92,3 +93,26 @@
         rollouts.refresh()
     events = [json.loads(line)['event'] for line in rollouts.log.lines]
     assert events == ['unreadable_plan']
+
+
+def test_roll_out_that_cannot_advance_does_not_stop_the_others() -> None:
+    """An exception at one service ended the step for those behind it."""
+    clock = ManualClock()
+    rollouts = builders.rollouts(clock)
+    orders = {
+        f'orders/rollout/{name}': Row(
+            f'orders/rollout/{name}', number, f'{name} v2 60'.encode()
+        )
+        for number, name in enumerate(('a', 'b'), 1)
+    }
+    rollouts.operator_rows.replace(Snapshot(2, orders))
+    rollouts.router_rows.replace(Snapshot(2, {}, builders.SECOND))
+    rollouts.refresh()
+    no_text: Any = None
+    odd = rollouts.running['a']
+    odd.order = dataclasses.replace(odd.order, service=no_text)
+    for _ in range(4):
+        rollouts.tick()
+        clock.advance(builders.SECOND)
+    rows = rollouts.table.scan('bronzeglade/rollout/', 9).unwrap()
+    assert 'bronzeglade/rollout/b' in [row.key for row in rows]
--- a/bronzeglade/forwarding/service_rollouts.py
+++ b/bronzeglade/forwarding/service_rollouts.py
@@ -8,6 +8,7 @@
 import datetime as dt
 from collections.abc import Iterator, Sequence
 
+from eliot import write_traceback
 from result import Err, Ok
 
 from bronzeglade.adapters.table import Check, Put, Row, Table, Transaction
@@ -257,15 +258,21 @@
     def tick(self) -> None:
         """Exchange evidence and advance the roll-outs this node may write."""
         for service, rollout in list(self.running.items()):
-            plan = self.plans.get(service)
-            if plan is not None and plan.order == rollout.order.number:
-                if plan.stage is not Stage.RUNNING:
-                    self.running.pop(service)
-                    continue
-                self._write_evidence(service, rollout)
-                self._advance(rollout, plan)
-            else:
-                self._write_first_plan(rollout, plan)
+            try:
+                self._tick(service, rollout)
+            except Exception:
+                # A failure of one roll-out must not affect the others.
+                write_traceback()
+
+    def _tick(self, service: str, rollout: RunningRollout) -> None:
+        plan = self.plans.get(service)
+        if plan is None or plan.order != rollout.order.number:
+            self._write_first_plan(rollout, plan)
+        elif plan.stage is Stage.RUNNING:
+            self._write_evidence(service, rollout)
+            self._advance(rollout, plan)
+        else:
+            self.running.pop(service)
 
     def _apply_order(self, order: Order) -> None:
         known = self.orders.get(order.service)
