Report a change again whose handler failed

Callers saw that a node ignored a change of a table until the next one: an endpoint or a configuration stayed unknown, though the copy of the table had it.

Cause: the follower applies a change and then calls the handler. After an exception there the loop goes on with the next call, and the handler runs again only with a further change.

Change: the follower remembers that the handler did not finish and calls it again with the next answer, changed or not. The table is followed meanwhile, so a handler that always fails neither stops the loop nor repeats without a wait.

--- a/bronzeglade/forwarding/follower.py
+++ b/bronzeglade/forwarding/follower.py
@@ -75,7 +75,8 @@
           context: shared dependencies.
           mirror: local copy of the table.
           on_change: called after each change, and when the settling period
-            after an outage ends and lapsed rows count as removed.
+            after an outage ends and lapsed rows count as removed. After an
+            exception it is called again with the next answer.
           wait: how long a call waits for changes.
         """
         self.context = context
@@ -88,6 +89,8 @@
         self.waiting_call: Any = None
         self.backoff = MIN_BACKOFF
         self.needs_snapshot = True
+        # Set while the last change may not have been handled completely.
+        self.unhandled = False
 
     def follow_next(self) -> None:
         """Wait for the next change and apply it; the body of a loop."""
@@ -101,8 +104,8 @@
         if isinstance(outcome, Ok):
             changed = self.mirror.apply(outcome.ok_value)
             self._record_success()
-            if changed:
-                self.on_change()
+            if changed or self.unhandled:
+                self._handle_change()
                 self._coalesce()
             return
         error = outcome.err_value
@@ -132,9 +135,9 @@
         newer = self.mirror.replace(copy.snapshot, lapsed=copy.lapsed.keys())
         if copy.lapsed:
             self.mirror.take_lapsed(copy.lapsed, copy.settling)
-            eventlet.spawn_after(self._settling_s(), self.on_change)
-        if newer or copy.lapsed:
-            self.on_change()
+            eventlet.spawn_after(self._settling_s(), self._handle_change)
+        if newer or copy.lapsed or self.unhandled:
+            self._handle_change()
         return newer
 
     def _waits_for_probe(self) -> bool:
@@ -175,7 +178,17 @@
         self.needs_snapshot = False
         self.mirror.replace(outcome.ok_value)
         self._record_success()
+        self._handle_change()
+
+    def _handle_change(self) -> None:
+        """Report a change; after an exception it is reported again later.
+
+        The rows have been applied, so the table is followed further. The change
+        would be lost if it were reported only once.
+        """
+        self.unhandled = True
         self.on_change()
+        self.unhandled = False
 
     def _record_success(self) -> None:
         self.backoff = MIN_BACKOFF
@@ -187,7 +200,7 @@
                 table=self.mirror.table,
                 lasted_ms=outage // _MILLISECOND,
             )
-            eventlet.spawn_after(self._settling_s(), self.on_change)
+            eventlet.spawn_after(self._settling_s(), self._handle_change)
 
     def _settling_s(self) -> float:
         until = self.mirror.settled_at or dt.timedelta()
--- a/bronzeglade/forwarding/follower_test.py
+++ b/bronzeglade/forwarding/follower_test.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import eventlet
+import pytest
 from result import Err, Ok, Result
 
 from bronzeglade.adapters.feed import Changes, HistoryTruncated, Snapshot
@@ -186,3 +187,28 @@
     probe.record_success()
     subject.follow_next()
     assert len(feed.waits) == calls + 1
+
+
+def test_change_whose_handler_fails_is_reported_again() -> None:
+    """A change was lost until the next one if its handler failed once."""
+    feed = ScriptedFeed()
+    subject, seen = follower_of(feed)
+    handled = subject.on_change
+
+    def fail() -> None:
+        raise RuntimeError('failed on one row')
+
+    subject.on_change = fail
+    with pytest.raises(RuntimeError):
+        subject.follow_next()
+    feed.answer = lambda: Ok(Changes(2, {'t/b': Row('t/b', 2, b'')}))
+    with pytest.raises(RuntimeError):
+        subject.follow_next()
+    # The rows are followed all the same, and without a further change the
+    # handler gets them with the next answer.
+    assert list(subject.mirror.rows) == ['t/read-1', 't/b']
+    subject.on_change = handled
+    feed.answer = lambda: Ok(Changes(2, {}))
+    subject.follow_next()
+    subject.follow_next()
+    assert seen == [2]
