Wake waiting nodes though a handler failed on the rows

Other nodes got a change late that the polled node had in its copy: it answered their waiting calls only when the wait ended.

Cause: the calls were woken after the handler, so not after an exception of it.

Evidence: test_other_nodes_get_rows_that_a_handler_fails_on fails on.

Change: the calls are woken in any case.

Result: the test failed before and passes now.

--- a/bronzeglade/forwarding/follower_test.py
+++ b/bronzeglade/forwarding/follower_test.py
@@ -14,6 +14,7 @@
 from bronzeglade.coordination.table_mirror import TableMirror
 from bronzeglade.forwarding import builders, follower
 from bronzeglade.forwarding.follower import Follower, FollowerContext
+from bronzeglade.forwarding.tables import Tables
 
 
 class ScriptedFeed:
@@ -212,3 +213,16 @@
     subject.follow_next()
     subject.follow_next()
     assert seen == [2]
+
+
+def test_other_nodes_get_rows_that_a_handler_fails_on() -> None:
+    """Nodes that poll this one waited for changes that it had already."""
+    tables = Tables(builders.documents(), BootClock())
+
+    def fail() -> None:
+        raise RuntimeError('failed on one row')
+
+    waiting = tables.copy_source.changed
+    with pytest.raises(RuntimeError):
+        tables._with_notification(fail)()
+    assert waiting.ready()
--- a/bronzeglade/forwarding/tables.py
+++ b/bronzeglade/forwarding/tables.py
@@ -110,7 +110,10 @@
         self, handler: Callable[[], None]
     ) -> Callable[[], None]:
         def handle() -> None:
-            handler()
-            self.copy_source.notify()
+            try:
+                handler()
+            finally:
+                # The other nodes get the rows even if this one fails on them.
+                self.copy_source.notify()
 
         return handle
