Reject registrations of nodes that the other nodes cannot use

Callers saw a worse spread of requests: nodes stopped exchanging their loads and departures once the registration of one of them had an odd address.

Cause: any text and any number were taken as an address. A port of 65536 raised OverflowError, a host with a null character TypeError, in the step that sends to all nodes, at each round; a host name would be looked up while the process waits. A row under the key of one node replaced the registration of the node that its body names, and its reason was unbounded.

Change: addresses are an IPv4 address and a port, for nodes as for endpoints, and the key must be that of the node. The test builders give nodes such addresses.

--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -2,8 +2,10 @@
 
 import dataclasses
 import datetime as dt
+import ipaddress
 import os
 import random
+import zlib
 from collections.abc import Sequence
 from typing import Any
 
@@ -146,7 +148,10 @@
 def node(name: str = 'node-1') -> RouterNode:
     """Return a node; the name `b-1` puts it in failure domain `b`."""
     domain, _, _number = name.rpartition('-')
-    return RouterNode(name, domain, ('h', 1), (name, 1), (name, 2))
+    # Nodes with different names get different addresses within 10.0.0.0/8.
+    number = zlib.crc32(name.encode()) % (1 << 24)
+    host = str(ipaddress.IPv4Address('10.0.0.0') + number)
+    return RouterNode(name, domain, (host, 3), (host, 1), (host, 2))
 
 
 def roster(name: str, *others: str) -> Roster:
--- a/bronzeglade/forwarding/load_exchange_test.py
+++ b/bronzeglade/forwarding/load_exchange_test.py
@@ -183,8 +183,8 @@
     wait(8)
     # Only the aggregators of its own domain send to the third node of b.
     sent = fleet.network.sent
-    assert sent['b-1', 2] < 40
-    assert 0 < sent['b-3', 2] < 30
+    assert sent[builders.node('b-1').exchange] < 40
+    assert 0 < sent[builders.node('b-3').exchange] < 30
 
 
 def test_announced_departure_reaches_every_node() -> None:
--- a/bronzeglade/forwarding/malformed_rows_test.py
+++ b/bronzeglade/forwarding/malformed_rows_test.py
@@ -3,6 +3,8 @@
 import dataclasses
 import datetime as dt
 import json
+import random
+import socket
 from typing import Any
 
 from hypothesis import given
@@ -13,10 +15,25 @@
 from bronzeglade.adapters.table import Row
 from bronzeglade.builders import ManualClock
 from bronzeglade.coordination import rollout_plan
+from bronzeglade.coordination.liveness import (
+    ExpectedNode,
+    FailureDetector,
+    FailureDetectorSettings,
+)
 from bronzeglade.coordination.rollout_plan import Order, Plan
 from bronzeglade.forwarding import builders
+from bronzeglade.forwarding.departures import Incarnation
+from bronzeglade.forwarding.load_exchange import Departure, LoadExchange
+from bronzeglade.forwarding.roster import (
+    NODE_PREFIX,
+    RouterNode,
+    addresses_for,
+    decode,
+    encode,
+)
 
 ORDER = Order(builders.SERVICE, 'v2', dt.timedelta(seconds=60), 2)
+NODE = builders.node('a-2')
 KEY = rollout_plan.PLAN_PREFIX + builders.SERVICE
 PLAN = json.loads(
     rollout_plan.encode(
@@ -116,3 +133,44 @@
         clock.advance(builders.SECOND)
     rows = rollouts.table.scan('bronzeglade/rollout/', 9).unwrap()
     assert 'bronzeglade/rollout/b' in [row.key for row in rows]
+
+
+def meet(node: RouterNode) -> None:
+    """Send loads, announce a departure and list addresses, with a node."""
+    clock = ManualClock()
+    known = builders.roster('a-1', 'b-1')
+    known.nodes[node.name] = node
+    placement = builders.router().placement
+    rng = random.Random(1)
+    exchange = LoadExchange(known, placement, clock, builders.log(), rng)
+    exchange.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    departure = Departure('a-1', Incarnation('e', 1, ('10.0.0.1', 1)))
+    exchange._send(node, departure)
+    exchange.sock.close()
+    assert known.count() == 3
+    known.peers()
+    addresses_for(known.nodes.values(), 'a', 'r', {'a': 'r'})
+    detector = FailureDetector(FailureDetectorSettings(), clock)
+    detector.suspects({node.name: ExpectedNode(0, node.rejoins)})
+    assert json.dumps(sorted(known.nodes))
+
+
+def test_node_with_one_malformed_value() -> None:
+    """A port of 65536 stopped the exchange of loads with all nodes."""
+    used = 0
+    key = NODE_PREFIX + NODE.name
+    for body in malformed.json_variants(json.loads(encode(NODE))):
+        outcome = decode(Row(key, 1, body))
+        if isinstance(outcome, Ok):
+            meet(outcome.ok_value)
+            used += 1
+        else:
+            assert len(outcome.err_value) < 400
+    assert used
+
+
+def test_node_under_the_key_of_another_one() -> None:
+    """Such a row replaced the registration of a running node."""
+    body = encode(NODE)
+    assert decode(Row(f'{NODE_PREFIX}a-3', 1, body)).is_err()
+    assert decode(Row(NODE_PREFIX + NODE.name, 1, body)) == Ok(NODE)
--- a/bronzeglade/forwarding/node_registration.py
+++ b/bronzeglade/forwarding/node_registration.py
@@ -21,9 +21,8 @@
 from bronzeglade.forwarding import roster
 from bronzeglade.forwarding.load_exchange import MessageKind
 from bronzeglade.forwarding.log import Log
-from bronzeglade.forwarding.roster import ROUTER_TABLE, Roster, RouterNode
+from bronzeglade.forwarding.roster import NODE_PREFIX, Roster, RouterNode
 
-NODE_PREFIX = f'{ROUTER_TABLE}/node/'
 CHECK_INTERVAL = dt.timedelta(seconds=1)
 # Maximum delay until a written row appears in the local copy of the table.
 MAX_COPY_LAG = dt.timedelta(seconds=3)
--- a/bronzeglade/forwarding/node_registration_test.py
+++ b/bronzeglade/forwarding/node_registration_test.py
@@ -19,11 +19,8 @@
 from bronzeglade.coordination.table_mirror import TableMirror
 from bronzeglade.forwarding import builders, roster
 from bronzeglade.forwarding.load_exchange import MessageKind
-from bronzeglade.forwarding.node_registration import (
-    NODE_PREFIX,
-    NodeRegistration,
-)
-from bronzeglade.forwarding.roster import Roster, RouterNode
+from bronzeglade.forwarding.node_registration import NodeRegistration
+from bronzeglade.forwarding.roster import NODE_PREFIX, Roster, RouterNode
 
 SECOND = dt.timedelta(seconds=1)
 # Time within which a dead node must leave the list.
@@ -63,7 +60,7 @@
         """Read the store and run the checks of the registration once."""
         rows = self.fleet.rows()
         self.rows.replace(Snapshot(self.rows.as_of + 1, rows))
-        nodes = [roster.decode(row.body).unwrap() for row in rows.values()]
+        nodes = [roster.decode(row).unwrap() for row in rows.values()]
         self.roster.nodes = {node.name: node for node in nodes}
         self.node_registration.run_checks()
 
--- a/bronzeglade/forwarding/roster.py
+++ b/bronzeglade/forwarding/roster.py
@@ -8,9 +8,14 @@
 import pydantic as pd
 from result import Err, Ok, Result
 
+from bronzeglade.adapters.table import Row
+from bronzeglade.forwarding import address
 from bronzeglade.forwarding.settings import Address
+from bronzeglade.validation import first_error
 
 ROUTER_TABLE = 'bronzeglade'  # the store table that router nodes write
+NODE_PREFIX = f'{ROUTER_TABLE}/node/'
+_MAX_REJOINS = 2**31 - 1
 # Minimum number of addresses for a caller, so that it can fail over.
 MIN_ADDRESSES = 2
 MAX_ADDRESSES = 64
@@ -132,12 +137,21 @@
     return json.dumps(dataclasses.asdict(node)).encode()
 
 
-def decode(body: bytes) -> Result[RouterNode, str]:
-    """Decode the body of a row, or return why it is malformed."""
+def decode(row: Row) -> Result[RouterNode, str]:
+    """Decode the registration in a row, or return why it is malformed."""
     try:
-        return Ok(_NODE.validate_json(body))
+        node = _NODE.validate_json(row.body)
     except pd.ValidationError as error:
-        return Err(str(error))
+        return Err(first_error(error))
+    if row.key != NODE_PREFIX + node.name:
+        return Err('the registration of another node')
+    if not all(
+        map(address.is_valid, (node.callers, node.control, node.exchange))
+    ):
+        return Err('malformed address')
+    if not 0 <= node.rejoins <= _MAX_REJOINS:
+        return Err('rejoins: out of range')
+    return Ok(node)
 
 
 def addresses_for(
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -105,7 +105,7 @@
             documents.read_endpoint, 'unreadable_entry', self.log
         )
         self.node_decoder = RowDecoder(
-            lambda row: roster.decode(row.body), 'unreadable_node', self.log
+            roster.decode, 'unreadable_node', self.log
         )
         self.roster = Roster(_local_node(settings), settings.peers)
         self.rollouts = ServiceRollouts(
@@ -283,9 +283,7 @@
     def _node_rows_changed(self) -> None:
         rows = self.tables.router.rows.items()
         decoded = self.node_decoder.read(
-            row
-            for key, row in rows
-            if key.startswith(node_registration.NODE_PREFIX)
+            row for key, row in rows if key.startswith(roster.NODE_PREFIX)
         )
         nodes = {node.name: node for node in decoded}
         previous = self.roster.nodes.keys()
--- a/bronzeglade/forwarding/settings.py
+++ b/bronzeglade/forwarding/settings.py
@@ -4,7 +4,7 @@
 import datetime as dt
 from collections.abc import Mapping
 
-Address = tuple[str, int]
+from bronzeglade.forwarding.address import Address as Address
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bronzeglade/platform/documents.py
+++ b/bronzeglade/platform/documents.py
@@ -4,7 +4,6 @@
 """
 
 import datetime as dt
-import ipaddress
 import json
 import re
 from typing import Annotated, Any
@@ -15,6 +14,7 @@
 
 from bronzeglade.adapters.table import Put, Row
 from bronzeglade.coordination.rollout_plan import Order, Plan, Stage
+from bronzeglade.forwarding import address
 from bronzeglade.forwarding.endpoint import EndpointEntry
 from bronzeglade.forwarding.route import (
     Limits,
@@ -26,7 +26,6 @@
     WeightedService,
     index_routes,
 )
-from bronzeglade.forwarding.settings import Address
 from bronzeglade.platform.model import PlatformDocument
 from bronzeglade.validation import first_error
 
@@ -57,8 +56,6 @@
 _MAX_COUNT = 2**31 - 1
 # The store accepts texts of 200 bytes as keys.
 _MAX_TEXT_CHARS = 200
-_MAX_PORT = 65535
-_PORT_DIGITS = 5
 _MAX_LOGGED_CHARS = 40  # of a malformed value
 # Value of a header: no control characters, no spaces at its ends.
 _HEADER_TEXT = re.compile(
@@ -198,14 +195,14 @@
     name = row.key.partition('/')[2]
     if len(name) > _MAX_TEXT_CHARS or not _HEADER_TEXT.fullmatch(name):
         return Err(f'unusable key {name[:_MAX_LOGGED_CHARS]!r}')
-    address = _parse_address(entry.address)
-    if address is None:
+    endpoint_address = address.parse(entry.address)
+    if endpoint_address is None:
         return Err(f'malformed address {entry.address[:_MAX_LOGGED_CHARS]!r}')
     return Ok(
         EndpointEntry(
             name=name,
             service=entry.service,
-            address=address,
+            address=endpoint_address,
             failure_domain=entry.zone,
             version=entry.version,
             slots=entry.slots,
@@ -239,21 +236,6 @@
     return Put(f'{STATUS_PREFIX}{plan.service}', body)
 
 
-def _parse_address(text: str) -> Address | None:
-    host, _, port = text.rpartition(':')
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return None
-    # The conversion fails for texts of thousands of digits.
-    is_number = (
-        port.isascii() and port.isdecimal() and len(port) <= _PORT_DIGITS
-    )
-    if not is_number or not 0 < int(port) <= _MAX_PORT:
-        return None
-    return host, int(port)
-
-
 def _decode_route(route: _Route) -> Route:
     backends = tuple(
         WeightedService(backend.service, backend.weight)
