Bound the counts in the load reports of other nodes

Callers saw a worse spread of requests: a node that had received one report with a count near 64 bits stopped sending its sums to the other nodes.

Cause: counts were unbounded. A sum beyond 64 bits cannot be packed and raised OverflowError in the step that sends to all nodes, at each round while the report was current. The reason of an unreadable datagram had no bound either.

Change: counts are from 0 to 2**48, reasons have at most 200 characters.

--- a/bronzeglade/forwarding/load_exchange.py
+++ b/bronzeglade/forwarding/load_exchange.py
@@ -17,12 +17,13 @@
 import enum
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import Annotated, Any
 
 import eventlet
 import msgpack
 import pydantic as pd
 from eventlet.green import socket
+from pydantic import Field
 from result import Err, Ok, Result
 
 from bronzeglade.clock import Clock
@@ -76,7 +77,11 @@
 
 
 _DATAGRAM = pd.TypeAdapter(tuple[MessageKind, str, dict[str, Any]])
-_WORK = pd.TypeAdapter(dict[str, tuple[int, int]])
+# Sums of the counts of thousands of nodes stay within 64 bits.
+_MAX_COUNT = 2**48
+_MAX_REASON_CHARS = 200
+_Count = Annotated[int, Field(ge=0, le=_MAX_COUNT)]
+_WORK = pd.TypeAdapter(dict[str, tuple[_Count, _Count]])
 _INCARNATION = pd.TypeAdapter(Incarnation)
 
 
@@ -263,7 +268,7 @@
             return Ok(Departure(sender, _INCARNATION.validate_python(payload)))
         work = _WORK.validate_python(payload)
     except (ValueError, msgpack.UnpackException) as error:
-        return Err(repr(error))
+        return Err(repr(error)[:_MAX_REASON_CHARS])
     return Ok(
         LoadMessage(
             kind,
