Validate the copies of tables that other nodes send

Callers saw that a node without the store followed nothing any more after one malformed answer of a peer; an answer of less than 1 MB could end the process by the memory that it took.

Cause: the fields of an answer were taken as they came. A table that is no map raised AttributeError, a time beyond a timedelta OverflowError; a version that is no number was applied and failed each later comparison. The rows were expanded to any size.

Change: texts, numbers and bytes are checked for their type and range, and the rows of a table expand to at most 32 MiB. Everything else is a failed call.

--- a/bronzeglade/forwarding/copies.py
+++ b/bronzeglade/forwarding/copies.py
@@ -35,6 +35,11 @@
 STORE_LOST_AFTER = dt.timedelta(milliseconds=400)
 # Time limit for an answer, in addition to the requested wait.
 ANSWER_TIMEOUT = dt.timedelta(milliseconds=400)
+# Size of the rows of one table; the store's limits keep them far below.
+MAX_TABLE_BYTES = 32 * 1024 * 1024
+MAX_VERSION = 2**63 - 1
+_MAX_TIME_MS = 10**15  # within the range of timedelta arithmetic
+_MAX_REASON_CHARS = 200
 _COMPRESSION = 1  # zlib level: the fastest suffices for repetitive rows
 _OK = 200
 _MILLISECOND = dt.timedelta(milliseconds=1)
@@ -175,32 +180,72 @@
     try:
         return Ok(unpack(reply.ok_value.body))
     except _DECODE_ERRORS as error:
-        return Err(f'malformed copies: {error!r}')
+        return Err(f'malformed copies: {error!r}'[:_MAX_REASON_CHARS])
 
 
 def unpack(body: bytes) -> TableCopies:
-    """Decode the body of an answer."""
+    """Decode the body of an answer.
+
+    Raises:
+      One of `_DECODE_ERRORS`: the body is malformed.
+    """
     current, tables = msgpack.unpackb(body)
     return TableCopies(
-        current,
+        bool(current),
         {
-            table: TableCopy(
-                Snapshot(
-                    as_of,
-                    _decode_rows(msgpack.unpackb(zlib.decompress(rows))),
-                    now * _MILLISECOND,
-                ),
-                _decode_rows(lapsed),
-                settling * _MILLISECOND,
-            )
-            for table, (as_of, now, rows, lapsed, settling) in tables.items()
+            _text(table): _decode_copy(*packed)
+            for table, packed in dict(tables).items()
         },
     )
 
 
+def _decode_copy(
+    as_of: int,
+    now_ms: int,
+    rows: bytes,
+    lapsed: Sequence[Sequence[Any]],
+    settling_ms: int,
+) -> TableCopy:
+    # A short answer may expand to any size.
+    decompressor = zlib.decompressobj()
+    unpacked = decompressor.decompress(rows, MAX_TABLE_BYTES)
+    if not decompressor.eof:
+        raise ValueError('truncated or too large')
+    return TableCopy(
+        Snapshot(
+            _integer(as_of, MAX_VERSION),
+            _decode_rows(msgpack.unpackb(unpacked)),
+            _integer(now_ms, _MAX_TIME_MS) * _MILLISECOND,
+        ),
+        _decode_rows(lapsed),
+        _integer(settling_ms, _MAX_TIME_MS) * _MILLISECOND,
+    )
+
+
 def _encode_rows(rows: Mapping[str, Row]) -> list[list[Any]]:
     return [[row.key, row.version, row.body] for row in rows.values()]
 
 
 def _decode_rows(encoded: Sequence[Sequence[Any]]) -> dict[str, Row]:
-    return {key: Row(key, version, body) for key, version, body in encoded}
+    return {
+        _text(key): Row(key, _integer(version, MAX_VERSION), _bytes(body))
+        for key, version, body in encoded
+    }
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError('not a text')
+    return value
+
+
+def _bytes(value: object) -> bytes:
+    if not isinstance(value, bytes):
+        raise TypeError('not bytes')
+    return value
+
+
+def _integer(value: object, highest: int) -> int:
+    if not isinstance(value, int) or not 0 <= value <= highest:
+        raise ValueError('not a number in range')
+    return value
--- a/bronzeglade/forwarding/malformed_messages_test.py
+++ b/bronzeglade/forwarding/malformed_messages_test.py
@@ -1,19 +1,29 @@
 """Guards that no message of another node ends in an exception."""
 
+import datetime as dt
+import io
+import json
 import random
+import tracemalloc
+import zlib
 from typing import Any
 
 import msgpack
 import pytest
+import urllib3
 from hypothesis import given
 from hypothesis import strategies as st
-from result import Ok
+from result import Ok, Result
 
 from bronzeglade import malformed
+from bronzeglade.adapters.feed import Changes, Snapshot
+from bronzeglade.adapters.table import Row
 from bronzeglade.builders import ManualClock
+from bronzeglade.coordination.table_mirror import TableMirror
 from bronzeglade.decisions.outstanding import Outstanding
 from bronzeglade.decisions.placement import PlacedRequest, SharedSegment
-from bronzeglade.forwarding import builders, load_exchange
+from bronzeglade.forwarding import builders, copies, load_exchange
+from bronzeglade.forwarding.copies import CopySource, TableCopies
 from bronzeglade.forwarding.load_exchange import (
     LoadExchange,
     LoadMessage,
@@ -103,3 +113,88 @@
     """The bounds admit the counts of a busy node."""
     content = msgpack.packb([0, 'a', {'e': [5000, 10**9]}])
     assert isinstance(load_exchange._decode(content), Ok)
+
+
+def fetched(body: bytes) -> Result[TableCopies, str]:
+    """Return copies that a node answers with, as another one fetches them."""
+    pool: Any = Pool(body)
+    return copies.fetch(pool, ('10.0.0.1', 1), {'t': 0}, dt.timedelta())
+
+
+class Pool:
+    """Answers each call with the same body."""
+
+    def __init__(self, body: bytes) -> None:
+        """Create a pool with the body of its answers."""
+        self.body = body
+
+    def request(self, *_arguments: Any, **_options: Any) -> Any:
+        """Return an answer."""
+        return urllib3.HTTPResponse(
+            io.BytesIO(self.body), status=200, preload_content=False
+        )
+
+
+def apply(found: TableCopies) -> None:
+    """Apply copies, follow the store further and serve copies again."""
+    for copy in found.tables.values():
+        mirror = TableMirror('t', ManualClock())
+        mirror.replace(copy.snapshot, lapsed=copy.lapsed.keys())
+        mirror.take_lapsed(copy.lapsed, copy.settling)
+        mirror.apply(Changes(2**63 - 1, {'t/z': Row('t/z', 1, b'')}))
+        source = CopySource([mirror])
+        assert fetched(source.answer({}, dt.timedelta())).is_ok()
+        assert json.dumps(sorted(mirror.current()))
+
+
+def packed(rows: Any) -> bytes:
+    """Return rows as they are sent."""
+    return zlib.compress(msgpack.packb(rows))
+
+
+ROWS = [['t/a', 3, b'body'], ['t/b', 4, b'']]
+COPIES = [True, {'t': [5, 55, packed(ROWS), ROWS, 3]}]
+
+
+def test_copies_with_one_malformed_value() -> None:
+    """A table that is no map ended the call that fetches from a watcher."""
+    used = 0
+    for variant in malformed.packed_variants(COPIES):
+        outcome = fetched(msgpack.packb(variant))
+        if isinstance(outcome, Ok):
+            apply(outcome.ok_value)
+            used += 1
+        else:
+            assert len(outcome.err_value) < 400
+    assert used
+
+
+def test_copies_with_one_malformed_row() -> None:
+    """A version that is a text failed each later comparison of versions."""
+    for rows in malformed.packed_variants(ROWS):
+        for content in ([5, 55, packed(rows), ROWS, 3], [5, 5, ROWS, rows, 3]):
+            outcome = fetched(msgpack.packb([True, {'t': content}]))
+            if isinstance(outcome, Ok):
+                apply(outcome.ok_value)
+
+
+@given(st.sampled_from(BYTES) | st.binary(max_size=60))
+def test_any_bytes_as_copies(content: bytes) -> None:
+    """No bytes of a peer may end the call that fetches from it."""
+    outcome = fetched(content)
+    if isinstance(outcome, Ok):
+        apply(outcome.ok_value)
+    compressed = zlib.compress(content)
+    fetched(msgpack.packb([True, {'t': [5, 55, compressed, ROWS, 3]}]))
+
+
+def test_copies_that_expand_to_a_large_size() -> None:
+    """A short answer must not fill the memory of the node."""
+    bomb = zlib.compress(bytes(8 * copies.MAX_TABLE_BYTES), 9)
+    body = msgpack.packb([True, {'t': [5, 55, bomb, ROWS, 3]}])
+    assert len(body) < 1024 * 1024
+    tracemalloc.start()
+    assert fetched(body).is_err()
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert peak < 3 * copies.MAX_TABLE_BYTES
