Refuse a call for copies whose wait is beyond a timedelta

Other programs on the control address got 500 and left a traceback in the log.

Cause: a wait of 20 digits raised OverflowError, only ValueError was handled.

Change: such a call is answered with 400, as other malformed numbers are.

--- a/bronzeglade/forwarding/copies.py
+++ b/bronzeglade/forwarding/copies.py
@@ -94,7 +94,7 @@
         try:
             wait = int(query.pop('wait_ms', ['0'])[0]) * _MILLISECOND
             known = {table: int(value[0]) for table, value in query.items()}
-        except ValueError:
+        except (ValueError, OverflowError):
             start('400 Bad Request', [('Content-Length', '0')])
             return ()
         body = self.answer(known, min(wait, MAX_WAIT))
--- a/bronzeglade/forwarding/malformed_messages_test.py
+++ b/bronzeglade/forwarding/malformed_messages_test.py
@@ -7,6 +7,7 @@
 import tracemalloc
 import zlib
 from typing import Any
+from urllib.parse import urlencode
 
 import msgpack
 import pytest
@@ -198,3 +199,25 @@
     peak = tracemalloc.get_traced_memory()[1]
     tracemalloc.stop()
     assert peak < 3 * copies.MAX_TABLE_BYTES
+
+
+@pytest.mark.parametrize('number', [*malformed.NUMBERS, *malformed.DIGIT_TEXTS])
+def test_call_for_copies_with_an_odd_number(number: str) -> None:
+    """A wait beyond a timedelta was answered with 500 and a traceback."""
+    mirror = TableMirror('t', ManualClock())
+    mirror.replace(Snapshot(7, {}))
+    for query in ({'wait_ms': number, 't': '1'}, {'wait_ms': 0, 't': number}):
+        status = call_status(CopySource([mirror]), urlencode(query))
+        assert status in {'200 OK', '400 Bad Request'}
+
+
+def call_status(source: CopySource, query: str) -> str:
+    """Return the status of the answer to a call for copies."""
+    statuses: list[str] = []
+
+    def start(status: str, _headers: Any) -> None:
+        statuses.append(status)
+
+    environ = {'PATH_INFO': '/copies', 'QUERY_STRING': query}
+    source.application(environ, start)
+    return statuses[0]
