Bound the numbers in headers of callers and endpoints

Callers saw all requests of a node fail once one endpoint named a rate limit near 1e308, and a worse spread of requests while a request with a token count of 30 digits ran.

Cause: numbers in headers had no bounds. The next sending time under such a rate is no number and raised OverflowError in each choice of an endpoint. Token counts beyond 64 bits cannot be packed into load reports, which ended each round of reports. Negative loads and a confidence that is no number went into estimates and logs.

Change: counts are from 0 to 2**31 - 1; a request with others is refused with 400, a load report with others is ignored and logged. A rate above 1e6 counts as 1e6, a time limit above a year as a year. A confidence must be finite.

--- a/bronzeglade/platform/headers.py
+++ b/bronzeglade/platform/headers.py
@@ -30,6 +30,11 @@
 # Another endpoint has the address now; the request did not run.
 _HTTP_MISDIRECTED = 421
 ANY_MODEL = '*'  # the router may choose the model
+# Deadlines are times since the start of the machine plus a time limit.
+_MAX_TIME_LIMIT = dt.timedelta(days=365)
+# Counts of all nodes together stay within 64 bits, and within floating point.
+_MAX_COUNT = 2**31 - 1
+_MAX_RATE = 1e6  # requests per second; a higher limit never takes effect
 _MAX_LOGGED_CHARS = 40  # of the value of an unreadable header
 
 # Hop-by-hop headers, which are not forwarded, and headers that the router sets
@@ -169,7 +174,7 @@
             misdirected=status == _HTTP_MISDIRECTED,
             encoded=fields.get(b'content-encoding', 'identity') != 'identity',
             load=read(b'server-load', _parse_load),
-            confidence=read(b'confidence', float),
+            confidence=read(b'confidence', _parse_confidence),
             idle_limit=read(b'keep-alive', _parse_idle_limit),
             leaving=bool(leaving),
             no_work_for=no_work_for,
@@ -207,11 +212,13 @@
         host=host.partition(':')[0],
         key=fields.get(b'credential'),
         time_limit=(
-            None if deadline_ms is None else float(deadline_ms) * _MILLISECOND
+            None if deadline_ms is None else _parse_time_limit(deadline_ms)
         ),
         model=None if model == ANY_MODEL else model,
-        prompt_tokens=int(token_counts[0] or 0),
-        output_tokens=int(token_counts[1]) if len(token_counts) > 1 else 0,
+        prompt_tokens=_parse_count(token_counts[0] or '0'),
+        output_tokens=(
+            _parse_count(token_counts[1]) if len(token_counts) > 1 else 0
+        ),
         prompt_segments=_parse_segments(fields.get(b'prompt-prefix', '')),
         last_event=int(event_id) if event_id else None,
         session=fields.get(b'session'),
@@ -224,10 +231,22 @@
     for entry in text.split(','):
         name, _, tokens = entry.strip().partition(':')
         if name:
-            segments.append(PromptSegment(name, int(tokens)))
+            segments.append(PromptSegment(name, _parse_count(tokens)))
     return tuple(segments)
 
 
+def _parse_time_limit(text: str) -> dt.timedelta:
+    """Parse a time limit; one beyond the range of deadlines is shortened."""
+    return min(float(text) * _MILLISECOND, _MAX_TIME_LIMIT)
+
+
+def _parse_count(text: str) -> int:
+    count = int(text)
+    if not 0 <= count <= _MAX_COUNT:
+        raise ValueError('number out of range')
+    return count
+
+
 def _connection_options(headers: Headers) -> frozenset[bytes]:
     names: set[bytes] = set()
     for name, content in headers:
@@ -280,12 +299,21 @@
     rate = float(text)
     if not 0 <= rate < math.inf:
         raise ValueError('not a rate')
-    return rate
+    return min(rate, _MAX_RATE)
+
+
+def _parse_confidence(text: str) -> float:
+    confidence = float(text)
+    if not math.isfinite(confidence):
+        raise ValueError('not a number')
+    return confidence
 
 
 def _parse_load(text: str) -> LoadReport:
     running, waiting, slots = text.split(',')
-    return LoadReport(int(running), int(waiting), int(slots))
+    return LoadReport(
+        _parse_count(running), _parse_count(waiting), _parse_count(slots)
+    )
 
 
 def _parse_idle_limit(text: str) -> dt.timedelta:
