Validate the answers of the store, and isolate their rows

Callers saw that a node followed a table no further while the store answered with one row that could not be addressed, and operators that a node took a row of another partition for one of the platform's own.

Cause: answers were taken as they came. A row without a table or a key raised KeyError or TypeError in the call that follows the table, before the change was applied, so the same call failed again at each attempt. Deep nesting raised RecursionError, a time beyond a timedelta OverflowError. The partition of a row was ignored. Pages that repeat were read without end.

Change: an answer without rows, version or time in range is a failed call. A row that cannot be addressed, or of another partition, is left out; one with a malformed version or value is kept with an empty body, so that it is logged as unreadable. A 412 to a transaction without conditions is an unknown outcome.

--- a/bronzeglade/platform/store.py
+++ b/bronzeglade/platform/store.py
@@ -9,8 +9,8 @@
 import dataclasses
 import datetime as dt
 import json
-from collections.abc import Callable, Mapping, Sequence
-from typing import Any
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import Any, TypeGuard
 from urllib.parse import quote
 
 import urllib3
@@ -19,6 +19,7 @@
 from bronzeglade.adapters import transport
 from bronzeglade.adapters.feed import Changes, HistoryTruncated, Snapshot
 from bronzeglade.adapters.table import (
+    ABSENT,
     CommitError,
     Conflict,
     Row,
@@ -38,6 +39,10 @@
 # Statuses of a transaction that was certainly not applied.
 _HTTP_NOT_APPLIED = frozenset((400, 403, 413, 429, 503))
 
+# Bounds for messages to other nodes and for timedelta arithmetic.
+_MAX_VERSION = 2**63 - 1
+_MAX_TIME_MS = 10**15
+
 CountCall = Callable[[str, str], None]
 
 
@@ -99,6 +104,8 @@
             page = self._page(table, query)
             if isinstance(page, Err):
                 return page
+            if page.ok_value.rows and page.ok_value.rows.keys() <= rows.keys():
+                return Err(StoreError('malformed answer: no further rows'))
             rows.update(page.ok_value.rows)
             # From this version on the feed has every change made after the
             # first page was read.
@@ -134,7 +141,7 @@
             return document
         written: dict[str, Row] = {}
         removed: set[str] = set()
-        for entry in document.ok_value['rows']:
+        for entry in _usable(document.ok_value['rows']):
             key = _decode_key(entry)
             if entry.get('removed'):
                 written.pop(key, None)
@@ -169,7 +176,7 @@
             return document
         rows = {
             _decode_key(entry): _decode_row(entry)
-            for entry in document.ok_value['rows']
+            for entry in _usable(document.ok_value['rows'])
         }
         more = bool(document.ok_value.get('has-more'))
         return Ok(
@@ -221,15 +228,71 @@
 ) -> Result[dict[str, Any], StoreError]:
     if reply.status != _HTTP_OK:
         return Err(StoreError(f'status {reply.status}'))
+    document = _load_json(reply.body)
+    if isinstance(document, Err):
+        return document
+    fields = document.ok_value
+    if not isinstance(fields.get('rows'), list):
+        return Err(StoreError('malformed answer: no rows'))
+    if not _is_integer(fields.get('ver'), _MAX_VERSION):
+        return Err(StoreError('malformed answer: no version'))
+    if not _is_time(fields.get('now-ms', 0)):
+        return Err(StoreError('malformed answer: no time'))
+    return document
+
+
+def _load_json(body: bytes) -> Result[dict[str, Any], StoreError]:
     try:
-        document: dict[str, Any] = json.loads(reply.body)
-    except ValueError as error:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
         return Err(StoreError(f'malformed answer: {error}'))
-    if 'rows' not in document or 'ver' not in document:
-        return Err(StoreError('malformed answer: no rows or no version'))
+    if not isinstance(document, dict):
+        return Err(StoreError('malformed answer: no object'))
     return Ok(document)
 
 
+def _is_integer(number: object, highest: int) -> TypeGuard[int]:
+    return (
+        isinstance(number, int)
+        and not isinstance(number, bool)
+        and 0 <= number <= highest
+    )
+
+
+def _is_time(number: object) -> bool:
+    # The comparison is false for NaN.
+    return (
+        isinstance(number, int | float)
+        and -_MAX_TIME_MS <= number <= _MAX_TIME_MS
+    )
+
+
+def _usable(entries: Any) -> Iterator[Mapping[str, Any]]:
+    """Yield the entries of rows that can be addressed, in the empty partition.
+
+    A malformed row of another writer must not fail the whole read.
+    """
+    for entry in entries:
+        if (
+            isinstance(entry, dict)
+            and not entry.get('part')
+            and _is_text(entry.get('table'))
+            and _is_text(entry.get('key'))
+        ):
+            yield entry
+
+
+def _is_text(text: object) -> bool:
+    """Return whether a value is a text without lone surrogates."""
+    if not isinstance(text, str):
+        return False
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _commit_result(
     reply: transport.Reply, transaction: Transaction
 ) -> Result[None, CommitError]:
@@ -242,20 +305,22 @@
     return Err(Unknown(f'status {reply.status}'))
 
 
-def _conflict(reply: transport.Reply, transaction: Transaction) -> Conflict:
-    current: dict[str, int] = {}
-    document = _parse_document(reply).ok() if reply.status == _HTTP_OK else None
-    if document is None:
-        try:
-            document = json.loads(reply.body)
-        except ValueError:
-            document = {}
-    for entry in document.get('rows', ()):
-        current[_decode_key(entry)] = entry.get('ver', 0)
+def _conflict(
+    reply: transport.Reply, transaction: Transaction
+) -> Conflict | Unknown:
+    document = _load_json(reply.body).unwrap_or({})
+    rows = document.get('rows')
+    if not isinstance(rows, list):
+        rows = []
+    current = {
+        _decode_key(entry): _decode_version(entry) for entry in _usable(rows)
+    }
     for check in transaction.checks:
         version = current.get(check.key, 0)
         if version != check.version:
             return Conflict(check.key, version)
+    if not transaction.checks:
+        return Unknown('conflict without a condition')
     first = transaction.checks[0]
     return Conflict(first.key, current.get(first.key, 0))
 
@@ -290,14 +355,22 @@
     return f'{entry["table"]}/{entry["key"]}'
 
 
+def _decode_version(entry: Mapping[str, Any]) -> int:
+    """Return the version of a row; a malformed one is that of no row."""
+    version = entry.get('ver')
+    return version if _is_integer(version, _MAX_VERSION) else ABSENT
+
+
 def _decode_row(entry: Mapping[str, Any]) -> Row:
-    try:
-        body = base64.b64decode(entry.get('value') or '')
-    except (binascii.Error, TypeError, ValueError):
-        # A malformed row of another writer must not fail the whole read; its
-        # empty body is rejected when the row is decoded.
-        body = b''
-    return Row(key=_decode_key(entry), version=entry.get('ver', 0), body=body)
+    version = _decode_version(entry)
+    body = b''
+    if version != ABSENT:
+        try:
+            body = base64.b64decode(entry.get('value') or '')
+        except (binascii.Error, TypeError, ValueError):
+            # The empty body is rejected when the row is decoded.
+            body = b''
+    return Row(key=_decode_key(entry), version=version, body=body)
 
 
 def _quoted(text: str) -> str:
