Name malformed addresses and numbers in the settings file

Operators saw a traceback instead of an error with the field, at the start, and again at each check of the file while a process ran.

Cause: a malformed address raised ValueError when it was split, an infinite or huge duration OverflowError. A port out of range was found only when listening.

--- a/bronzeglade/platform/settings.py
+++ b/bronzeglade/platform/settings.py
@@ -2,11 +2,13 @@
 
 import datetime as dt
 from pathlib import Path
+from typing import Annotated
 
 import pydantic as pd
 from pydantic import Field
 from result import Err, Ok, Result
 
+from bronzeglade.forwarding import address
 from bronzeglade.forwarding.settings import (
     Address,
     RetryBounds,
@@ -22,24 +24,40 @@
 _MAX_AGE_FACTOR = 3
 
 
+# Keeps durations within the range of timedelta arithmetic.
+_MAX_NUMBER = 1e9
+_Number = Annotated[float, Field(ge=0, le=_MAX_NUMBER)]
+
+
+def _parse_address(text: object) -> Address:
+    parsed = address.parse(text) if isinstance(text, str) else None
+    if parsed is None:
+        raise ValueError('not an address')
+    return parsed
+
+
+_Address = Annotated[Address, pd.BeforeValidator(_parse_address)]
+_Port = Annotated[int, Field(gt=0, le=address.MAX_PORT)]
+
+
 class _Listen(PlatformDocument):
-    front: str
-    ready: str
-    directory: str
-    control: str
+    front: _Address
+    ready: _Address
+    directory: _Address
+    control: _Address
 
 
 class _Bounds(PlatformDocument):
-    grace_s: float = Field(8, alias='grace-s')
-    budget_ratio: float = Field(0.2, alias='budget-ratio')
-    budget_window_s: float = Field(10, alias='budget-window-s')
-    budget_slack: float = Field(10, alias='budget-slack')
-    expose_share: float = Field(0.1, alias='expose-share')
-    expose_slack: float = Field(0, alias='expose-slack')
+    grace_s: _Number = Field(8, alias='grace-s')
+    budget_ratio: _Number = Field(0.2, alias='budget-ratio')
+    budget_window_s: _Number = Field(10, alias='budget-window-s')
+    budget_slack: _Number = Field(10, alias='budget-slack')
+    expose_share: _Number = Field(0.1, alias='expose-share')
+    expose_slack: _Number = Field(0, alias='expose-slack')
 
 
 class _Store(PlatformDocument):
-    address: str
+    address: _Address
 
 
 class _File(PlatformDocument):
@@ -49,8 +67,10 @@
     zones: dict[str, str]
     listen: _Listen
     # First and last port for traffic between nodes.
-    internal_ports: tuple[int, int] | None = Field(None, alias='internal-ports')
-    seeds: tuple[str, ...] = ()
+    internal_ports: tuple[_Port, _Port] | None = Field(
+        None, alias='internal-ports'
+    )
+    seeds: tuple[_Address, ...] = ()
     bounds: _Bounds
     # The section `platform` holds the address of the metadata store only.
     platform: _Store
@@ -79,22 +99,21 @@
 def _decode_settings(document: _File) -> RouterSettings:
     bounds = document.bounds
     listen = document.listen
-    control = _parse_address(listen.control)
+    control = listen.control
     # Without internal ports, datagrams use the number of the control port.
     datagram_port = (document.internal_ports or control[1:])[0]
-    seeds = (_parse_address(seed) for seed in document.seeds)
     return RouterSettings(
         name=document.name,
         failure_domain=document.zone,
         region=document.region,
         failure_domains=document.zones,
-        callers=_parse_address(listen.front),
-        readiness=_parse_address(listen.ready),
-        directory=_parse_address(listen.directory),
+        callers=listen.front,
+        readiness=listen.ready,
+        directory=listen.directory,
         control=control,
         exchange=(control[0], datagram_port),
-        peers=tuple(seed for seed in seeds if seed != control),
-        store=_parse_address(document.platform.address),
+        peers=tuple(seed for seed in document.seeds if seed != control),
+        store=document.platform.address,
         retry=RetryBounds(
             bounds.budget_ratio,
             bounds.budget_slack,
@@ -108,11 +127,6 @@
     )
 
 
-def _parse_address(text: str) -> Address:
-    host, _, port = text.rpartition(':')
-    return host, int(port)
-
-
 def _format_errors(error: pd.ValidationError) -> str:
     return '; '.join(
         f'{".".join(str(key) for key in detail["loc"])}: {detail["msg"]}'
--- a/bronzeglade/platform/settings_test.py
+++ b/bronzeglade/platform/settings_test.py
@@ -1,12 +1,14 @@
 """Tests of decoding and validating the settings file."""
 
+import datetime as dt
 import json
 from pathlib import Path
 from typing import Any
 
 import pytest
-from result import Result
+from result import Ok, Result
 
+from bronzeglade import malformed
 from bronzeglade.forwarding.settings import RouterSettings
 from bronzeglade.platform.settings import read_settings
 
@@ -56,3 +58,26 @@
 def test_missing_field_is_named(name: str, tmp_path: Path) -> None:
     """A missing required field is an error that names the field."""
     assert name in read(tmp_path, name).unwrap_err()
+
+
+def test_file_with_one_malformed_value(tmp_path: Path) -> None:
+    """An address without a port ended the start with a traceback."""
+    path = tmp_path / 'settings.json'
+    for body in malformed.json_variants(FILE):
+        path.write_bytes(body)
+        outcome = read_settings(str(path))
+        if isinstance(outcome, Ok):
+            settings = outcome.ok_value
+            assert settings.stop.grace + settings.retry.window >= dt.timedelta()
+            assert settings.rollout.share >= 0
+            for _host, port in (settings.callers, *settings.peers):
+                assert 0 < port < 65536
+
+
+@pytest.mark.parametrize('text', ['10.0.0.1', '10.0.0.1:', ':80', 'h:99999'])
+def test_malformed_address_is_named(text: str, tmp_path: Path) -> None:
+    """The operator finds the address that a node cannot listen on."""
+    path = tmp_path / 'settings.json'
+    listen = {**FILE['listen'], 'ready': text}
+    path.write_text(json.dumps({**FILE, 'listen': listen}))
+    assert 'listen.ready' in read_settings(str(path)).unwrap_err()
