--- a/standins/rows.py
+++ b/standins/rows.py
@@ -231,6 +231,7 @@
     """Return the WSGI application; tests control it through `/admin`."""
     admin = {
         ('POST', '/admin/put'): store.rows.put,
+        ('POST', '/admin/put-raw'): store.rows.transact,
         ('GET', '/admin/counts'): lambda _document: (200, dict(store.counts)),
         ('POST', '/admin/compact'): lambda _document: _compact(store.rows),
         **fault_routes(store.faults),
