Ignore malformed loads and cache events of an engine

OpenAI door: an engine whose metrics have a number of 5000 digits, or whose cache events are deeply nested or have an infinite number, ended the step that reads the engines in an exception.

Cause: the number was converted without a bound (ValueError); RecursionError and OverflowError of a document were not handled.

Change: a gauge has at most nine ASCII digits, and both exceptions mean that the engine reports no events.

--- a/bronzeglade/adapters/engine.py
+++ b/bronzeglade/adapters/engine.py
@@ -248,6 +248,17 @@
     next: int
 
 
+# Raised when an engine's document is not what it should be.
+_DOCUMENT_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    OverflowError,
+    RecursionError,
+)
+_MAX_DIGITS = 9  # of a number of requests
+
+
 def read_load(
     pool: urllib3.PoolManager, address: str, timeout: dt.timedelta
 ) -> EngineLoad | None:
@@ -268,7 +279,8 @@
     gauges: dict[str, int] = {}
     for line in text.splitlines():
         name, _, number = line.rpartition(' ')
-        if number.isdecimal():
+        is_number = number.isascii() and number.isdecimal()
+        if is_number and len(number) <= _MAX_DIGITS:
             gauges[name] = int(number)
     return gauges
 
@@ -290,7 +302,7 @@
         return None
     try:
         return _parse_cache_events(json.loads(reply.ok_value.body))
-    except (ValueError, KeyError, TypeError):
+    except _DOCUMENT_ERRORS:
         return None
 
 
--- a/bronzeglade/adapters/engine_test.py
+++ b/bronzeglade/adapters/engine_test.py
@@ -1,12 +1,20 @@
-"""Tests that decoding a chunked body neither loses nor repeats bytes."""
+"""Tests of reading what engines answer, also when it is malformed."""
+
+import datetime as dt
+import io
+from typing import Any
 
 import pytest
+import urllib3
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bronzeglade import malformed
+from bronzeglade.adapters import engine
 from bronzeglade.adapters.engine import split_chunks
 
 LAST = b'0\r\n\r\n'
+TIMEOUT = dt.timedelta(seconds=1)
 
 
 @given(
@@ -35,3 +43,40 @@
     """An unchecked size would stall the stream or exhaust memory."""
     with pytest.raises(ValueError):
         split_chunks(size + b'\r\nabc\r\n')
+
+
+class Pool:
+    """Answers each call with the same body."""
+
+    def __init__(self, body: bytes) -> None:
+        """Create a pool with the body of its answers."""
+        self.body = body
+
+    def request(self, *_arguments: Any, **_options: Any) -> Any:
+        """Return an answer."""
+        return urllib3.HTTPResponse(
+            io.BytesIO(self.body), status=200, preload_content=False
+        )
+
+
+def test_load_with_an_odd_number() -> None:
+    """A gauge of 5000 digits ended the reading of the engine's load."""
+    for number in (*malformed.NUMBERS, *malformed.DIGIT_TEXTS):
+        text = f'other {number}\nengine_requests_running {number}\n'
+        pool: Any = Pool(f'{text}engine_requests_waiting 2\n'.encode())
+        load = engine.read_load(pool, '10.0.0.1:1', TIMEOUT)
+        assert load is None or 0 <= load.running < 10**9
+
+
+def test_malformed_cache_events() -> None:
+    """Deep nesting or an infinite number ended the reading of events."""
+    document = {
+        'events': [{'seq': 3, 'hash': 'h', 'action': 'added'}],
+        'next': 4,
+    }
+    read = 0
+    for body in malformed.json_variants(document):
+        pool: Any = Pool(body)
+        events = engine.read_cache_events(pool, '10.0.0.1:1', 0, TIMEOUT)
+        read += events is not None
+    assert read
