Treat malformed answers of the table service as failed calls

OpenAI door: a malformed answer of the table service ended the loop that reads its rows in an exception, or the request that wrote to it.

Cause: JSON, keys and versions of an answer were taken as they came.

Change: a malformed answer is a failed read; a malformed conflict leaves the outcome of the write open.

--- a/bronzeglade/adapters/table.py
+++ b/bronzeglade/adapters/table.py
@@ -16,6 +16,14 @@
 
 _HTTP_OK = 200
 _HTTP_CONFLICT = 409
+# Raised when an answer is not what it should be.
+_DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    LookupError,
+    OverflowError,
+    RecursionError,
+)
 # Statuses of a transaction that was not applied: invalid, too large, rate
 # limited, or refused during an outage.
 _HTTP_NOT_APPLIED = frozenset((400, 413, 429, 503))
@@ -141,10 +149,9 @@
             return Err(StoreError(reply.err_value.detail))
         if reply.ok_value.status != _HTTP_OK:
             return Err(StoreError(f'status {reply.ok_value.status}'))
-        rows = [
-            _decode_row(entry) for entry in _decode_rows(reply.ok_value.body)
-        ]
-        return Ok({row.key: row for row in rows})
+        return _decode_rows(reply.ok_value.body).map(
+            lambda rows: {row.key: row for row in rows}
+        )
 
     def scan(self, prefix: str, limit: int) -> Result[list[Row], StoreError]:
         """Read rows whose keys start with a prefix.
@@ -161,9 +168,7 @@
             return Err(StoreError(reply.err_value.detail))
         if reply.ok_value.status != _HTTP_OK:
             return Err(StoreError(f'status {reply.ok_value.status}'))
-        return Ok(
-            [_decode_row(entry) for entry in _decode_rows(reply.ok_value.body)]
-        )
+        return _decode_rows(reply.ok_value.body)
 
     def commit(self, transaction: Transaction) -> Result[None, CommitError]:
         """Apply a transaction atomically.
@@ -200,8 +205,7 @@
     if reply.status == _HTTP_OK:
         return Ok(None)
     if reply.status == _HTTP_CONFLICT:
-        document = json.loads(reply.body)
-        return Err(Conflict(document['key'], document['version']))
+        return Err(_decode_conflict(reply.body))
     if reply.status in _HTTP_NOT_APPLIED:
         return Err(Unavailable(f'status {reply.status}'))
     return Err(Unknown(f'status {reply.status}'))
@@ -221,14 +225,23 @@
     }
 
 
-def _decode_rows(body: bytes) -> list[dict[str, Any]]:
-    rows: list[dict[str, Any]] = json.loads(body)['rows']
-    return rows
+def _decode_conflict(body: bytes) -> Conflict | Unknown:
+    try:
+        document = json.loads(body)
+        return Conflict(str(document['key']), int(document['version']))
+    except _DECODE_ERRORS as error:
+        return Unknown(f'malformed conflict: {error!r}')
+
+
+def _decode_rows(body: bytes) -> Result[list[Row], StoreError]:
+    try:
+        return Ok([_decode_row(entry) for entry in json.loads(body)['rows']])
+    except _DECODE_ERRORS as error:
+        return Err(StoreError(f'malformed answer: {error!r}'))
 
 
 def _decode_row(entry: Mapping[str, Any]) -> Row:
-    return Row(
-        key=entry['key'],
-        version=entry['version'],
-        body=base64.b64decode(entry['body']),
-    )
+    key, version = entry['key'], entry['version']
+    if not isinstance(key, str) or not isinstance(version, int):
+        raise TypeError('row without key or version')
+    return Row(key, version, base64.b64decode(entry['body']))
