Pass on the model that a caller names unchanged

A caller that named a model with characters beyond ASCII got another model, or none: the endpoint received a name that was encoded twice.

Cause: the header was decoded as Latin-1 and encoded as UTF-8.

Change: a name that the caller sent goes on as the same bytes. Names from the configuration are UTF-8, as before.

--- a/bronzeglade/platform/headers.py
+++ b/bronzeglade/platform/headers.py
@@ -124,7 +124,7 @@
         replaced = set(_RESERVED)
         if dispatch.model is not None:
             replaced.add(b'model')
-            added.append((b'Model', dispatch.model.encode()))
+            added.append((b'Model', _encode_model(dispatch.model, head)))
         if dispatch.resume_after is not None:
             replaced.add(b'last-event-id')
             event_id = str(dispatch.resume_after).encode()
@@ -235,6 +235,15 @@
     return tuple(segments)
 
 
+def _encode_model(model: str, head: RequestHead) -> bytes:
+    """Return the name of a model; one that the caller named is unchanged."""
+    for name, content in head.headers:
+        if name.lower() == b'model':
+            if content.decode('latin-1').strip() == model:
+                return content
+    return model.encode()
+
+
 def _parse_time_limit(text: str) -> dt.timedelta:
     """Parse a time limit; one beyond the range of deadlines is shortened."""
     return min(float(text) * _MILLISECOND, _MAX_TIME_LIMIT)
--- a/bronzeglade/platform/malformed_headers_test.py
+++ b/bronzeglade/platform/malformed_headers_test.py
@@ -169,3 +169,15 @@
     outcome = HEADERS.read_request(head)
     if not isinstance(outcome, Err):
         use_request(outcome.ok_value, head)
+
+
+@pytest.mark.parametrize('model', ['\u65e5'.encode(), b'\xe9', b'small'])
+def test_model_of_the_caller_is_unchanged(model: bytes) -> None:
+    """A name beyond ASCII was encoded twice, so another model was asked for."""
+    head = request_head(b'Model', model)
+    facts = HEADERS.read_request(head).unwrap()
+    dispatch = Dispatch('e', None, model=facts.model)
+    assert dict(HEADERS.endpoint_headers(head, dispatch, 0))[b'Model'] == model
+    larger = Dispatch('e', None, model='\u65e5')
+    sent = dict(HEADERS.endpoint_headers(head, larger, 0))
+    assert sent[b'Model'] == '\u65e5'.encode()
