Join the validation of documents and messages of others

Tests of the log take the functions of os that the processes have for their own modules only. Patching the whole process of the tests made dispatch_test hang: its servers run in threads, which became green threads.

--- a/bronzeglade/forwarding/log_test.py
+++ b/bronzeglade/forwarding/log_test.py
@@ -7,27 +7,33 @@
 import posix
 import subprocess  # noqa: S404
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import eventlet
 import pytest
 from eventlet import hubs
+from eventlet.green import os as green_os
 
-from bronzeglade import green
 from bronzeglade.builders import ManualClock
 from bronzeglade.forwarding import log as logs
 from bronzeglade.forwarding.log import Log
 from bronzeglade.line_writer import MAX_QUEUED_LINES
 
-# As in the processes; `posix` keeps the functions of the system.
-green.patch()
-
 PIPE_BYTES = 4096
 SMALL_READ = 700
 TIMEOUT_S = 20
 
 
+@pytest.fixture(autouse=True, scope='module')
+def _green_os() -> Iterator[None]:
+    """Replace functions of `os` as in the processes; `posix` keeps them."""
+    with pytest.MonkeyPatch.context() as patch:
+        for name in ('read', 'write'):
+            patch.setattr(os, name, getattr(green_os, name))
+        yield
+
+
 def lines(descriptor: int) -> list[dict[str, object]]:
     """Return the lines that are in a pipe now."""
     os.set_blocking(descriptor, False)
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -97,11 +97,14 @@
         )
         documents = platform.documents
         self.tables = Tables(documents, self.clock)
+        self.configuration_decoder = RowDecoder(
+            documents.read_configuration, 'unreadable_configuration', self.log
+        )
         self.entry_decoder = RowDecoder(
             documents.read_endpoint, 'unreadable_entry', self.log
         )
         self.node_decoder = RowDecoder(
-            lambda row: roster.decode(row.body), 'unreadable_node', self.log
+            roster.decode, 'unreadable_node', self.log
         )
         self.roster = Roster(_local_node(settings), settings.peers)
         self.rollouts = ServiceRollouts(
@@ -268,14 +271,9 @@
         row = self.tables.operator.rows.get(
             self.platform.documents.configuration_key
         )
-        if row is not None:
-            outcome = self.platform.documents.read_configuration(row)
-            if isinstance(outcome, Ok):
-                self.router.activate(outcome.ok_value)
-            else:
-                self.log.event(
-                    'unreadable_configuration', reason=outcome.err_value
-                )
+        rows = () if row is None else (row,)
+        for table in self.configuration_decoder.read(rows):
+            self.router.activate(table)
         self.rollouts.refresh()
 
     def _endpoint_rows_changed(self) -> None:
@@ -285,9 +283,7 @@
     def _node_rows_changed(self) -> None:
         rows = self.tables.router.rows.items()
         decoded = self.node_decoder.read(
-            row
-            for key, row in rows
-            if key.startswith(node_registration.NODE_PREFIX)
+            row for key, row in rows if key.startswith(roster.NODE_PREFIX)
         )
         nodes = {node.name: node for node in decoded}
         previous = self.roster.nodes.keys()
--- a/bronzeglade/forwarding/service_rollouts.py
+++ b/bronzeglade/forwarding/service_rollouts.py
@@ -8,6 +8,7 @@
 import datetime as dt
 from collections.abc import Iterator, Sequence
 
+from eliot import write_traceback
 from result import Err, Ok
 
 from bronzeglade.adapters.table import Check, Put, Row, Table, Transaction
@@ -20,6 +21,7 @@
 from bronzeglade.decisions.rollout_schedule import CanarySettings, Exposure
 from bronzeglade.forwarding import evidence_record, running_rollout
 from bronzeglade.forwarding.accepted_request import AcceptedRequest
+from bronzeglade.forwarding.decoding import RowDecoder
 from bronzeglade.forwarding.endpoint import Endpoint
 from bronzeglade.forwarding.evidence_record import EvidenceRecord
 from bronzeglade.forwarding.follower import propagation_time
@@ -72,6 +74,12 @@
         self.roster = roster
         self.log = log
         self.clock = router_rows.clock
+        self.plan_decoder = RowDecoder(
+            rollout_plan.decode, 'unreadable_plan', log
+        )
+        self.order_decoder = RowDecoder(
+            documents.read_order, 'unreadable_order', log
+        )
         self.settings = CanarySettings()
         self.bounds = RolloutBounds(share=0.1, slack=0)
         self.orders: dict[str, Order] = {}
@@ -80,24 +88,12 @@
 
     def refresh(self) -> None:
         """Apply the orders and plans in the local copies of the tables."""
-        for key, row in self.router_rows.rows.items():
-            if key.startswith(rollout_plan.PLAN_PREFIX):
-                plan = rollout_plan.decode(row)
-                if isinstance(plan, Err):
-                    self.log.event(
-                        'unreadable_plan', key=key, reason=plan.err_value
-                    )
-                else:
-                    self._apply_plan(plan.ok_value)
-        for key, row in self.operator_rows.rows.items():
-            if key.startswith(self.documents.order_prefix):
-                order = self.documents.read_order(row)
-                if isinstance(order, Err):
-                    self.log.event(
-                        'unreadable_order', key=key, reason=order.err_value
-                    )
-                else:
-                    self._apply_order(order.ok_value)
+        plans = _with_prefix(self.router_rows, rollout_plan.PLAN_PREFIX)
+        for plan in self.plan_decoder.read(plans):
+            self._apply_plan(plan)
+        orders = _with_prefix(self.operator_rows, self.documents.order_prefix)
+        for order in self.order_decoder.read(orders):
+            self._apply_order(order)
 
     def select(
         self, request: AcceptedRequest, endpoints: Sequence[Endpoint]
@@ -262,15 +258,21 @@
     def tick(self) -> None:
         """Exchange evidence and advance the roll-outs this node may write."""
         for service, rollout in list(self.running.items()):
-            plan = self.plans.get(service)
-            if plan is not None and plan.order == rollout.order.number:
-                if plan.stage is not Stage.RUNNING:
-                    self.running.pop(service)
-                    continue
-                self._write_evidence(service, rollout)
-                self._advance(rollout, plan)
-            else:
-                self._write_first_plan(rollout, plan)
+            try:
+                self._tick(service, rollout)
+            except Exception:
+                # A failure of one roll-out must not affect the others.
+                write_traceback()
+
+    def _tick(self, service: str, rollout: RunningRollout) -> None:
+        plan = self.plans.get(service)
+        if plan is None or plan.order != rollout.order.number:
+            self._write_first_plan(rollout, plan)
+        elif plan.stage is Stage.RUNNING:
+            self._write_evidence(service, rollout)
+            self._advance(rollout, plan)
+        else:
+            self.running.pop(service)
 
     def _apply_order(self, order: Order) -> None:
         known = self.orders.get(order.service)
@@ -577,3 +579,7 @@
 
 def _evidence_prefix(order: Order) -> str:
     return f'{EVIDENCE_TABLE}/{order.service}/{order.number}/'
+
+
+def _with_prefix(mirror: TableMirror, prefix: str) -> list[Row]:
+    return [row for key, row in mirror.rows.items() if key.startswith(prefix)]
--- a/bronzeglade/line_writer_test.py
+++ b/bronzeglade/line_writer_test.py
@@ -6,21 +6,20 @@
 import os
 import posix
 import tempfile
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 from unittest import mock
 
 import eventlet
+import pytest
+from eventlet.green import os as green_os
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from bronzeglade import green, line_writer
+from bronzeglade import line_writer
 from bronzeglade.line_writer import LineWriter
 
-# As in the processes; `posix` keeps the functions of the system.
-green.patch()
-
 PIPE_BYTES = 4096
 QUEUED_LINES = 4
 TIMEOUT_S = 20
@@ -41,6 +40,15 @@
 )
 
 
+@pytest.fixture(autouse=True, scope='module')
+def _green_os() -> Iterator[None]:
+    """Replace functions of `os` as in the processes; `posix` keeps them."""
+    with pytest.MonkeyPatch.context() as patch:
+        for name in ('read', 'write'):
+            patch.setattr(os, name, getattr(green_os, name))
+        yield
+
+
 class NamedPipe:
     """A named pipe, which outlives its readers, and the text read from it."""
 
--- a/bronzeglade/platform/documents.py
+++ b/bronzeglade/platform/documents.py
@@ -4,8 +4,8 @@
 """
 
 import datetime as dt
-import ipaddress
 import json
+import re
 from typing import Annotated, Any
 
 import pydantic as pd
@@ -14,6 +14,7 @@
 
 from bronzeglade.adapters.table import Put, Row
 from bronzeglade.coordination.rollout_plan import Order, Plan, Stage
+from bronzeglade.forwarding import address
 from bronzeglade.forwarding.endpoint import EndpointEntry
 from bronzeglade.forwarding.route import (
     Limits,
@@ -25,8 +26,8 @@
     WeightedService,
     index_routes,
 )
-from bronzeglade.forwarding.settings import Address
 from bronzeglade.platform.model import PlatformDocument
+from bronzeglade.validation import first_error
 
 OPERATOR_TABLE = 'op'
 ENDPOINT_TABLE = 'servers'
@@ -47,18 +48,28 @@
 }
 _MILLISECOND = dt.timedelta(milliseconds=1)
 
-# Bounds that keep durations within the range of timedelta arithmetic, and ids
-# within 64 bits for messages to other nodes.
+# Bounds that keep durations within the range of timedelta arithmetic, counts
+# within that of floating point, and ids within 64 bits for messages to other
+# nodes.
 _MAX_DURATION_MS = 1e12
 _MAX_ID = 2**63 - 1
-_MAX_PORT = 65535
+_MAX_COUNT = 2**31 - 1
+# The store accepts texts of 200 bytes as keys.
+_MAX_TEXT_CHARS = 200
+_MAX_LOGGED_CHARS = 40  # of a malformed value
+# Value of a header: no control characters, no spaces at its ends.
+_HEADER_TEXT = re.compile(
+    r'[^\x00-\x20\x7f](?:[^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?'
+)
 
 _Milliseconds = Annotated[float, Field(ge=0, le=_MAX_DURATION_MS)]
+_Text = Annotated[str, Field(max_length=_MAX_TEXT_CHARS)]
+_HeaderText = Annotated[str, Field(pattern=f'^(?:{_HEADER_TEXT.pattern})?$')]
 
 
 class _Backend(PlatformDocument):
     service: str
-    weight: float = Field(ge=0)
+    weight: float = Field(ge=0, le=_MAX_COUNT)
 
 
 class _Route(PlatformDocument):
@@ -70,7 +81,7 @@
     objective_ms: _Milliseconds = Field(1000, alias='target-latency-ms')
     attempts: int = Field(1, alias='max-attempts')
     priority: int = 0
-    sizes: tuple[str, ...] = ()
+    sizes: tuple[_HeaderText, ...] = ()
     service: str | None = None
     backends: tuple[_Backend, ...] = Field((), alias='weighted-backends')
     public: bool = False
@@ -82,7 +93,7 @@
 
 class _Service(PlatformDocument):
     name: str
-    max_connections: int = Field(64, alias='max-connections')
+    max_connections: int = Field(64, alias='max-connections', le=_MAX_ID)
 
 
 class _Limits(PlatformDocument):
@@ -93,13 +104,13 @@
 
 
 class _Tenant(PlatformDocument):
-    name: str
+    name: _HeaderText
     keys: tuple[str, ...] = Field((), alias='api-keys')
     priority: int | None = None
 
 
 class _Configuration(PlatformDocument):
-    version: int
+    version: int = Field(le=_MAX_ID)
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits.model_construct()
@@ -113,20 +124,20 @@
     `sequence` counts its writes since then.
     """
 
-    service: str
+    service: Annotated[_Text, Field(min_length=1)]
     address: str
-    zone: str
-    version: str = ''
-    slots: int = Field(ge=1)
+    zone: _Text
+    version: _Text = ''
+    slots: int = Field(ge=1, le=_MAX_COUNT)
     state: str
     born: int = Field(0, ge=0, le=_MAX_ID)
     sequence: int = Field(0, ge=0, le=_MAX_ID)
 
 
 class _Order(PlatformDocument):
-    service: str
+    service: _Text
     # The version that the service moves to.
-    target: str
+    target: _Text
     duration_s: float = Field(
         alias='duration-s', ge=0, le=_MAX_DURATION_MS / 1000
     )
@@ -140,7 +151,7 @@
     try:
         document = _Configuration.model_validate_json(row.body)
     except pd.ValidationError as error:
-        return Err(_first_error(error))
+        return Err(first_error(error))
     routes = tuple(
         _decode_route(route)
         for route in document.routes
@@ -178,17 +189,20 @@
     try:
         entry = _Entry.model_validate_json(row.body, strict=True)
     except pd.ValidationError as error:
-        return Err(_first_error(error))
+        return Err(first_error(error))
     if entry.state not in _ENDPOINT_STATES:
-        return Err(f'unknown state {entry.state!r}')
-    address = _parse_address(entry.address)
-    if address is None:
-        return Err(f'malformed address {entry.address!r}')
+        return Err(f'unknown state {entry.state[:_MAX_LOGGED_CHARS]!r}')
+    name = row.key.partition('/')[2]
+    if len(name) > _MAX_TEXT_CHARS or not _HEADER_TEXT.fullmatch(name):
+        return Err(f'unusable key {name[:_MAX_LOGGED_CHARS]!r}')
+    endpoint_address = address.parse(entry.address)
+    if endpoint_address is None:
+        return Err(f'malformed address {entry.address[:_MAX_LOGGED_CHARS]!r}')
     return Ok(
         EndpointEntry(
-            name=row.key.partition('/')[2],
+            name=name,
             service=entry.service,
-            address=address,
+            address=endpoint_address,
             failure_domain=entry.zone,
             version=entry.version,
             slots=entry.slots,
@@ -204,8 +218,10 @@
     try:
         order = _Order.model_validate_json(row.body)
     except pd.ValidationError as error:
-        return Err(_first_error(error))
+        return Err(first_error(error))
     duration = dt.timedelta(seconds=order.duration_s)
+    if not duration:
+        return Err('duration-s: rounds to zero')
     return Ok(Order(order.service, order.target, duration, row.version))
 
 
@@ -220,25 +236,15 @@
     return Put(f'{STATUS_PREFIX}{plan.service}', body)
 
 
-def _parse_address(text: str) -> Address | None:
-    host, _, port = text.rpartition(':')
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return None
-    if not port.isdecimal() or not 0 < int(port) <= _MAX_PORT:
-        return None
-    return host, int(port)
-
-
 def _decode_route(route: _Route) -> Route:
     backends = tuple(
         WeightedService(backend.service, backend.weight)
         for backend in route.backends
         if backend.weight > 0
     )
-    if not backends and route.service is not None:
-        backends = (WeightedService(route.service, 1),)
+    if not backends:
+        # No endpoint has the service with the empty name.
+        backends = (WeightedService(route.service or '', 1),)
     return Route(
         name=route.name,
         host=route.host,
@@ -254,9 +260,3 @@
         resumable=route.resumable,
         pause=route.pause_ms * _MILLISECOND,
     )
-
-
-def _first_error(error: pd.ValidationError) -> str:
-    first = error.errors(include_url=False, include_input=False)[0]
-    location = '.'.join(str(part) for part in first['loc'])
-    return f'{location}: {first["msg"]}'
