--- a/bronzeglade/forwarding/resume_test.py
+++ b/bronzeglade/forwarding/resume_test.py
@@ -4,10 +4,13 @@
 it nor make it look complete before its last event.
 """
 
+import itertools
 from collections.abc import Iterator
 
 import eventlet
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from bronzeglade.forwarding import builders
 from bronzeglade.forwarding.builders import (
@@ -271,3 +274,99 @@
     assert not answer.complete
     assert not answer.body.strip('y')
     assert not endpoints[1].requests
+
+
+PIECES = st.sampled_from(
+    ['event', 'event', 'event', 'again', 'skip', ERROR, HEAD, ': wait\n\n']
+)
+ENDS = st.sampled_from([LAST_CHUNK, 'id: 9\ndata: cut', 'x', ''])
+HEADS = st.sampled_from(
+    [
+        OK + CHUNKED,
+        OK + CHUNKED,
+        OK + CHUNKED,
+        f'{OK}\r\n',
+        f'HTTP/1.1 500 Failed\r\n{SIGNED}{CHUNKED}',
+        f'HTTP/1.1 200 OK\r\nId: other\r\nSignature: s\r\n{CHUNKED}',
+        f'HTTP/1.1 200 OK\r\nId: ID\r\n{CHUNKED}',
+    ]
+)
+
+
+class GeneratedStream:
+    """An endpoint that sends generated pieces, each with its own name."""
+
+    def __init__(
+        self, name: str, head: str, pieces: list[str], end: str
+    ) -> None:
+        """Create a script; `end` is sent after the pieces."""
+        self.name = name
+        self.head = head
+        self.pieces = pieces
+        self.end = end
+        self.ended_whole = end == LAST_CHUNK or (
+            end != 'id: 9\ndata: cut' and CHUNKED not in head
+        )
+
+    def __call__(self, connection: ScriptedConnection) -> None:
+        """Run the script on one connection."""
+        request = connection.read_request()
+        number = int(request.get('resume-after', '0'))
+        connection.send(self.head.replace('ID', request['id']))
+        for piece in self.pieces:
+            number += {'event': 1, 'skip': 2}.get(piece, 0)
+            numbered = piece in {'event', 'again', 'skip'}
+            text = f'id: {number}\n: \n\n' if numbered else piece
+            text = text.replace('\n', f'\n: by {self.name}\n', 1)
+            framed = chunks(text) if CHUNKED in self.head else text
+            connection.send(framed)
+        if CHUNKED in self.head or self.end != LAST_CHUNK:
+            connection.send(self.end)
+        eventlet.sleep(0.01)
+        connection.sock.close()
+
+
+def check_events(answer: Answer) -> None:
+    """Check that a stream holds whole events, in order and once."""
+    body = answer.body.replace('\r\n\r\n', '\n\n').replace('\r', '')
+    blocks = [block.split('\n') for block in body.split('\n\n')]
+    assert blocks.pop() == ['']  # the last event is whole
+    data = [block for block in blocks if not block[0].startswith(':')]
+    numbers = [int(block[0][4:]) for block in data if block[0][:3] == 'id:']
+    assert numbers in (
+        list(range(first, first + len(numbers))) for first in (0, 1, 2)
+    )
+    for block, following in itertools.pairwise([*data, ['end']]):
+        if block[0][:3] != 'id:' and numbers and data.index(block):
+            # An event without a number is part of an unbroken stream.
+            assert following[1:2] == block[1:2] or (
+                following == ['end'] and answer.complete
+            )
+
+
+@settings(max_examples=150)
+@given(
+    st.lists(
+        st.tuples(HEADS, st.lists(PIECES, max_size=5), ENDS),
+        min_size=3,
+        max_size=3,
+    )
+)
+def test_any_answers_give_the_events_of_one_stream(
+    plans: list[tuple[str, list[str], str]],
+) -> None:
+    """Events are whole, in order and once; an end is that of a stream."""
+    scripts = [
+        GeneratedStream(f'e{index}', *plan) for index, plan in enumerate(plans)
+    ]
+    route = builders.route(RouteKind.STREAM, attempts=3, resumable=True)
+    router, endpoints = router_with_endpoints(route, *scripts)
+    answer = send_request(router, RouteKind.STREAM)
+    if answer.status != 200:
+        # An error of this node, or the whole answer of one endpoint.
+        assert answer.complete
+        assert sum(script.name in answer.body for script in scripts) <= 1
+        return
+    check_events(answer)
+    asked = sum(bool(endpoint.requests) for endpoint in endpoints)
+    assert scripts[asked - 1].ended_whole or not answer.complete
