Count a refusal only if it names the request

A request ran at two endpoints when the first one sent a refusal without an id on a new connection and its answer after it, in another packet.

Cause: on a connection that had carried no request, a refusal without an id counted as one of this request.

Change: such a refusal leaves the outcome unknown. Endpoints of the platform name the request in every answer. A 421 without an id still counts on a new connection: it comes from another service's endpoint that has taken over the address.

--- a/bronzeglade/forwarding/attempt.py
+++ b/bronzeglade/forwarding/attempt.py
@@ -222,7 +222,7 @@
         if _belongs_to_request(facts, request, connection):
             return _check_answer(router, request, attempt, facts)
         if facts.request_id is None:
-            detail = 'answer without a request id on a reused connection'
+            detail = 'answer without a request id'
             return Err(FailedAttempt(Failure.LOST, detail, facts.status))
         router.log.event(
             'surplus_answer',
@@ -259,10 +259,13 @@
     """Return whether an answer belongs to a request.
 
     On a reused connection, an answer without a request id may be a late
-    duplicate of the answer to an earlier request.
+    duplicate of the answer to an earlier request. A refusal without one is not
+    certain to refuse this request, unless it comes from an endpoint that has
+    taken over the address.
     """
     if facts.request_id is None:
-        return not connection.reused
+        refused = facts.not_run and not facts.misdirected
+        return not connection.reused and not refused
     return facts.request_id == request.request_id
 
 
--- a/bronzeglade/forwarding/refusal_test.py
+++ b/bronzeglade/forwarding/refusal_test.py
@@ -11,6 +11,8 @@
 
 import eventlet
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from bronzeglade.forwarding import builders, tcp
 from bronzeglade.forwarding.attempt import NOT_RUN_STATUSES
@@ -228,3 +230,89 @@
     answer = send_request(router, RouteKind.NON_IDEMPOTENT)
     assert (answer.status, answer.body) == (200, 'done')
     assert not endpoints[0].requests
+
+
+def test_refusal_without_an_id_may_be_of_another_request() -> None:
+    """It would let a request that runs at the endpoint run at another one."""
+
+    def unnamed(connection: ScriptedConnection) -> None:
+        connection.read_request()
+        connection.send(refusal(None))
+        eventlet.sleep(0.02)
+        connection.send(success('r1'))
+
+    router, endpoints = router_with_endpoints(ROUTE, unnamed, answering)
+    assert send_request(router, RouteKind.NON_IDEMPOTENT).status == 502
+    assert not endpoints[1].requests
+
+
+# Answers that belong to no waiting request: of `r0`, or without a name.
+SURPLUS = st.sampled_from(
+    ['', '', refusal('r0'), refusal('r0', 'chunked'), refusal(None), 'x\r\n']
+)
+OUTCOMES = st.sampled_from(['run', 'run', 'refuse', 'both', 'reset'])
+
+
+class Generated:
+    """An endpoint that follows a plan for each request, by number.
+
+    A plan holds bytes to send before and after the answer, whether these come
+    in packets of their own, and whether the request runs. `runs` lists the
+    requests that ran.
+    """
+
+    def __init__(self, plans: list[tuple[str, str, bool, str]]) -> None:
+        """Create a script that has received no request."""
+        self.plans = plans
+        self.runs: list[str] = []
+
+    def __call__(self, connection: ScriptedConnection) -> None:
+        """Run the script on one connection."""
+        while True:
+            self.answer(connection, connection.read_request()['id'])
+
+    def answer(self, connection: ScriptedConnection, name: str) -> None:
+        """Answer one request."""
+        before, after, apart, outcome = self.plans[int(name[1:]) - 1]
+        if outcome != 'refuse':
+            self.runs.append(name)
+        if outcome == 'reset':
+            connection.reset()
+            return
+        body = {
+            'run': success(name),
+            'refuse': refusal(name),
+            'both': refusal(name) + success(name),
+        }[outcome]
+        if not apart:
+            connection.send(before + body + after)
+            return
+        for packet in (before, body, after):
+            connection.send(packet)
+            eventlet.sleep(0.01)
+
+
+@settings(max_examples=60)
+@given(
+    st.lists(
+        st.tuples(SURPLUS, SURPLUS, st.booleans(), OUTCOMES),
+        min_size=3,
+        max_size=3,
+    )
+)
+def test_any_answers_let_a_request_run_once(
+    plans: list[tuple[str, str, bool, str]],
+) -> None:
+    """A request runs at most once, and only one that did not is "not run"."""
+    first = Generated(plans)
+    second = Generated([('', '', False, 'run') for _ in plans])
+    router, _endpoints = router_with_endpoints(ROUTE, first, second)
+    client = Client(builders.serve(router))
+    for number in range(1, len(plans) + 1):
+        name = f'r{number}'
+        client.send(RouteKind.NON_IDEMPOTENT, name)
+        answer = client.read()
+        runs = [*first.runs, *second.runs].count(name)
+        assert runs <= 1
+        assert not (runs and answer.status in NOT_RUN_STATUSES)
+        assert runs or answer.status != 200
