Close the connection on which an engine refused a completion

An engine that writes an earlier refusal once more on a kept connection would have it read as the reply to the next completion. Its caller would be told "not run" while the engine runs it: refusals of engines name no request.

Cause: urllib3 returns a connection to its pool once the body has been read, so the close of the reply closed nothing.

Change: the connection is closed with the refusal. Bytes that wait before a request is sent already made urllib3 open a new connection.

--- a/bronzeglade/adapters/engine.py
+++ b/bronzeglade/adapters/engine.py
@@ -219,11 +219,17 @@
 
 
 def _refusal(response: urllib3.BaseHTTPResponse) -> EngineRefusal:
+    # A refusal names no request. Without its connection, an engine cannot
+    # repeat it when the reply to the next request is expected.
+    connection = response.connection
     try:
         detail = response.read(_READ_BYTES).decode(errors='replace')
     except HTTPError as error:
         detail = str(error)
     response.close()
+    if connection is not None:
+        # The pool has the connection back once the body has been read.
+        connection.close()
     return EngineRefusal(response.status, detail)
 
 
--- a/bronzeglade/entry/dispatch_test.py
+++ b/bronzeglade/entry/dispatch_test.py
@@ -204,3 +204,36 @@
     assert response.status == 503
     assert run_state(response) == 'not_run'
     assert response.headers['Retry-After'] == '2'
+
+
+class _KeepingServer(socketserver.ThreadingTCPServer):
+    daemon_threads = True
+    connections = 0
+
+
+class _KeepingHandler(socketserver.BaseRequestHandler):
+    def handle(self) -> None:
+        setattr(  # noqa: B010
+            self.server,
+            'connections',
+            getattr(self.server, 'connections') + 1,  # noqa: B009
+        )
+        refusal = b'HTTP/1.1 503 S\r\nContent-Length: 4\r\n\r\nbusy'
+        received = b''
+        while block := self.request.recv(65536):
+            received += block
+            if received.endswith(b'}'):
+                received = b''
+                self.request.sendall(refusal)
+
+
+def test_refusal_is_not_read_as_the_reply_to_the_next_request() -> None:
+    """An engine may repeat it on a kept connection; it names no request."""
+    server = _KeepingServer(('127.0.0.1', 0), _KeepingHandler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    node = node_with(['127.0.0.1:{0}'.format(server.server_address[1])])
+    for _ in range(2):
+        assert run_state(respond(node)) == 'not_run'
+    server.shutdown()
+    server.server_close()
+    assert server.connections == 2
