Test that an error after a break stays out of a chat completion

Five replies in place of a resumed stream (none, an error object, an HTTP head, an event or all events of another request) add nothing to the answer and don't make it complete.

--- a/bronzeglade/entry/answer_test.py
+++ b/bronzeglade/entry/answer_test.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bronzeglade.builders import FakeStream, engine_event, engine_events
-from bronzeglade.entry.answer import Answer
+from bronzeglade.entry.answer import Answer, frame
 
 COUNT = 4
 
@@ -87,6 +87,30 @@
     assert with_resume.complete
 
 
+@pytest.mark.parametrize(
+    'payloads',
+    [
+        [],
+        [b'{"error": {"message": "overloaded"}}'],
+        [b'HTTP/1.1 503 Service Unavailable'],
+        [engine_event('b', 'w2 ')],
+        engine_events('b', 2, COUNT),
+    ],
+)
+def test_error_instead_of_a_resumed_stream_is_not_delivered(
+    payloads: Sequence[bytes],
+) -> None:
+    """It must neither get into the answer nor make it look complete."""
+    events = engine_events('a', 0, COUNT)[:2]
+    answer = new_answer(
+        events, lambda _tokens: FakeStream(payloads), complete=False
+    )
+    assert answer.read_first_events()
+    body = b''.join(answer.body())
+    assert body == b''.join(frame(event) for event in events)
+    assert not answer.complete
+
+
 def test_first_event_of_another_request_is_rejected() -> None:
     """A wrong first event must be rejected, so that the request is retried."""
     assert not new_answer([engine_event('b', 'w0 ')]).read_first_events()
