Close the connection on which a service answered with an error

An endpoint of a plain service that writes an earlier error once more on a kept connection had it read as the reply to the next call: its caller got the 503 of another call, and the key of an order was stored with it.

Evidence: a trial of transport.call against such an endpoint gave the first call's 503 for the second call, over one connection, while the endpoint ran it. test_error_of_a_service_is_not_read_as_the_reply_to_the_next_call failed before: both calls went over one connection.

Change: calls of services don't keep a connection after a status of 400 or more. Other calls (store, peers, metrics) keep it, as before.

Not changed: an endpoint that repeats a success while the next call runs is still believed, since the replies name no call.

--- a/bronzeglade/adapters/transport.py
+++ b/bronzeglade/adapters/transport.py
@@ -26,6 +26,7 @@
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
 )
 MAX_REPLY_BYTES = 16 * 1024 * 1024  # a larger reply is a failure
+_FIRST_ERROR_STATUS = 400
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +71,7 @@
     body: bytes | None = None,
     headers: Mapping[str, str] | None = None,
     connect_timeout: dt.timedelta | None = None,
+    keep_failed: bool = True,
 ) -> Result[Reply, CallFailure]:
     """Make one HTTP call and read the whole reply.
 
@@ -82,6 +84,9 @@
       headers: request headers.
       connect_timeout: shorter limit on connecting; a request that exceeds it
         was not sent.
+      keep_failed: whether a connection is kept after a reply with an error
+        status. A faulty server may repeat that reply on it, as the reply to
+        the next request.
 
     Returns:
       The reply, whatever its status, or the failure.
@@ -100,7 +105,13 @@
         )
     except HTTPError as error:
         return Err(classify_error(error))
-    return _read(response)
+    connection = response.connection
+    reply = _read(response)
+    failed = response.status >= _FIRST_ERROR_STATUS
+    if failed and not keep_failed and connection is not None:
+        # The pool has the connection back once the body has been read.
+        connection.close()
+    return reply
 
 
 def _read(response: urllib3.BaseHTTPResponse) -> Result[Reply, CallFailure]:
--- a/bronzeglade/entry/dispatch_test.py
+++ b/bronzeglade/entry/dispatch_test.py
@@ -1,5 +1,6 @@
 """Dispatch of chat completions: run states, slots, and version checks."""
 
+import dataclasses
 import io
 import json
 import socketserver
@@ -12,7 +13,7 @@
 from bronzeglade import catalog as catalogs
 from bronzeglade.catalog import Configuration
 from bronzeglade.coordination.head import Published
-from bronzeglade.entry import chat
+from bronzeglade.entry import chat, services
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
 from bronzeglade.entry.workers import Worker
@@ -227,13 +228,43 @@
                 self.request.sendall(refusal)
 
 
-def test_refusal_is_not_read_as_the_reply_to_the_next_request() -> None:
-    """An engine may repeat it on a kept connection; it names no request."""
+@pytest.fixture
+def keeping() -> Iterator[_KeepingServer]:
+    """Return a server that refuses each request and keeps connections."""
     server = _KeepingServer(('127.0.0.1', 0), _KeepingHandler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
-    node = node_with(['127.0.0.1:{0}'.format(server.server_address[1])])
-    for _ in range(2):
-        assert run_state(respond(node)) == 'not_run'
+    yield server
     server.shutdown()
     server.server_close()
-    assert server.connections == 2
+
+
+def test_refusal_is_not_read_as_the_reply_to_the_next_request(
+    keeping: _KeepingServer,
+) -> None:
+    """An engine may repeat it on a kept connection; it names no request."""
+    node = node_with(['127.0.0.1:{0}'.format(keeping.server_address[1])])
+    for _ in range(2):
+        assert run_state(respond(node)) == 'not_run'
+    assert keeping.connections == 2
+
+
+def test_error_of_a_service_is_not_read_as_the_reply_to_the_next_call(
+    keeping: _KeepingServer,
+) -> None:
+    """A service may repeat it on a kept connection; it names no call."""
+    node = node_with(['127.0.0.1:{0}'.format(keeping.server_address[1])])
+    node.workers = tuple(
+        dataclasses.replace(worker, model=None, service='sightings')
+        for worker in node.workers
+    )
+    key = deployments.api_key_of('atlas')
+    for number in range(2):
+        environ = {
+            'HTTP_AUTHORIZATION': f'Bearer {key}',
+            'CONTENT_LENGTH': '2',
+            'wsgi.input': io.BytesIO(b'{}'),
+        }
+        path = '/services/sightings/sightings'
+        request = Request('POST', path, '', environ, f'r{number}')
+        assert services.handle(node, request).status == 503
+    assert keeping.connections == 2
--- a/bronzeglade/entry/services.py
+++ b/bronzeglade/entry/services.py
@@ -243,6 +243,7 @@
                 math.ceil(remaining / dt.timedelta(milliseconds=1))
             ),
         },
+        keep_failed=False,
     )
     if isinstance(reply, Err):
         sent = reply.err_value.sent
