Let the engine stand-in list a request as it admits it

Cause: the batch counted a request as running when its slot became free, but the request's own green thread listed it in /executed, after a switch. A page that was read in between showed it as running and not as executed. The new test holds that moment open: it reads both pages before any other thread runs.

Change: the batch records the start in the same step in which it counts the request, so no page can show one without the other.

--- a/standins/batch.py
+++ b/standins/batch.py
@@ -15,6 +15,7 @@
     priority: int
     sequence: int
     admitted: Event = dataclasses.field(compare=False)
+    on_admission: Callable[[], None] = dataclasses.field(compare=False)
     is_disconnected: bool = dataclasses.field(default=False, compare=False)
 
 
@@ -46,7 +47,10 @@
         return max(0, self.running - 1) / self.slots
 
     def acquire_slot(
-        self, priority: int, is_disconnected: Callable[[], bool]
+        self,
+        priority: int,
+        is_disconnected: Callable[[], bool],
+        on_admission: Callable[[], None],
     ) -> bool:
         """Wait for a slot.
 
@@ -54,12 +58,14 @@
           priority: 0 is the most urgent; equal priorities are served in order
             of arrival.
           is_disconnected: returns whether the client has disconnected.
+          on_admission: called together with the change of `running`, before
+            the thread of the request continues; must not block.
 
         Returns:
           Whether the request has a slot; False when its client disconnected.
         """
         self.sequence += 1
-        queued = _QueuedRequest(priority, self.sequence, Event())
+        queued = _QueuedRequest(priority, self.sequence, Event(), on_admission)
         heapq.heappush(self.queue, queued)
         self._admit_queued()
         while not queued.admitted.ready():
@@ -80,4 +86,5 @@
             queued = heapq.heappop(self.queue)
             if not queued.is_disconnected:
                 self.running += 1
+                queued.on_admission()
                 queued.admitted.send()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -227,17 +227,21 @@
     def _stream(self, request: CompletionRequest) -> Iterator[bytes]:
         execution = request.execution
         has_slot = self.batch.acquire_slot(
-            execution.priority, lambda: is_client_disconnected(request.environ)
+            execution.priority,
+            lambda: is_client_disconnected(request.environ),
+            lambda: self._record_start(execution),
         )
         if not has_slot:
             return
         try:
-            execution.started_at = time.time()
-            self.executions.append(execution)
             yield from self._generate_chunks(request)
         finally:
             self.batch.release_slot()
 
+    def _record_start(self, execution: Execution) -> None:
+        execution.started_at = time.time()
+        self.executions.append(execution)
+
     def _generate_chunks(self, request: CompletionRequest) -> Iterator[bytes]:
         execution = request.execution
         eventlet.sleep(self._first_token_delay_s(request))
