Stop the OpenAI door without resetting connections

Cause: the process ended with its listeners open. The kernel resets what waits in an accept queue at that moment, and connections whose request had arrived in part were cut too. Nothing waited for either: the stop counted requests, not connections. The same holds for the control and metrics address. The class is any listener that vanishes with its process.

Change: the last step of the stop closes both listeners as the platform's process closes its own: first packets are dropped, the handshakes in progress end, the accept queue is served, the listener is closed. Then the stop waits for connections with a request in progress, up to receive_timeout. `listener_closed` tells how many connections were in the queues, `stopped` how many the exit cuts.

The server has its own accept loop around eventlet's protocol, because eventlet's closes connections whose first request is in transit. It also goes on after a failed accept (eventlet's ended, with the listener open), and does not set SO_REUSEPORT.

Why it works: when the listener closes, its queue is empty and nothing can enter it, so each caller either has a connection that is served or is refused one.

--- a/bronzeglade/entry/process.py
+++ b/bronzeglade/entry/process.py
@@ -9,7 +9,7 @@
 import eventlet
 from eliot import write_traceback
 
-from bronzeglade import serving
+from bronzeglade import listeners, serving
 from bronzeglade.entry import (
     callers,
     chat,
@@ -49,12 +49,15 @@
     node = Node(settings)
     status.register(node)
     stopped = eventlet.event.Event()
-    _serve(settings, settings.port, _tracked(node))
-    _serve(
-        settings,
+    caller_server = _new_server(node, settings.port, _tracked(node))
+    control_server = _new_server(
+        node,
         settings.control_port,
         http.wsgi(lambda request: control.handle(node, request)),
     )
+    servers = (caller_server, control_server)
+    for server in servers:
+        server.start()
     node.start()
 
     def stop(_signal: int, _frame: Any) -> None:
@@ -65,19 +68,20 @@
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
     stopped.wait()
+    serving.stop(servers, node.clock, settings.receive_timeout)
     return 0
 
 
-def _serve(
-    settings: EntrySettings, port: int, application: Callable[..., Body]
-) -> None:
-    listener = eventlet.listen((settings.host, port), backlog=BACKLOG)
-    eventlet.spawn(
-        serving.serve,
-        listener,
+def _new_server(
+    node: Node, port: int, application: Callable[..., Body]
+) -> serving.Server:
+    settings = node.settings
+    return serving.Server(
+        listeners.listen((settings.host, port), BACKLOG),
         application,
-        max_size=MAX_CONNECTIONS,
+        node.clock,
         protocol=protocol.with_head_timeout(settings.receive_timeout),
+        max_connections=MAX_CONNECTIONS,
         # Writes each chunk of a stream at once. The default buffers 4,096
         # bytes, which delays tokens.
         minimum_chunk_size=1,
--- a/bronzeglade/entry/protocol.py
+++ b/bronzeglade/entry/protocol.py
@@ -46,18 +46,14 @@
         finally:
             self._stop_timer()
 
-    def _read_request_line(self) -> Any:
-        # A connection may be idle between requests, so the time limit starts
-        # with the first byte of the head.
-        try:
-            first = self.rfile.peek(1)
-        except OSError:
-            first = b''
-        if not first:
-            self.close_connection = True
-            return b''
+    def begin_request(self) -> None:
+        """Start the time limit of the head.
+
+        A connection may be idle between requests, so the limit starts with the
+        first byte of the head.
+        """
+        super().begin_request()
         self.head_timer = eventlet.Timeout(self.head_limit.total_seconds())
-        return super()._read_request_line()
 
     def parse_request(self) -> bool:
         """Parse the head, then stop its time limit."""
--- a/bronzeglade/forwarding/tcp_test.py
+++ b/bronzeglade/listeners_test.py
@@ -4,7 +4,7 @@
 import pytest
 from eventlet.green import socket
 
-from bronzeglade.forwarding import tcp
+from bronzeglade import listeners
 
 LOOPBACK = '127.0.0.1'
 CONNECT_TIMEOUT_S = 0.3
@@ -15,11 +15,11 @@
 # and the close of the listener: it cannot know whether its request ran.
 def test_connection_attempt_during_the_close_is_refused() -> None:
     """A caller that connects late gets no connection, so nothing ran."""
-    listener = tcp.listen((LOOPBACK, 0), BACKLOG)
+    listener = listeners.listen((LOOPBACK, 0), BACKLOG)
     address = listener.getsockname()
     early = eventlet.connect(address)
-    assert tcp.drop_connection_attempts(listener)
-    accepted = list(tcp.accept_pending(listener))
+    assert listeners.drop_connection_attempts(listener)
+    accepted = list(listeners.accept_pending(listener))
     assert len(accepted) == 1
     late = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     late.settimeout(CONNECT_TIMEOUT_S)
--- a/bronzeglade/serving.py
+++ b/bronzeglade/serving.py
@@ -1,23 +1,30 @@
-"""Eventlet's WSGI server, with structured logs and no access log."""
+"""HTTP servers on eventlet's WSGI, with a stop that resets no connection."""
 
-from collections.abc import Callable
+import datetime as dt
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import eliot
-from eventlet import wsgi
+import eventlet
+from eventlet import greenio, semaphore, wsgi
 
-_MAX_DETAIL_CHARS = 200
-
-
-class _NullLog:
-    """Discards access log lines; requests are logged as structured events."""
+from bronzeglade import listeners
+from bronzeglade.clock import Clock, SystemClock
 
-    def write(self, text: str) -> None:
-        """Discard a line."""
+MAX_CONNECTIONS = 1024
+ACCEPT_RETRY_DELAY = dt.timedelta(milliseconds=50)
+STOP_POLL_INTERVAL = dt.timedelta(milliseconds=50)
+# How long a new connection may wait for its first request during a stop.
+FIRST_REQUEST_TIMEOUT = dt.timedelta(seconds=1)
+_MAX_DETAIL_CHARS = 200
 
 
 class LoggedProtocol(wsgi.HttpProtocol):
-    """HTTP protocol that reports malformed requests in the structured log."""
+    """HTTP protocol that reports malformed requests in the structured log.
+
+    The state of the connection is idle only while no byte of a request has
+    arrived and no response is being sent.
+    """
 
     def log_message(self, template: str, *values: object) -> None:
         """Log a message that the server would write to standard error."""
@@ -26,6 +33,159 @@
             detail=(template % values)[:_MAX_DETAIL_CHARS],
         )
 
+    def handle(self) -> None:
+        """Handle the requests of the connection."""
+        try:
+            super().handle()
+        finally:
+            self.conn_state[2] = wsgi.STATE_CLOSE
+
+    def begin_request(self) -> None:
+        """Record that the first byte of a request has arrived."""
+        self.conn_state[2] = wsgi.STATE_REQUEST
+
+    def _read_request_line(self) -> Any:
+        try:
+            first = self.rfile.peek(1)
+        except OSError:
+            first = b''
+        if not first:
+            self.close_connection = True
+            return b''
+        self.begin_request()
+        return super()._read_request_line()
+
+
+class Connection:
+    """An open connection.
+
+    Attributes:
+      sock: its socket.
+      accepted_at: monotonic time.
+      state: address, socket and state as eventlet's protocol class expects.
+    """
+
+    def __init__(self, sock: Any, accepted_at: dt.timedelta) -> None:
+        """Create the record of a connection that has just been accepted."""
+        self.sock = sock
+        self.accepted_at = accepted_at
+        self.state: list[Any] = [_peer(sock), sock, wsgi.STATE_IDLE]
+
+    def is_in_use(self, now: dt.timedelta) -> bool:
+        """Return whether a request is in progress or probably in transit."""
+        is_new = now - self.accepted_at < FIRST_REQUEST_TIMEOUT
+        return is_new or self.state[2] != wsgi.STATE_IDLE
+
+
+def _peer(sock: Any) -> Any:
+    try:
+        return sock.getpeername()
+    except OSError:
+        # The caller has disconnected already.
+        return ('', 0)
+
+
+class Server:
+    """A WSGI server on one listening socket."""
+
+    def __init__(
+        self,
+        listener: Any,
+        application: Callable[..., Any],
+        clock: Clock,
+        protocol: type[wsgi.HttpProtocol] = LoggedProtocol,
+        max_connections: int = MAX_CONNECTIONS,
+        **limits: Any,
+    ) -> None:
+        """Create a server that does not accept connections yet.
+
+        Args:
+          listener: listening socket.
+          application: WSGI application.
+          clock: monotonic time.
+          protocol: protocol class that parses the requests of a connection.
+          max_connections: maximum number of open connections.
+          limits: further options of `eventlet.wsgi.Server`.
+        """
+        self.listener = listener
+        self.clock = clock
+        self.wsgi = wsgi.Server(
+            listener,
+            listener.getsockname(),
+            application,
+            protocol=protocol,
+            log_output=False,
+            debug=False,
+            **limits,
+        )
+        self.connections: set[Connection] = set()
+        self.free = semaphore.Semaphore(max_connections)
+        self.accept_thread: Any = None
+
+    def start(self) -> None:
+        """Accept connections in a green thread until the server is closed."""
+        self.accept_thread = eventlet.spawn(self.accept)
+
+    def accept(self) -> None:
+        """Accept connections; never returns."""
+        while True:
+            self.free.acquire()
+            try:
+                sock, _peer = self.listener.accept()
+            except OSError as error:
+                self.free.release()
+                eliot.log_message(
+                    message_type='accept_failed', detail=repr(error)
+                )
+                eventlet.sleep(ACCEPT_RETRY_DELAY.total_seconds())
+            else:
+                self._spawn(sock)
+
+    def end_keepalive(self) -> None:
+        """Close each connection after its next response."""
+        self.wsgi.keepalive = False
+
+    def connections_in_use(self) -> int:
+        """Return the number of connections that a stop has to wait for."""
+        now = self.clock.monotonic()
+        return sum(connection.is_in_use(now) for connection in self.connections)
+
+    def close(self) -> int:
+        """Accept the connections in the queue, and close the listener.
+
+        Returns:
+          The number of connections that were accepted.
+        """
+        if self.accept_thread is not None:
+            self.accept_thread.kill()
+        accepted = 0
+        for sock in listeners.accept_pending(self.listener):
+            self._spawn(sock)
+            accepted += 1
+        self.listener.close()
+        return accepted
+
+    def _spawn(self, sock: Any) -> None:
+        sock.settimeout(self.wsgi.socket_timeout)
+        connection = Connection(sock, self.clock.monotonic())
+        self.connections.add(connection)
+        eventlet.spawn(self._serve, connection)
+
+    def _serve(self, connection: Connection) -> None:
+        try:
+            self.wsgi.process_request(connection.state)
+        except Exception:
+            # A failure on one connection must not affect the others.
+            eliot.write_traceback()
+        finally:
+            self._end(connection)
+
+    def _end(self, connection: Connection) -> None:
+        self.connections.discard(connection)
+        self.free.release()
+        greenio.shutdown_safe(connection.sock)
+        connection.sock.close()
+
 
 def serve(
     listener: Any,
@@ -39,14 +199,42 @@
       listener: listening socket.
       application: WSGI application.
       protocol: protocol class that parses the requests of a connection.
-      limits: further options of `eventlet.wsgi.server`.
+      limits: further options of `Server`.
+    """
+    Server(listener, application, SystemClock(), protocol, **limits).accept()
+
+
+def stop(servers: Sequence[Server], clock: Clock, limit: dt.timedelta) -> None:
+    """Close servers, after the requests that have reached them are answered.
+
+    Later callers are refused a connection, so that they know that nothing ran.
+
+    Args:
+      servers: running servers.
+      clock: monotonic time.
+      limit: maximum time to wait for connections with a request in progress.
     """
-    wsgi.server(
-        listener,
-        application,
-        log=_NullLog(),
-        log_output=False,
-        debug=False,
-        protocol=protocol,
-        **limits,
+    for server in servers:
+        server.end_keepalive()
+    dropping = [
+        listeners.drop_connection_attempts(server.listener)
+        for server in servers
+    ]
+    if any(dropping):
+        eventlet.sleep(listeners.HANDSHAKE_TIME.total_seconds())
+    accepted = sum(server.close() for server in servers)
+    eliot.log_message(
+        message_type='listener_closed',
+        attempts_dropped=all(dropping),
+        accepted=accepted,
+    )
+    deadline = clock.monotonic() + limit
+    while _connections_in_use(servers) and clock.monotonic() < deadline:
+        eventlet.sleep(STOP_POLL_INTERVAL.total_seconds())
+    eliot.log_message(
+        message_type='stopped', connections=_connections_in_use(servers)
     )
+
+
+def _connections_in_use(servers: Sequence[Server]) -> int:
+    return sum(server.connections_in_use() for server in servers)
--- /dev/null
+++ b/bronzeglade/serving_test.py
@@ -0,0 +1,137 @@
+"""Tests how an HTTP server stops."""
+
+import datetime as dt
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import eventlet
+import pytest
+from eventlet.event import Event
+
+from bronzeglade import listeners, serving
+from bronzeglade.clock import SystemClock
+from bronzeglade.serving import Server
+
+LOOPBACK = '127.0.0.1'
+BACKLOG = 16
+LIMIT = dt.timedelta(seconds=20)
+REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+
+
+def answer(_environ: Any, start_response: Any) -> tuple[bytes]:
+    """Answer a request at once."""
+    start_response('200 OK', [('Content-Length', '2')])
+    return (b'ok',)
+
+
+class HeldApplication:
+    """A WSGI application whose answers wait until they are released."""
+
+    def __init__(self) -> None:
+        """Hold all answers."""
+        self.released = Event()
+
+    def __call__(self, environ: Any, start_response: Any) -> tuple[bytes]:
+        """Answer a request after the release."""
+        self.released.wait()
+        return answer(environ, start_response)
+
+
+@pytest.fixture(autouse=True)
+def _time_limit() -> Iterator[None]:
+    with eventlet.Timeout(60):
+        yield
+
+
+def start_server(application: Any, max_connections: int = 99) -> Server:
+    """Return a server that accepts connections."""
+    server = Server(
+        listeners.listen((LOOPBACK, 0), BACKLOG),
+        application,
+        SystemClock(),
+        max_connections=max_connections,
+    )
+    server.start()
+    return server
+
+
+def connect(server: Server, content: bytes = b'') -> Any:
+    """Connect to a server and send bytes."""
+    sock = eventlet.connect(server.wsgi.address)
+    sock.sendall(content)
+    return sock
+
+
+def read_all(sock: Any) -> bytes:
+    """Return everything that arrives until the connection is closed."""
+    blocks = iter(lambda: sock.recv(65536), b'')
+    return b''.join(blocks)
+
+
+def wait_until(condition: Callable[[], bool]) -> None:
+    """Let other green threads run until a condition holds."""
+    while not condition():
+        eventlet.sleep(0.01)
+
+
+# Guards against the reset of connections that wait in the accept queue: their
+# callers cannot know whether their requests ran.
+def test_stop_answers_connections_in_the_accept_queue() -> None:
+    """A server that accepts no more connections answers those that wait."""
+    application = HeldApplication()
+    server = start_server(application, max_connections=1)
+    callers = [connect(server, REQUEST) for _ in range(BACKLOG // 2)]
+    wait_until(lambda: server.connections_in_use() == 1)
+    stopping = eventlet.spawn(serving.stop, [server], server.clock, LIMIT)
+    wait_until(lambda: server.connections_in_use() == len(callers))
+    with pytest.raises(ConnectionRefusedError):
+        connect(server)
+    application.released.send()
+    for caller in callers:
+        received = read_all(caller)
+        assert received.startswith(b'HTTP/1.1 200')
+        assert b'Connection: close' in received
+    stopping.wait()
+    assert not server.connections
+
+
+# Guards against an exit that cuts a request which is still arriving.
+def test_stop_waits_for_the_rest_of_a_request() -> None:
+    """A request whose head has arrived in part is answered."""
+    server = start_server(answer)
+    caller = connect(server, REQUEST[:3])
+    stopping = eventlet.spawn(serving.stop, [server], server.clock, LIMIT)
+    eventlet.sleep(2 * serving.FIRST_REQUEST_TIMEOUT.total_seconds())
+    assert not stopping.dead
+    caller.sendall(REQUEST[3:])
+    assert read_all(caller).startswith(b'HTTP/1.1 200')
+    stopping.wait()
+
+
+def test_stop_does_not_wait_for_idle_connections() -> None:
+    """Connections that only wait for another request don't delay the exit."""
+    server = start_server(answer)
+    caller = connect(server, REQUEST)
+    assert caller.recv(65536).startswith(b'HTTP/1.1 200')
+    stopped_at = server.clock.monotonic() + LIMIT
+    serving.stop([server], server.clock, LIMIT)
+    assert server.clock.monotonic() < stopped_at
+
+
+def test_stop_ends_at_its_limit() -> None:
+    """A request that does not end must not keep the process running."""
+    server = start_server(HeldApplication())
+    caller = connect(server, REQUEST)
+    wait_until(lambda: server.connections_in_use() == 1)
+    serving.stop([server], server.clock, dt.timedelta())
+    assert server.connections_in_use() == 1
+    caller.close()
+
+
+# Guards against a second process that takes half of the connections unnoticed.
+def test_address_in_use_is_an_error() -> None:
+    """Two processes cannot listen on the same address."""
+    listener = listeners.listen((LOOPBACK, 0), BACKLOG)
+    with pytest.raises(OSError, match='in use'):
+        listeners.listen(listener.getsockname(), BACKLOG)
+    listener.close()
