--- a/fleet/launch.py
+++ b/fleet/launch.py
@@ -430,6 +430,7 @@
                 program.process.send_signal(signal.SIGKILL)
         for program in self.programs:
             program.process.wait(STOP_TIMEOUT.total_seconds())
+        self.ports.close()
 
 
 def _loaded_versions(plan: EndpointPlan) -> str:
--- a/fleet/links.py
+++ b/fleet/links.py
@@ -54,7 +54,7 @@
 
     def listen(self) -> None:
         """Accept connections in the background until the process ends."""
-        listener = eventlet.listen((HOST, self.port))
+        listener = eventlet.listen((HOST, self.port), reuse_port=False)
         eventlet.spawn(self._accept, listener)
 
     def set_fault(self, mode: str, delay_s: float) -> None:
--- a/fleet/platform.py
+++ b/fleet/platform.py
@@ -105,6 +105,7 @@
             process.kill()
         for process in self.processes.values():
             process.wait()
+        self.ports.close()
 
     def put(self, documents: Mapping[str, Document | None]) -> None:
         """Write rows to the store as the operator; None removes a row."""
--- a/standins/processes_test.py
+++ b/standins/processes_test.py
@@ -58,6 +58,21 @@
     }
 
 
+# Guards against two processes that take turns in accepting on one port.
+def test_port_in_use_is_an_error(tmp_path: Path) -> None:
+    """A stand-in exits if another process listens on its port."""
+    fleet = Fleet(deployments.BROLGA, tmp_path)
+    arguments = ['standins.table', f'--port={fleet.ports.allocate(1)[0]}']
+    first = fleet.spawn('first', 'first', arguments)
+    try:
+        fleet.wait_until_listening()
+        second = fleet.spawn('second', 'second', arguments)
+        assert second.process.wait(30)
+        assert first.process.poll() is None
+    finally:
+        fleet.stop()
+
+
 def test_table_faults(start: Start) -> None:
     """A lost reply keeps the write; a lost request and an outage do not."""
     table = start('table')
--- a/standins/web.py
+++ b/standins/web.py
@@ -145,7 +145,8 @@
 
 def serve(host: str, port: int, application: Application) -> None:
     """Serve an application; does not return."""
-    listener = eventlet.listen((host, port), backlog=512)
+    # By default eventlet lets several processes listen on one port.
+    listener = eventlet.listen((host, port), backlog=512, reuse_port=False)
     wsgi.server(
         listener,
         application,
