Log why an attempt at a worker failed

Change: the line `try` of a failed attempt has `detail`: the connection error, the status, or what was wrong with the stream; no text of the engine. The test fails without it (no `detail` in any line).

--- a/bronzeglade/entry/dispatch.py
+++ b/bronzeglade/entry/dispatch.py
@@ -112,6 +112,7 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _FailedAttempt:
     failure: Failure
+    detail: str  # for the log; without text of the engine
     refusal: EngineRefusal | None = None
 
 
@@ -156,7 +157,7 @@
             'try',
             worker=worker.vm,
             attempt=len(attempts.vms),
-            failure=_failure_name(outcome),
+            **_failure_fields(outcome),
         )
         if isinstance(outcome, Ok):
             return outcome.ok_value
@@ -173,8 +174,13 @@
     return None
 
 
-def _failure_name(outcome: Result[Answer, _FailedAttempt]) -> str | None:
-    return outcome.err_value.failure.name if isinstance(outcome, Err) else None
+def _failure_fields(
+    outcome: Result[Answer, _FailedAttempt],
+) -> dict[str, str | None]:
+    if isinstance(outcome, Ok):
+        return {'failure': None}
+    failed = outcome.err_value
+    return {'failure': failed.failure.name, 'detail': failed.detail}
 
 
 def _deadline_passed(node: Node, prepared: PreparedRequest) -> bool:
@@ -253,7 +259,9 @@
         node.routing.succeeded(worker.vm)
         return Ok(answer)
     answer.close()
-    return Err(_record_failure(node, attempts, _FailedAttempt(Failure.LOST)))
+    detail = 'a foreign event' if answer.mismatched else 'no event'
+    failed = _FailedAttempt(Failure.LOST, detail)
+    return Err(_record_failure(node, attempts, failed))
 
 
 def _open_stream(
@@ -290,14 +298,18 @@
 
 def _classify(error: CallFailure | EngineRefusal) -> _FailedAttempt:
     if isinstance(error, EngineRefusal):
-        return _FailedAttempt(failure_of_status(error.status), error)
-    return _FailedAttempt(Failure.LOST if error.sent else Failure.NOT_CONNECTED)
+        return _FailedAttempt(
+            failure_of_status(error.status), f'status {error.status}', error
+        )
+    failure = Failure.LOST if error.sent else Failure.NOT_CONNECTED
+    return _FailedAttempt(failure, error.detail)
 
 
 def _resume_stream(
     node: Node, prepared: PreparedRequest, attempts: Attempts, tokens: int
 ) -> EngineStream | None:
-    _record_failure(node, attempts, _FailedAttempt(Failure.LOST))
+    failed = _FailedAttempt(Failure.LOST, 'the stream broke')
+    _record_failure(node, attempts, failed)
     _count_lost_attempt(node, prepared, Failure.LOST)
     if _deadline_passed(node, prepared):
         return None
--- a/bronzeglade/entry/dispatch_test.py
+++ b/bronzeglade/entry/dispatch_test.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import eliot
 import pytest
 
 from bronzeglade import catalog as catalogs
@@ -15,6 +16,8 @@
 from bronzeglade.entry import chat
 from bronzeglade.entry.http import Request, Response
 from bronzeglade.entry.node import Node
+from bronzeglade.entry.telemetry import RequestLog
+from bronzeglade.entry.trace import Trace
 from bronzeglade.entry.workers import Worker
 from bronzeglade.settings import EntrySettings
 from fleet import deployments
@@ -98,7 +101,9 @@
     return node
 
 
-def respond(node: Node, stream: bool = False) -> Response:
+def respond(
+    node: Node, stream: bool = False, request_trace: Trace | None = None
+) -> Response:
     """Return the node's response to a chat completion."""
     body = json.dumps(
         {
@@ -113,7 +118,14 @@
         'CONTENT_LENGTH': str(len(body)),
         'wsgi.input': io.BytesIO(body),
     }
-    request = Request('POST', '/v1/chat/completions', '', environ, 'r1')
+    request = Request(
+        'POST',
+        chat.PATH,
+        '',
+        environ,
+        'r1',
+        request_trace or Trace('r1'),
+    )
     return chat.handle(node, request)
 
 
@@ -140,6 +152,21 @@
         assert run_state(response) == 'unknown'
 
 
+# Guards against failed attempts that cannot be traced: the log had only kinds.
+def test_log_tells_why_an_attempt_failed(engine: Start) -> None:
+    """Refused connections, statuses and empty answers can be told apart."""
+    tries: list[dict[str, Any]] = []
+    eliot.add_destinations(tries.append)
+    request_trace = Trace('r1')
+    request_trace.log = RequestLog('r1', chat.PATH)
+    for address in (CLOSED, engine(503, b'secret'), engine(200, b'')):
+        respond(node_with([address]), request_trace=request_trace)
+    eliot.remove_destination(tries.append)
+    details = [entry['detail'] for entry in tries if 'detail' in entry]
+    assert 'refused' in details[0]
+    assert details[1:] == ['status 503', 'no event']
+
+
 def test_rejection_by_the_engine_is_final(engine: Start) -> None:
     """A request that an engine rejects as invalid must not be retried."""
     response = respond(node_with([engine(400, b'too long')]))
