Let a stopping door end persistent connections with an answer

Seen: a caller that keeps its connection to a stopping node gets no notice before the node refuses requests; one that sends its next request as the process exits loses it and cannot know whether it ran.

Change: from SIGTERM on, each answer closes its connection. Whoever sent a request in the last entries_max_age has no open connection at the exit.

Left: a connection that was idle for longer and is used at the very moment of the exit.

--- a/bronzeglade/entry/process.py
+++ b/bronzeglade/entry/process.py
@@ -63,6 +63,7 @@
     def stop(_signal: int, _frame: Any) -> None:
         if not node.draining:
             node.draining = True
+            caller_server.end_keepalive()
             eventlet.spawn(drain, node, stopped)
 
     signal.signal(signal.SIGTERM, stop)
--- a/fleet/stop_test.py
+++ b/fleet/stop_test.py
@@ -141,6 +141,25 @@
     assert call(router.control_port, '/metrics') == REFUSED
 
 
+# Guards against connections that are still open at the exit: a caller that uses
+# one again at that moment cannot know whether its request ran.
+def test_stopping_router_ends_persistent_connections(
+    start: Callable[[type[Fleet]], Fleet],
+) -> None:
+    """Callers learn with an answer, before the refusals, to connect anew."""
+    router = start(Fleet).entries()[-1]
+    request = request_head('/v1/models').replace(b'close', b'keep-alive')
+    answer = b''
+    with socket.create_connection((HOST, router.port), TIMEOUT_S) as sock:
+        sock.settimeout(TIMEOUT_S)
+        router.process.send_signal(signal.SIGTERM)
+        while b'Connection: close' not in answer:
+            sock.sendall(request)
+            answer = sock.recv(65536)
+    assert answer.startswith(b'HTTP/1.1 401')
+    assert router.process.wait(TIMEOUT_S) == 0
+
+
 # Guards against the same reset where the stop of one router follows another.
 def test_callers_during_planned_stops_get_answers(
     start: Callable[[type[Fleet]], Fleet],
