Stop the pages of the platform's process without resets

Seen: scrapers, callers of the readiness and directory pages and nodes that read the control page were reset when the process exited: 24 connections of 16 callers in one stop.

Cause: only the listener for callers was closed; those of the pages vanished with the process, as the door's did.

Change: the process keeps the servers of its pages and stops them as its last step, with at most 0.5 s for pages that wait for changes. `serving.stop` returns how it ended, so that each process logs it in its own way: `pages_closed`, and `listener_closed` of the door. The names that forwarding/tcp.py kept for this process are gone.

--- a/bronzeglade/entry/process.py
+++ b/bronzeglade/entry/process.py
@@ -1,11 +1,13 @@
 """The router process: listeners, signals and graceful shutdown."""
 
+import dataclasses
 import datetime as dt
 import functools
 import signal
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import eliot
 import eventlet
 from eliot import write_traceback
 
@@ -69,7 +71,10 @@
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
     stopped.wait()
-    serving.stop(servers, node.clock, settings.receive_timeout)
+    ended = serving.stop(servers, node.clock, settings.receive_timeout)
+    eliot.log_message(
+        message_type='listener_closed', **dataclasses.asdict(ended)
+    )
     return 0
 
 
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -1,5 +1,6 @@
 """Router process for opaque requests: sockets, loops, signals, shutdown."""
 
+import dataclasses
 import datetime as dt
 import functools
 import random
@@ -14,7 +15,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from result import Err, Ok
 
-from bronzeglade import serving
+from bronzeglade import listeners, serving
 from bronzeglade.adapters import transport
 from bronzeglade.clock import BootClock
 from bronzeglade.coordination.liveness import (
@@ -58,13 +59,13 @@
 REGISTER_RETRY_DELAY = dt.timedelta(milliseconds=300)
 HOUSEKEEPING_INTERVAL = dt.timedelta(seconds=1)
 SETTINGS_CHECK_INTERVAL = dt.timedelta(seconds=2)
-# Longer than a round trip to a caller, which ends the handshakes in progress.
-HANDSHAKE_TIME = dt.timedelta(milliseconds=200)
 STOP_POLL_INTERVAL = dt.timedelta(milliseconds=50)
 # Fraction of the grace period after which running requests are abandoned. The
 # remaining time is for sending the last answers.
 DRAIN_FRACTION = 0.87
 PAGE_TIMEOUT_S = 15
+# Longer than a page takes, except where a node waits for changes.
+PAGE_STOP_TIMEOUT = dt.timedelta(milliseconds=500)
 EXIT_INVALID_SETTINGS = 2
 
 
@@ -155,6 +156,7 @@
         self.exchange.on_departure = self.router.mark_leaving
         self.listener: Any = None
         self.accept_thread: Any = None
+        self.page_servers: list[serving.Server] = []
         self.connections = 0  # open caller connections
         self.stopped = eventlet.event.Event()
 
@@ -317,7 +319,7 @@
             eventlet.sleep(REGISTER_RETRY_DELAY.total_seconds())
 
     def _serve_callers(self, address: Address) -> None:
-        self.listener = tcp.listen(address, BACKLOG)
+        self.listener = listeners.listen(address, BACKLOG)
         self.accept_thread = eventlet.spawn(self._accept)
 
     def _accept(self) -> None:
@@ -336,12 +338,12 @@
         Closing the listener resets connections that are not accepted, though
         their requests may have arrived already.
         """
-        dropping = tcp.drop_connection_attempts(self.listener)
+        dropping = listeners.drop_connection_attempts(self.listener)
         if dropping:
-            eventlet.sleep(HANDSHAKE_TIME.total_seconds())
+            eventlet.sleep(listeners.HANDSHAKE_TIME.total_seconds())
         self.accept_thread.kill()
         accepted = 0
-        for sock in tcp.accept_pending(self.listener):
+        for sock in listeners.accept_pending(self.listener):
             self._serve_accepted(sock)
             accepted += 1
         self.listener.close()
@@ -375,13 +377,14 @@
         return None if table is None else table.limits
 
     def _serve(self, address: Address, application: Application) -> None:
-        listener = tcp.listen(address, BACKLOG)
-        eventlet.spawn(
-            serving.serve,
-            listener,
+        server = serving.Server(
+            listeners.listen(address, BACKLOG),
             application,
+            self.clock,
             socket_timeout=PAGE_TIMEOUT_S,
         )
+        server.start()
+        self.page_servers.append(server)
 
     def _metrics_page(self, environ: dict[str, Any], start: Any) -> Any:
         body = generate_latest(self.router.metrics.registry)
@@ -437,6 +440,8 @@
             in_flight=self.router.in_flight,
             connections=self.connections,
         )
+        pages = serving.stop(self.page_servers, self.clock, PAGE_STOP_TIMEOUT)
+        self.log.event('pages_closed', **dataclasses.asdict(pages))
         self.stopped.send()
 
 
--- a/bronzeglade/forwarding/tcp.py
+++ b/bronzeglade/forwarding/tcp.py
@@ -7,16 +7,12 @@
 from eventlet import hubs
 from eventlet.green import socket
 
-from bronzeglade import listeners
 from bronzeglade.adapters import transport
 from bronzeglade.clock import Clock
 
 READ_BYTES = 65536
 # Minimum timeout of a socket call; zero would make the socket non-blocking.
 MIN_TIMEOUT_S = 0.001
-listen = listeners.listen
-drop_connection_attempts = listeners.drop_connection_attempts
-accept_pending = listeners.accept_pending
 
 
 def set_options(sock: Any) -> None:
--- a/bronzeglade/serving.py
+++ b/bronzeglade/serving.py
@@ -1,5 +1,6 @@
 """HTTP servers on eventlet's WSGI, with a stop that resets no connection."""
 
+import dataclasses
 import datetime as dt
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -204,7 +205,22 @@
     Server(listener, application, SystemClock(), protocol, **limits).accept()
 
 
-def stop(servers: Sequence[Server], clock: Clock, limit: dt.timedelta) -> None:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """How a stop of servers ended.
+
+    Attributes:
+      attempts_dropped: whether new connections were held off.
+      accepted: connections that were accepted last.
+      connections: connections with a request that is still in progress.
+    """
+
+    attempts_dropped: bool
+    accepted: int
+    connections: int
+
+
+def stop(servers: Sequence[Server], clock: Clock, limit: dt.timedelta) -> Stop:
     """Close servers, after the requests that have reached them are answered.
 
     Later callers are refused a connection, so that they know that nothing ran.
@@ -223,17 +239,10 @@
     if any(dropping):
         eventlet.sleep(listeners.HANDSHAKE_TIME.total_seconds())
     accepted = sum(server.close() for server in servers)
-    eliot.log_message(
-        message_type='listener_closed',
-        attempts_dropped=all(dropping),
-        accepted=accepted,
-    )
     deadline = clock.monotonic() + limit
     while _connections_in_use(servers) and clock.monotonic() < deadline:
         eventlet.sleep(STOP_POLL_INTERVAL.total_seconds())
-    eliot.log_message(
-        message_type='stopped', connections=_connections_in_use(servers)
-    )
+    return Stop(all(dropping), accepted, _connections_in_use(servers))
 
 
 def _connections_in_use(servers: Sequence[Server]) -> int:
--- a/fleet/stop_test.py
+++ b/fleet/stop_test.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import functools
 import signal
 import socket
 import threading
@@ -14,7 +15,7 @@
 
 from fleet import deployments
 from fleet.launch import SHORT_DRAIN_OPTIONS, Fleet, Program
-from fleet.platform import wait_until
+from fleet.platform import PlatformFleet, configuration, wait_until
 from fleet.ports import HOST
 
 DEPLOYMENT = dataclasses.replace(
@@ -94,11 +95,26 @@
         sock = socket.create_connection((HOST, port), TIMEOUT_S)
     except ConnectionRefusedError:
         return REFUSED
+    except OSError as error:
+        return repr(error)
     with sock:
         send(sock, request_head(path))
         return read_outcome(sock)
 
 
+def is_open(port: int, path: str) -> bool:
+    """Return whether a page can be connected to."""
+    return call(port, path) != REFUSED
+
+
+def outcomes_until_refused(port: int, path: str) -> Iterator[str]:
+    """Send requests, each on a new connection, and yield their outcomes."""
+    outcome = ''
+    while outcome != REFUSED:
+        outcome = call(port, path)
+        yield outcome
+
+
 def is_paused(program: Program) -> bool:
     """Return whether a process is stopped by a signal."""
     status = Path(f'/proc/{program.process.pid}/stat').read_text()
@@ -168,14 +184,10 @@
     fleet = start(Fleet)
     routers = fleet.entries()
     outcomes: collections.Counter[str] = collections.Counter()
-    stop = threading.Event()
 
     def call_until_refused() -> None:
         for router in routers:
-            outcome = ''
-            while outcome != REFUSED and not stop.is_set():
-                outcome = call(router.port, '/v1/models')
-                outcomes[outcome] += 1
+            outcomes.update(outcomes_until_refused(router.port, '/v1/models'))
 
     threads = [
         threading.Thread(target=call_until_refused) for _ in range(CALLERS)
@@ -185,8 +197,46 @@
     for router in routers:
         router.process.send_signal(signal.SIGTERM)
         assert router.process.wait(TIMEOUT_S) == 0
-    stop.set()
     for thread in threads:
         thread.join()
     assert outcomes['401'] > CALLERS
     assert outcomes.keys() <= {'401', '503', REFUSED}
+
+
+# Guards against pages that vanish with the process: a scraper or a node that
+# connects at that moment is reset.
+def test_pages_during_a_planned_stop_get_answers(tmp_path: Path) -> None:
+    """Callers of every page of the platform's router get an answer."""
+    fleet = PlatformFleet(tmp_path)
+    fleet.put(configuration(3))
+    fleet.start_router('node-1')
+    ports = fleet.routers['node-1']
+    targets = (
+        (ports.ready, '/api/readiness'),
+        (ports.directory, '/api/directory'),
+        (ports.control, '/copies?wait_ms=0'),
+        (ports.metrics, '/metrics'),
+    )
+    outcomes: collections.Counter[str] = collections.Counter()
+
+    def call_until_refused(port: int, path: str) -> None:
+        outcomes.update(outcomes_until_refused(port, path))
+
+    for port, path in targets:
+        wait_until(functools.partial(is_open, port, path), f'{path} answers')
+    threads = [
+        threading.Thread(target=call_until_refused, args=target)
+        for target in targets
+        for _ in range(CALLERS // 4)
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        fleet.send_signal('node-1', signal.SIGTERM)
+        assert fleet.processes['node-1'].wait(TIMEOUT_S) == 0
+    finally:
+        fleet.close()
+        for thread in threads:
+            thread.join()
+    assert outcomes.pop(REFUSED) == len(threads)
+    assert all(outcome.isdecimal() for outcome in outcomes)
