End a silent stream only after its callers have given up

A stream whose next event came about as late as callers wait for it could end at the router first: it counted the time from the event's arrival here and ended the stream at the moment at which a caller, who got the event later, would give up. Around a planned stop that counts as an answer that the stop cut.

A stream ends 500 ms later than that. Callers that give up are noticed by their disconnect. test_event_that_is_nearly_too_late_is_forwarded failed before and passes. Stalled streams still end far below the time limit of their route.

--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -44,6 +44,9 @@
 # Fraction of the route's stall time-out after which a resumable stream fails
 # over to another endpoint, so that it resumes before its caller gives up.
 STALL_FAILOVER_RATIO = 0.75
+# Callers measure the time without an event where they are, so they give up
+# later than this node would. A stream is ended only when they surely have.
+STALL_END_MARGIN = dt.timedelta(milliseconds=500)
 # A longer answer is forwarded while it arrives, to bound memory use, and so can
 # no longer be retried at another endpoint.
 MAX_BUFFERED_BYTES = 256 * 1024
@@ -498,7 +501,8 @@
         """
         route = self.request.route
         ends_at = min(
-            self.request.deadline, last_progress_at + route.stall_timeout
+            self.request.deadline,
+            last_progress_at + route.stall_timeout + STALL_END_MARGIN,
         )
         if now >= ends_at:
             return None
