Go on with a planned stop after a failed accept

An error other than an aborted connection, such as too many open files, would have ended the green thread of the stop, and the process would have served its remaining connections until it was killed. Read from the code; there is no test, since the process cannot be brought there without lowering its limits.

--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -349,9 +349,13 @@
             eventlet.sleep(listeners.HANDSHAKE_TIME.total_seconds())
         self.accept_thread.kill()
         accepted = 0
-        for sock in listeners.accept_pending(self.listener):
-            self._serve_accepted(sock)
-            accepted += 1
+        try:
+            for sock in listeners.accept_pending(self.listener):
+                self._serve_accepted(sock)
+                accepted += 1
+        except OSError as error:
+            # Such as too many open files; the shutdown has to go on.
+            self.log.event('accept_failed', detail=repr(error))
         self.listener.close()
         self.log.event(
             'listener_closed', attempts_dropped=dropping, accepted=accepted
