Take the end that an abort causes for no end of an answer

A request that a planned stop ended, and whose endpoint had begun an answer without a length, got what had arrived as a complete answer: shutting down the connection gave an end of input, which ends such an answer.

Once a connection is aborted, reading it fails.

--- a/bronzeglade/forwarding/endpoint_connection.py
+++ b/bronzeglade/forwarding/endpoint_connection.py
@@ -87,6 +87,7 @@
         self.last_used_at = self.clock.monotonic()
         self.idle_limit = DEFAULT_IDLE_LIMIT
         self.closing = False
+        self.aborted = False
         self.reused = False
         self.events_since_yield = 0  # parser events since the last yield
 
@@ -251,6 +252,7 @@
 
     def abort(self) -> None:
         """Abort the exchange, so that the endpoint stops working on it."""
+        self.aborted = True
         tcp.abort(self.sock)
 
     def close(self) -> None:
@@ -284,6 +286,10 @@
     ) -> Result[Any, ConnectionFailure]:
         while True:
             self._yield_if_due()
+            if self.aborted:
+                # The end of input would look like that of an answer without a
+                # length.
+                return Err(ConnectionFailure(sent=True, detail='aborted'))
             try:
                 event = self.parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -308,7 +314,8 @@
             except OSError as error:
                 return Err(ConnectionFailure(sent=True, detail=repr(error)))
             self.pool.last_received_at = self.clock.monotonic()
-            self.parser.receive_data(received)
+            if not self.aborted:
+                self.parser.receive_data(received)
 
     def _yield_if_due(self) -> None:
         self.events_since_yield += 1
--- a/bronzeglade/forwarding/shutdown_test.py
+++ b/bronzeglade/forwarding/shutdown_test.py
@@ -108,6 +108,32 @@
     assert not router.running
 
 
+def unframed(connection: ScriptedConnection) -> None:
+    """Begin an answer that ends with its connection, and do not end it."""
+    request = connection.read_request()
+    connection.send(
+        f'HTTP/1.1 200 OK\r\nId: {request["id"]}\r\nSignature: s\r\n\r\n'
+        'id: 1\ndata: piece 1\n\n'
+    )
+    connection.read_request()
+
+
+# Guards against answers without a length that look complete when this process
+# ends their connection itself.
+@pytest.mark.parametrize('kind', list(RouteKind))
+def test_answer_without_a_length_that_is_abandoned_is_not_complete(
+    kind: RouteKind,
+) -> None:
+    """The end that the abort causes is not the end of the answer."""
+    router, endpoint, client = serving(kind, unframed)
+    client.send(kind)
+    wait_until_running(endpoint)
+    router.begin_shutdown()
+    request_handler.interrupt_running(router)
+    answer = client.read()
+    assert answer.status == 502 or not answer.complete
+
+
 class SlowPool(ConnectionPool):
     """A pool to an endpoint that accepts connections late."""
 
