Leave a planned stop time to exit, and estimate by answers only

Found by review, with real processes: with a connection open to the end, the exit came 7.997 to 8.107 s after the signal, at a grace period of 8 s, since the interpreter takes about 0.15 s after the last line.

The duration of a failed request no longer counts for the estimate of how long requests of its route take: one fast failure let a long request in, late in a stop. test_failures_do_not_count_as_short_requests failed before.

--- a/bronzeglade/decisions/shutdown.py
+++ b/bronzeglade/decisions/shutdown.py
@@ -7,9 +7,10 @@
 from bronzeglade.clock import Clock
 
 # Fractions of the grace period after which running requests are abandoned, and
-# after which the process exits. The time between is for the last answers.
-ABANDON_FRACTION = 0.94
-EXIT_FRACTION = 0.98
+# after which the process begins to exit. The time between is for the last
+# answers, that after it for the last lines of the log and the interpreter.
+ABANDON_FRACTION = 0.92
+EXIT_FRACTION = 0.95
 # A request whose time limit is too long is accepted if the remaining time is at
 # least this multiple of the longest recent duration of such requests: while
 # callers may know no other address, and after that.
@@ -24,7 +25,7 @@
     """Monotonic times of a graceful shutdown.
 
     Callers may use this node's address until `listed_until`. Running requests
-    are abandoned at `abandon_at`; the process exits by `exit_at`.
+    are abandoned at `abandon_at`; the process begins to exit by `exit_at`.
     """
 
     started_at: dt.timedelta
--- a/bronzeglade/forwarding/request_handler.py
+++ b/bronzeglade/forwarding/request_handler.py
@@ -129,7 +129,8 @@
     now = router.clock.monotonic()
     first = delivery.first_byte_at
     outcome = delivery.outcome or 'interrupted'
-    if delivery.sent:
+    if outcome == 'answered':
+        # Failures may be much faster than answers.
         router.durations.record(request.route.name, now - request.received_at)
     router.metrics.ended(
         request.route.name, outcome, request.received_at, first, now
--- a/bronzeglade/forwarding/shutdown_test.py
+++ b/bronzeglade/forwarding/shutdown_test.py
@@ -77,6 +77,22 @@
     assert client.read().status == status
 
 
+# Guards against accepting long requests because short ones have failed.
+def test_failures_do_not_count_as_short_requests() -> None:
+    """A failure tells nothing of how long an answer takes."""
+
+    def failing(connection: ScriptedConnection) -> None:
+        connection.answer(connection.read_request(), 'failed', 500)
+
+    router, _endpoint, client = serving(RouteKind.NON_IDEMPOTENT, failing)
+    client.send(RouteKind.NON_IDEMPOTENT)
+    assert client.read().status == 500
+    router.begin_shutdown()
+    client = Client(builders.serve(router))
+    client.send(RouteKind.NON_IDEMPOTENT, 'r2')
+    assert client.read().status == 503
+
+
 # Guards against connections that close without an answer when the process
 # exits before its endpoint has answered.
 @pytest.mark.parametrize('kind', list(RouteKind))
