Keep what a request has until something else takes it

A silent endpoint was abandoned for one that refused, and the request could not return to it when the route allowed two endpoints or the retry budget was used up: it may now, since it has had the request before. An answer of a small model was dropped for a larger model though no endpoint was left to run it, or no time in a planned stop: it is kept.

test_slow_stream_continues_if_no_other_endpoint_takes_it with two attempts and test_answer_is_kept_if_no_endpoint_may_run_the_larger_model failed before and pass. 148 tests of shutdown, streams, refusals and deliveries pass.

--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -214,6 +214,8 @@
         if model is None:
             return None
         now = self.router.clock.monotonic()
+        if not self._can_run_again():
+            return None
         accepted = keeps_answer(
             self.router.escalation,
             facts.confidence,
@@ -232,6 +234,13 @@
             return None
         return model
 
+    def _can_run_again(self) -> bool:
+        """Return whether an endpoint may run the request once more in time."""
+        others = self.attempted[:-1]  # without the one that has answered
+        return self.router.has_time_for(self.request) and bool(
+            self.router.eligible_endpoints(self.request, others)
+        )
+
     def _may_escalate(self) -> bool:
         return self.router.retry_budget(self.request.service).allows(
             improving=True
@@ -423,8 +432,7 @@
 
     def _next_attempt(self) -> Attempt | None:
         request = self.request
-        late = self.router.clock.monotonic() >= request.deadline
-        if late or self.interrupted:
+        if self._is_over():
             return None
         model = self.model
         placed = _placed_request(request, model)
@@ -461,12 +469,19 @@
         If no other endpoint is left, one that was abandoned because it was
         silent may still continue.
         """
-        eligible = self.router.eligible_endpoints(self.request, self.attempted)
-        if eligible or not self.silent:
-            return eligible
-        return self.router.eligible_endpoints(
-            self.request, set(self.attempted) - set(self.silent)
-        )
+        if not self._has_attempts_remaining():
+            return self._silent_endpoints()
+        others = self.router.eligible_endpoints(self.request, self.attempted)
+        return others or self._silent_endpoints()
+
+    def _silent_endpoints(self) -> list[Endpoint]:
+        """Return the eligible endpoints that were abandoned for silence."""
+        failed = set(self.attempted) - set(self.silent)
+        return [
+            endpoint
+            for endpoint in self.router.eligible_endpoints(self.request, failed)
+            if endpoint.name in self.silent
+        ]
 
     def _read_deadline(self, attempt: Attempt) -> dt.timedelta | None:
         """Return the monotonic time until which to read, or None to stop.
@@ -534,13 +549,12 @@
         return self.sent < self.request.route.attempts
 
     def _may_retry(self, failed: FailedAttempt) -> bool:
-        if not self._has_attempts_remaining() or self.caller.disconnected:
-            return False
-        if self.interrupted:
-            return False
-        if self.response_started and not self._may_resume():
+        if self._is_over() or not self._may_continue_response():
             return False
-        if self.router.clock.monotonic() >= self.request.deadline:
+        if failed.failure is Failure.REFUSED and self._silent_endpoints():
+            # The request returns to an endpoint that has had it before.
+            return True
+        if not self._has_attempts_remaining():
             return False
         repeatable = self.request.route.repeatable
         not_run = failed.failure.run_state is RunState.NOT_RUN
@@ -558,9 +572,14 @@
             self.router.eligible_endpoints(self.request, self.attempted)
         )
 
-    def _may_resume(self) -> bool:
-        """Return whether another endpoint may continue the response."""
-        return (
+    def _is_over(self) -> bool:
+        """Return whether no further attempt can help the caller."""
+        late = self.router.clock.monotonic() >= self.request.deadline
+        return late or self.interrupted or self.caller.disconnected
+
+    def _may_continue_response(self) -> bool:
+        """Return whether another endpoint may continue the response, if any."""
+        return not self.response_started or (
             self.request.route.kind is RouteKind.STREAM and not self.unnumbered
         )
 
--- a/bronzeglade/forwarding/delivery_test.py
+++ b/bronzeglade/forwarding/delivery_test.py
@@ -466,3 +466,25 @@
     """A starting node must not answer 401 or 404 without a configuration."""
     answer = send_request(builders.router(), RouteKind.IDEMPOTENT)
     assert answer.status == 503
+
+
+# Guards against dropping an answer for a larger model that nobody can run.
+def test_answer_is_kept_if_no_endpoint_may_run_the_larger_model() -> None:
+    """The only endpoint says that it leaves with an answer it is unsure of."""
+
+    def leaving(connection: ScriptedConnection) -> None:
+        connection.begin_stream(
+            connection.read_request(), ('Confidence: 5', 'Leaving: 1')
+        )
+        connection.send_event(1)
+        connection.send_chunk('')
+        connection.read_request()
+
+    route = builders.route(
+        RouteKind.STREAM, resumable=True, sizes=('small', 'large')
+    )
+    router, endpoints = router_with_endpoints(route, leaving)
+    answer = send_request(router, RouteKind.STREAM)
+    assert answer.status == 200
+    assert answer.complete
+    assert len(endpoints[0].requests) == 1
--- a/bronzeglade/forwarding/stall_test.py
+++ b/bronzeglade/forwarding/stall_test.py
@@ -135,11 +135,12 @@
 
 
 # Guards against ending the stream of a silent endpoint when no other takes it.
+@pytest.mark.parametrize('attempts', [2, 3])
 @pytest.mark.parametrize(
     ('others', 'resumed_after'), [((), [0]), ((refusing,), [0, 2])]
 )
 def test_slow_stream_continues_if_no_other_endpoint_takes_it(
-    others: tuple[Script, ...], resumed_after: list[int]
+    others: tuple[Script, ...], resumed_after: list[int], attempts: int
 ) -> None:
     """The endpoint is silent for longer than it takes to fail over."""
     requests: list[int] = []
@@ -155,7 +156,7 @@
         connection.read_request()
 
     router, endpoints = router_with_endpoints(
-        stream(resumable=True, attempts=3), slow_once, *others
+        stream(resumable=True, attempts=attempts), slow_once, *others
     )
     answer = send_request(router, RouteKind.STREAM)
     assert answer.complete
