--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime as dt
+import functools
 import ipaddress
 import os
 import random
@@ -180,9 +181,15 @@
     return built
 
 
+@functools.cache
+def null_device() -> int:
+    """Return a descriptor that discards what is written to it."""
+    return os.open(os.devnull, os.O_WRONLY)
+
+
 def log() -> Log:
     """Return a log that discards its lines."""
-    return Log(os.open(os.devnull, os.O_WRONLY), 'node-1', BootClock())
+    return Log(null_device(), 'node-1', BootClock())
 
 
 def entry(
--- a/fleet/stop_callers.py
+++ b/fleet/stop_callers.py
@@ -42,7 +42,10 @@
 
 def is_closed(connection: client.HTTPConnection) -> bool:
     """Return whether the router has closed an idle connection."""
-    return bool(select.select([connection.sock], [], [], 0)[0])
+    # `select.select` fails for descriptors above 1023.
+    poller = select.poll()
+    poller.register(connection.sock, select.POLLIN)
+    return bool(poller.poll(0))
 
 
 def send(
