--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import datetime as dt
-import functools
 import ipaddress
 import os
 import random
@@ -54,6 +53,7 @@
 )
 
 HOST = 'api.example'
+NULL_DEVICE = os.open(os.devnull, os.O_WRONLY)  # of all logs
 KEY = 'key-1'
 TEAM = 'atlas'
 SERVICE = 'workers'
@@ -181,15 +181,9 @@
     return built
 
 
-@functools.cache
-def null_device() -> int:
-    """Return a descriptor that discards what is written to it."""
-    return os.open(os.devnull, os.O_WRONLY)
-
-
 def log() -> Log:
     """Return a log that discards its lines."""
-    return Log(null_device(), 'node-1', BootClock())
+    return Log(NULL_DEVICE, 'node-1', BootClock())
 
 
 def entry(
