Return to a silent endpoint once only

A silent endpoint to which a request returned, and which then refused it, was asked again at once and without end until the request's deadline, past the number of attempts of the route and the retry budget.

An endpoint is no longer kept as silent once it is chosen again. The test failed before (many requests) and passes.

--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -136,7 +136,7 @@
         if attempt is None:
             self._send_failure()
             return
-        self.attempted.append(attempt.endpoint.name)
+        self._record_choice(attempt.endpoint.name)
         self.sent += 1
         self.current = attempt
         self.caller.on_disconnect = self._cancel_attempt
@@ -158,6 +158,12 @@
         elif failed is not None and not self.outcome:
             self._handle_failure(failed)
 
+    def _record_choice(self, endpoint: str) -> None:
+        self.attempted.append(endpoint)
+        if endpoint in self.silent:
+            # It gets one more chance only.
+            self.silent.remove(endpoint)
+
     def _execute(self, attempt: Attempt) -> tuple[FailedAttempt | None, bool]:
         """Return the failure, if any, and whether the answer was fully read."""
         if self.caller.disconnected:
--- a/bronzeglade/forwarding/stall_test.py
+++ b/bronzeglade/forwarding/stall_test.py
@@ -165,6 +165,27 @@
     assert all(endpoint.requests for endpoint in endpoints)
 
 
+# Guards against asking an endpoint without end that refuses to continue.
+def test_silent_endpoint_that_refuses_later_is_asked_twice() -> None:
+    """The stream ends when neither endpoint continues it."""
+
+    def silent_then_refusing(connection: ScriptedConnection) -> None:
+        request = connection.read_request()
+        if 'resume-after' in request:
+            connection.answer(request, 'full', 503, ('Not-Run: 1',))
+        else:
+            connection.begin_stream(request)
+            connection.send_event(1)
+        connection.read_request()
+
+    router, endpoints = router_with_endpoints(
+        stream(resumable=True, attempts=3), silent_then_refusing, refusing
+    )
+    answer = send_request(router, RouteKind.STREAM)
+    assert not answer.complete
+    assert [len(endpoint.requests) for endpoint in endpoints] == [2, 1]
+
+
 def test_silent_endpoint_is_not_abandoned_without_another() -> None:
     """An answer that begins late is better than none."""
 
