--- a/bronzeglade/coordination/liveness.py
+++ b/bronzeglade/coordination/liveness.py
@@ -74,6 +74,11 @@
         elapsed = self.clock.monotonic() - self.last_received_any
         return elapsed >= self.settings.silence
 
+    def silences(self) -> dict[str, dt.timedelta]:
+        """Return how long each expected node has sent no message."""
+        now = self.clock.monotonic()
+        return {name: now - at for name, at in self.last_received.items()}
+
     def suspects(self, expected: Mapping[str, ExpectedNode]) -> list[str]:
         """Return the nodes that this node suspects and should act on now.
 
--- a/bronzeglade/forwarding/node_registration.py
+++ b/bronzeglade/forwarding/node_registration.py
@@ -26,6 +26,8 @@
 CHECK_INTERVAL = dt.timedelta(seconds=1)
 # Maximum delay until a written row appears in the local copy of the table.
 MAX_COPY_LAG = dt.timedelta(seconds=3)
+# Silence of a node from which it is logged.
+LOGGED_SILENCE = dt.timedelta(seconds=2)
 # Nodes of other failure domains rank after this many nodes of the domain of a
 # silent node, so that its own domain acts first.
 REMOTE_RANK_OFFSET = 4
@@ -68,6 +70,7 @@
         self.unanswered_probe: str | None = (
             None  # name probed once without an answer
         )
+        self.logged_silent: set[str] = set()
 
     def record_message(self, kind: MessageKind, sender: str) -> None:
         """Record from a load message that its sender is running.
@@ -90,12 +93,15 @@
         if self.failure_detector.is_isolated():
             self._probe_any_node()
         suspects = self.failure_detector.suspects(self._expected())
+        self._log_silences()
         if not suspects or self.rows.failing_since is not None:
             self.unanswered_probe = None
             return
         name = suspects[0]
         node = self.roster.nodes[name]
-        if self.probe(node):
+        answered = self.probe(node)
+        self.log.event('node_probed', probed=name, answered=answered)
+        if answered:
             self.unanswered_probe = None
             self.failure_detector.record_message(name)
         elif self.unanswered_probe == name:
@@ -105,6 +111,23 @@
             # A single answer may be lost; the next check probes again.
             self.unanswered_probe = name
 
+    def _log_silences(self) -> None:
+        """Log each node that falls silent, and each that is heard again."""
+        silences = self.failure_detector.silences()
+        silent = {
+            name
+            for name, silence in silences.items()
+            if silence >= LOGGED_SILENCE
+        }
+        for name in sorted(silent ^ self.logged_silent):
+            silence = silences.get(name, dt.timedelta())
+            self.log.event(
+                'node_silent' if name in silent else 'node_heard',
+                other=name,
+                silent_ms=silence // dt.timedelta(milliseconds=1),
+            )
+        self.logged_silent = silent
+
     def _probe_any_node(self) -> None:
         """Probe a random node, since this node may be disconnected."""
         others = [
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -165,6 +165,8 @@
         self.accept_thread: Any = None
         self.page_servers: list[serving.Server] = []
         self.connections = 0  # open caller connections
+        # Last answer of the directory by failure domain and region.
+        self.listed: dict[tuple[str, str], list[Address]] = {}
         self.stopped = eventlet.event.Event()
 
     def run(self) -> int:
@@ -221,9 +223,32 @@
             nodes[settings.name] = self.roster.local_node
         elif self.router.draining:
             nodes.pop(settings.name, None)
-        return roster.addresses_for(
+        addresses = roster.addresses_for(
             nodes.values(), failure_domain, region, settings.failure_domains
         )
+        self._log_listed(failure_domain, region, addresses)
+        return addresses
+
+    def _log_listed(
+        self, failure_domain: str, region: str, addresses: list[Address]
+    ) -> None:
+        """Log an answer of the directory if it differs from the last one.
+
+        Callers of failure domains that the settings do not name are not logged,
+        since there may be any number of them.
+        """
+        domains = self.router.settings.failure_domains
+        key = (failure_domain, region)
+        if domains.get(failure_domain) != region:
+            return
+        if self.listed.get(key) != addresses:
+            self.listed[key] = addresses
+            self.log.event(
+                'directory',
+                failure_domain=failure_domain,
+                addresses=addresses,
+                registered=len(self.roster.nodes),
+            )
 
     def _start_loops(self) -> None:
         context = FollowerContext(
