Separate the directory and the reports of a round from sockets and sleeps

The answers of the directory move from the router process to CallerDirectory, and LoadExchange gets send_reports and apply, so that a simulation in virtual time can drive them.

--- a/bronzeglade/forwarding/load_exchange.py
+++ b/bronzeglade/forwarding/load_exchange.py
@@ -38,6 +38,7 @@
 from bronzeglade.forwarding.departures import Incarnation
 from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.roster import Roster, RouterNode
+from bronzeglade.forwarding.settings import Address
 
 # Interval between a node's reports. It grows with the size of the failure
 # domain, so that an aggregator receives about 100 datagrams per second.
@@ -126,7 +127,15 @@
 
     def receive_next(self) -> None:
         """Receive and apply one datagram; the body of a loop."""
-        content, sender = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
+        self.apply(*self.sock.recvfrom(MAX_DATAGRAM_BYTES))
+
+    def apply(self, content: bytes, sender: Address) -> None:
+        """Apply a datagram.
+
+        Args:
+          content: the datagram.
+          sender: address that it came from.
+        """
         decoded = _decode(content)
         if isinstance(decoded, Err):
             self.log.event(
@@ -152,8 +161,12 @@
             self.placement.peer_load.report(OTHERS, message.work)
 
     def send_next(self) -> None:
+        """Wait, and send the reports of one round; the body of a loop."""
+        eventlet.sleep(self.next_interval().total_seconds())
+        self.send_reports()
+
+    def send_reports(self) -> None:
         """Report this node's load; an aggregator also sends its sums."""
-        eventlet.sleep(self._interval_s())
         local_node = self.roster.local_node
         own_load = self.placement.outstanding()
         for aggregator in self.roster.aggregators():
@@ -228,11 +241,12 @@
         remote = self.roster.remote_aggregators()
         return [node for nodes in remote.values() for node in nodes]
 
-    def _interval_s(self) -> float:
+    def next_interval(self) -> dt.timedelta:
+        """Return the time until the next reports are due."""
         size = len(self.roster.domain_nodes())
         interval = max(MIN_INTERVAL, INTERVAL_PER_NODE * size)
         jitter = 0.8 + 0.4 * self.rng.random()
-        return min(interval, MAX_INTERVAL).total_seconds() * jitter
+        return min(interval, MAX_INTERVAL) * jitter
 
     def _send(self, node: RouterNode, message: LoadMessage | Departure) -> None:
         try:
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -35,6 +35,10 @@
     tcp,
 )
 from bronzeglade.forwarding.caller import Caller, CallerConnection
+from bronzeglade.forwarding.caller_directory import (
+    CallerDirectory,
+    LocalState,
+)
 from bronzeglade.forwarding.decoding import RowDecoder
 from bronzeglade.forwarding.endpoint import Registry
 from bronzeglade.forwarding.follower import FollowerContext
@@ -47,7 +51,6 @@
     Application,
     PlatformAdapter,
 )
-from bronzeglade.forwarding.roster import Roster, RouterNode
 from bronzeglade.forwarding.route import Limits
 from bronzeglade.forwarding.router import Router
 from bronzeglade.forwarding.service_rollouts import TICK, ServiceRollouts
@@ -111,7 +114,8 @@
         self.node_decoder = RowDecoder(
             roster.decode, 'unreadable_node', self.log
         )
-        self.roster = Roster(_local_node(settings), settings.peers)
+        self.roster = roster.Roster(_local_node(settings), settings.peers)
+        self.directory = CallerDirectory(self.roster, self.log)
         self.rollouts = ServiceRollouts(
             self.store,
             self.tables.operator,
@@ -165,8 +169,6 @@
         self.accept_thread: Any = None
         self.page_servers: list[serving.Server] = []
         self.connections = 0  # open caller connections
-        # Last answer of the directory by failure domain and region.
-        self.listed: dict[tuple[str, str], list[Address]] = {}
         self.stopped = eventlet.event.Event()
 
     def run(self) -> int:
@@ -217,38 +219,17 @@
           failure_domain: failure domain of the caller.
           region: region of the caller.
         """
-        settings = self.router.settings
-        nodes = dict(self.roster.nodes)
-        if self.is_ready():
-            nodes[settings.name] = self.roster.local_node
-        elif self.router.draining:
-            nodes.pop(settings.name, None)
-        addresses = roster.addresses_for(
-            nodes.values(), failure_domain, region, settings.failure_domains
+        return self.directory.addresses(
+            failure_domain,
+            region,
+            self.router.settings.failure_domains,
+            self._local_state(),
         )
-        self._log_listed(failure_domain, region, addresses)
-        return addresses
-
-    def _log_listed(
-        self, failure_domain: str, region: str, addresses: list[Address]
-    ) -> None:
-        """Log an answer of the directory if it differs from the last one.
 
-        Callers of failure domains that the settings do not name are not logged,
-        since there may be any number of them.
-        """
-        domains = self.router.settings.failure_domains
-        key = (failure_domain, region)
-        if domains.get(failure_domain) != region:
-            return
-        if self.listed.get(key) != addresses:
-            self.listed[key] = addresses
-            self.log.event(
-                'directory',
-                failure_domain=failure_domain,
-                addresses=addresses,
-                registered=len(self.roster.nodes),
-            )
+    def _local_state(self) -> LocalState:
+        if self.router.draining:
+            return LocalState.STOPPING
+        return LocalState.READY if self.is_ready() else LocalState.STARTING
 
     def _start_loops(self) -> None:
         context = FollowerContext(
@@ -294,7 +275,7 @@
         if not self.router.draining:
             self.node_registration.run_checks()
 
-    def _is_alive(self, node: RouterNode) -> bool:
+    def _is_alive(self, node: roster.RouterNode) -> bool:
         """Probe the control address of a node."""
         outcome = copies.fetch(
             self.pool, node.control, self.tables.versions(), dt.timedelta()
@@ -508,8 +489,8 @@
     return RouterProcess(platform, settings.ok_value, metrics_port).run()
 
 
-def _local_node(settings: RouterSettings) -> RouterNode:
-    return RouterNode(
+def _local_node(settings: RouterSettings) -> roster.RouterNode:
+    return roster.RouterNode(
         settings.name,
         settings.failure_domain,
         settings.callers,
