Name no node that is off in the directory

Callers were sent to a machine for 6 s and more after it had lost power; each try at its address is lost, and some keep an answer three times as long as it says.

Cause: one list answered two questions. The directory named the registered nodes, and a registration is removed after 8 s of silence and two unanswered calls, since a node that only stands still must keep it. Nothing said which nodes run: a node's datagrams reached only the aggregators of its failure domain, and the sums of a failure domain counted for each of its nodes.

Change: Presence decides which nodes run, apart from the registrations. All nodes of a failure domain hear each other; sums vouch for the nodes that the list sent before them does not name as silent. A node that was paused, or that hears nobody, judges nobody until it has listened or called others.

Shares of limits stay divided by the registered nodes: a share that is too small is safe.

--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -158,8 +158,8 @@
 
 def roster(name: str, *others: str) -> Roster:
     """Return the roster of a node; it and others are registered."""
-    built = Roster(node(name), ())
-    built.nodes = {member: node(member) for member in (name, *others)}
+    built = Roster(node(name), (), BootClock())
+    built.update({member: node(member) for member in (name, *others)})
     return built
 
 
--- a/bronzeglade/forwarding/roster.py
+++ b/bronzeglade/forwarding/roster.py
@@ -3,12 +3,15 @@
 import collections
 import dataclasses
 import json
+import random
 from collections.abc import Iterable, Mapping, Sequence
 
 import pydantic as pd
 from result import Err, Ok, Result
 
 from bronzeglade.adapters.table import Row
+from bronzeglade.clock import Clock
+from bronzeglade.coordination.presence import Presence, PresenceSettings
 from bronzeglade.forwarding import address
 from bronzeglade.forwarding.settings import Address
 from bronzeglade.validation import first_error
@@ -44,6 +47,8 @@
 _NODE = pd.TypeAdapter(RouterNode)
 
 
+# Nodes that an isolated node calls at a time.
+MAX_UNHEARD_CALLS = 8
 # Nodes of a failure domain that sum up the load reports of its nodes.
 AGGREGATORS_PER_DOMAIN = 2
 
@@ -55,17 +60,31 @@
     """
 
     def __init__(
-        self, local_node: RouterNode, seeds: Sequence[Address]
+        self, local_node: RouterNode, seeds: Sequence[Address], clock: Clock
     ) -> None:
         """Start without other nodes.
 
         Args:
           local_node: registration of this node.
           seeds: control addresses to use until nodes are known.
+          clock: monotonic time.
         """
         self.local_node = local_node
         self.seeds = seeds
         self.nodes: dict[str, RouterNode] = {}
+        self.presence = Presence(
+            local_node.name,
+            local_node.failure_domain,
+            PresenceSettings(),
+            clock,
+        )
+
+    def update(self, nodes: Mapping[str, RouterNode]) -> None:
+        """Replace the registered nodes, by name."""
+        self.nodes = dict(nodes)
+        domains = {name: node.failure_domain for name, node in nodes.items()}
+        domains[self.local_node.name] = self.local_node.failure_domain
+        self.presence.update(domains)
 
     def count(self) -> int:
         """Return the number of registered nodes, at least 1."""
@@ -78,14 +97,43 @@
         )
 
     def peers(self) -> list[Address]:
-        """Return the control addresses of other nodes; if none, the seeds."""
-        known = {
-            node.control
+        """Return the control addresses of other nodes; if none, the seeds.
+
+        Nodes that are absent are left out unless all others are.
+        """
+        others = [
+            node
             for node in self.nodes.values()
             if node.name != self.local_node.name
-        }
+        ]
+        present = [
+            node for node in others if self.presence.is_present(node.name)
+        ]
+        known = {node.control for node in present or others}
         return sorted(known) or list(self.seeds)
 
+    def unheard_nodes(self, rng: random.Random) -> list[RouterNode]:
+        """Return nodes to call directly, since this node hears nobody.
+
+        Its datagrams may be lost while calls of others are answered. Empty if
+        it hears another node.
+        """
+        if not self.presence.is_isolated():
+            return []
+        near = [
+            node
+            for node in self.domain_nodes()
+            if node.name != self.local_node.name
+        ]
+        remote = [
+            node for nodes in self._remote_nodes().values() for node in nodes
+        ]
+        candidates = [
+            *rng.sample(near, len(near)),
+            *rng.sample(remote, len(remote)),
+        ]
+        return candidates[:MAX_UNHEARD_CALLS]
+
     def domain_nodes(self) -> list[RouterNode]:
         """Return the nodes of this failure domain by name, with this node."""
         near = {
@@ -97,26 +145,60 @@
         return [near[name] for name in sorted(near)]
 
     def aggregators(self) -> list[RouterNode]:
-        """Return the aggregators of this failure domain."""
+        """Return the registered aggregators of this failure domain."""
         return self.domain_nodes()[:AGGREGATORS_PER_DOMAIN]
 
+    def acting_aggregators(self) -> list[RouterNode]:
+        """Return the nodes of this failure domain that aggregate now."""
+        return self._on_duty(self.domain_nodes())[:AGGREGATORS_PER_DOMAIN]
+
     def remote_aggregators(self) -> dict[str, list[RouterNode]]:
-        """Return the aggregators of each other failure domain."""
+        """Return the registered aggregators of each other failure domain."""
+        return {
+            domain: nodes[:AGGREGATORS_PER_DOMAIN]
+            for domain, nodes in self._remote_nodes().items()
+        }
+
+    def acting_remote_aggregators(self) -> list[RouterNode]:
+        """Return the nodes of the other failure domains that aggregate now."""
+        return [
+            node
+            for nodes in self._remote_nodes().values()
+            for node in self._on_duty(nodes)[:AGGREGATORS_PER_DOMAIN]
+        ]
+
+    def unheard_domain_nodes(self, rng: random.Random) -> list[RouterNode]:
+        """Return nodes of the failure domains of which nothing is heard.
+
+        The aggregators there may have ended together, so the choice changes.
+        """
+        return [
+            node
+            for nodes in self._remote_nodes().values()
+            if not self._on_duty(nodes)
+            for node in rng.sample(nodes, len(nodes))[:AGGREGATORS_PER_DOMAIN]
+        ]
+
+    def _remote_nodes(self) -> dict[str, list[RouterNode]]:
         by_domain: dict[str, list[RouterNode]] = collections.defaultdict(list)
         for _name, node in sorted(self.nodes.items()):
             by_domain[node.failure_domain].append(node)
         by_domain.pop(self.local_node.failure_domain, None)
-        return {
-            domain: nodes[:AGGREGATORS_PER_DOMAIN]
-            for domain, nodes in by_domain.items()
-        }
+        return by_domain
+
+    def _on_duty(self, nodes: Iterable[RouterNode]) -> list[RouterNode]:
+        return [node for node in nodes if self.presence.is_on_duty(node.name)]
 
     def watchers(self) -> list[Address]:
         """Return the watchers that this node polls for changes.
 
         Empty for a watcher, and in a failure domain of watchers only.
         """
-        near = self.domain_nodes()
+        near = [
+            node
+            for node in self.domain_nodes()
+            if self.presence.is_present(node.name)
+        ]
         watchers = near[:WATCHERS_PER_DOMAIN]
         if len(near) <= WATCHERS_PER_DOMAIN or self.local_node in watchers:
             return []
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -62,6 +62,8 @@
 # Delay between attempts to register or to unregister this node.
 REGISTER_RETRY_DELAY = dt.timedelta(milliseconds=300)
 HOUSEKEEPING_INTERVAL = dt.timedelta(seconds=1)
+# Interval between direct calls while this node hears no other one.
+UNHEARD_CALL_INTERVAL = dt.timedelta(milliseconds=500)
 SETTINGS_CHECK_INTERVAL = dt.timedelta(seconds=2)
 STOP_POLL_INTERVAL = dt.timedelta(milliseconds=50)
 PAGE_TIMEOUT_S = 15
@@ -114,8 +116,12 @@
         self.node_decoder = RowDecoder(
             roster.decode, 'unreadable_node', self.log
         )
-        self.roster = roster.Roster(_local_node(settings), settings.peers)
-        self.directory = CallerDirectory(self.roster, self.log)
+        self.roster = roster.Roster(
+            _local_node(settings), settings.peers, self.clock
+        )
+        self.directory = CallerDirectory(
+            self.roster, self._has_lost_store, self.log
+        )
         self.rollouts = ServiceRollouts(
             self.store,
             self.tables.operator,
@@ -258,6 +264,9 @@
                 node_registration.CHECK_INTERVAL, self._check_nodes
             )
         )
+        spawn_loop(
+            self._periodic_step(UNHEARD_CALL_INTERVAL, self._call_unheard)
+        )
         spawn_loop(self._periodic_step(SETTINGS_CHECK_INTERVAL, self.reload))
         eventlet.spawn(self._register)
 
@@ -271,6 +280,17 @@
 
         return run_once
 
+    def _call_unheard(self) -> None:
+        for node in self.roster.unheard_nodes(self.rng):
+            eventlet.spawn(self._record_if_alive, node)
+
+    def _record_if_alive(self, node: roster.RouterNode) -> None:
+        if self._is_alive(node):
+            self.roster.presence.record_message(node.name)
+
+    def _has_lost_store(self) -> bool:
+        return self.tables.router.failing_since is not None
+
     def _check_nodes(self) -> None:
         if not self.router.draining:
             self.node_registration.run_checks()
@@ -312,7 +332,7 @@
                 joined=sorted(nodes.keys() - previous),
                 left=sorted(previous - nodes.keys()),
             )
-        self.roster.nodes = nodes
+        self.roster.update(nodes)
         self.router.update_connection_limits()
         self.router.update_retry_limits()
         self.rollouts.refresh()
--- a/bronzeglade/forwarding/simulated_fleet.py
+++ b/bronzeglade/forwarding/simulated_fleet.py
@@ -25,6 +25,7 @@
 from bronzeglade.forwarding.settings import Address
 
 STEP = dt.timedelta(milliseconds=50)
+CALL_INTERVAL = dt.timedelta(milliseconds=500)
 REGION = 'r'
 
 
@@ -42,7 +43,7 @@
         self.unread: list[tuple[bytes, Address]] = []
         rng = random.Random(seed)
         self.rows = TableMirror('bronzeglade', fleet.clock)
-        self.roster = Roster(entry, ())
+        self.roster = Roster(entry, (), fleet.clock)
         self.exchange = LoadExchange(
             self.roster,
             Placement(
@@ -63,10 +64,15 @@
             rng,
         )
         self.exchange.on_load_message = self.node_registration.record_message
-        self.directory = CallerDirectory(self.roster, builders.log())
+        self.directory = CallerDirectory(
+            self.roster,
+            lambda: self.rows.failing_since is not None,
+            builders.log(),
+        )
         now = fleet.clock.monotonic()
         self.send_at = now + self.exchange.next_interval() * rng.random()
         self.check_at = now + node_registration.CHECK_INTERVAL * rng.random()
+        self.call_at = now + CALL_INTERVAL * rng.random()
         self.is_registered = False
 
     def sendto(self, content: bytes, address: Address) -> None:
@@ -77,7 +83,8 @@
         """Do what is due now."""
         if self.frozen:
             return
-        unread, self.unread = self.unread, []
+        unread = self.unread
+        self.unread = []
         for content, sender in unread:
             self.exchange.apply(content, sender)
         if not self.store_cut:
@@ -89,6 +96,9 @@
         if now >= self.check_at:
             self.check_at = now + node_registration.CHECK_INTERVAL
             self.node_registration.run_checks()
+        if now >= self.call_at:
+            self.call_at = now + CALL_INTERVAL
+            self._call_unheard()
 
     def listed(self, failure_domain: str) -> set[str]:
         """Return the names of the nodes that a caller is sent to."""
@@ -100,6 +110,11 @@
         )
         return {self.fleet.names[address] for address in addresses}
 
+    def _call_unheard(self) -> None:
+        for node in self.roster.unheard_nodes(self.exchange.rng):
+            if self._probe(node):
+                self.roster.presence.record_message(node.name)
+
     def lose_store(self) -> None:
         """Cut this node off from the store."""
         self.store_cut = True
@@ -111,18 +126,21 @@
         rows = self.fleet.rows()
         self.rows.replace(Snapshot(self.rows.as_of + 1, rows))
         nodes = [roster.decode(row).unwrap() for row in rows.values()]
-        self.roster.nodes = {node.name: node for node in nodes}
+        self.roster.update({node.name: node for node in nodes})
 
     def _probe(self, node: RouterNode) -> bool:
         other = self.fleet.live.get(node.name)
-        return other is not None and not other.frozen
+        if other is None or {self.entry.name, node.name} & self.fleet.cut:
+            return False
+        return not other.frozen
 
 
 class SimulatedFleet:
     """Nodes named `domain-number`, their store and network.
 
     `live` holds the nodes that run; `loss` is the fraction of datagrams that
-    the network loses, and `deaf` names nodes that receive none.
+    the network loses, `deaf` names nodes that receive none, and `cut` nodes
+    that no other one reaches.
     """
 
     def __init__(self, *names: str, seed: int = 1) -> None:
@@ -130,8 +148,9 @@
         self.clock = ManualClock()
         self.memory = MemoryTable()
         self.rng = random.Random(seed)
-        self.loss = 0.0
+        self.loss: float = 0
         self.deaf: set[str] = set()
+        self.cut: set[str] = set()
         self.live: dict[str, SimulatedNode] = {}
         self.names: dict[Address, str] = {}
         self.exchanges: dict[Address, str] = {}
@@ -163,7 +182,9 @@
     ) -> None:
         """Deliver a datagram unless the network loses it."""
         name = self.exchanges.get(receiver, '')
-        if name in self.live and name not in self.deaf:
+        if self.exchanges[sender] in self.cut:
+            return
+        if name in self.live and name not in self.deaf | self.cut:
             if self.rng.random() >= self.loss:
                 self.live[name].unread.append((content, sender))
 
