--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -674,6 +674,11 @@
             status=failed.status,
             detail=failed.detail,
             events=self.last_event,
+            began=attempt.last_progress_at is not None,
+            shared_segments=[
+                segment.name
+                for segment in self.request.facts.prompt_segments[:-1]
+            ],
         )
         self.router.metrics.failures.labels(failed.failure.value).inc()
 
