--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,6 +1,8 @@
 """Stand-in for a platform worker with plain and streamed answers."""
 
+import dataclasses
 import json
+import os
 import sys
 import time
 from collections.abc import Iterable, Iterator, Mapping
@@ -27,19 +29,48 @@
 LOW_CONFIDENCE_MODEL = 'small'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """A part of prompts on which the process ends, after the head or before.
+
+    The last part of a prompt never ends it.
+    """
+
+    part: str = ''
+    after_head: bool = False
+
+    def end_process(self, environ: Mapping[str, Any]) -> None:
+        """End the process, as it begins to answer, if the prompt holds it."""
+        parts = environ.get('HTTP_PROMPT_PREFIX', '').split(',')[:-1]
+        if self.part not in {part.partition(':')[0] for part in parts}:
+            return
+        if self.after_head:
+            client = environ['eventlet.input'].get_socket()
+            client.sendall(
+                b'HTTP/1.1 200 OK\r\nServer-Signature: s\r\nRequest-Id: '
+                + environ['HTTP_REQUEST_ID'].encode()
+                + b'\r\nTransfer-Encoding: chunked\r\n\r\n'
+            )
+        os._exit(1)  # no answer is written any more, nor anything flushed
+
+
 class Worker:
     """A worker that records its runs and injects faults."""
 
-    def __init__(self, name: str, print_runs: bool = False) -> None:
+    def __init__(
+        self, name: str, print_runs: bool = False, crash: 'Crash | None' = None
+    ) -> None:
         """Create a worker without runs.
 
         Args:
           name: instance id of the worker.
           print_runs: whether to write each run to the standard output, so that
             the record survives the end of the process.
+          crash: what ends the process; None for nothing.
         """
         self.name = name
         self.print_runs = print_runs
+        self.crash = crash or Crash()
         self.runs: list[dict[str, Any]] = []
         self.faults = Faults(
             refuse=0,  # status 503, not executed
@@ -69,6 +100,7 @@
             sys.stdout.write(json.dumps(self.runs[-1]) + '\n')
             sys.stdout.flush()
         eventlet.sleep(self.faults.value_of('work_s'))
+        self.crash.end_process(environ)
         headers = [
             ('Request-Id', request_id),
             ('Server-Signature', f'{self.name}.{len(self.runs)}'),
@@ -117,6 +149,7 @@
         'credential': environ.get('HTTP_CREDENTIAL'),
         'model': environ.get('HTTP_MODEL'),
         'deadline_ms': environ.get('HTTP_DEADLINE_MS'),
+        'parts': environ.get('HTTP_PROMPT_PREFIX', ''),
         'last_event': environ.get('HTTP_LAST_EVENT_ID'),
         'at_s': time.monotonic(),
         'limit': limit,
@@ -130,8 +163,18 @@
     flags.DEFINE_bool(
         'print_runs', False, 'Write each run to stdout.', flag_values=values
     )
+    flags.DEFINE_string(
+        'crash_part', '', 'Part that ends the process.', flag_values=values
+    )
+    flags.DEFINE_bool(
+        'crash_after_head',
+        False,
+        'End after the head of the answer.',
+        flag_values=values,
+    )
     parse_flags(values)
-    worker = Worker(values.name, values.print_runs)
+    crash = Crash(values.crash_part, values.crash_after_head)
+    worker = Worker(values.name, values.print_runs, crash)
     admin = fault_routes(worker.faults)
 
     def application(environ: dict[str, Any], start: Any) -> Iterable[bytes]:
