Take no answer that ends after its head for an empty success

An endpoint that stops after the head of an answer without a length or chunks sends the same bytes as one whose answer is empty. Its caller got a 200 with an empty body, framed as whole, and a request that may be repeated was not.

Cause: the end of the connection is the end of such a body, also of one without a byte. Change: a success of that kind without a body is a failed attempt with an unknown outcome. Result: truncated_head_test.py cuts an answer after each byte of its head, for each framing and kind of route, closed and reset, behind an interim answer, on a kept connection, and with a second endpoint that takes over. Its case of an answer that ends after its head failed for idempotent and other requests (streams held already); all other cuts held before.

--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -286,6 +286,10 @@
         attempts.mark_prompt_read(self.router, attempt)
         if isinstance(body, Err):
             return FailedAttempt(Failure.LOST, body.err_value.detail), False
+        if connection.ends_by_closing and not body.ok_value.content:
+            # An endpoint that ends after its head sends the same bytes.
+            detail = 'the connection ended after the head of the answer'
+            return FailedAttempt(Failure.LOST, detail, facts.status), False
         self.run_state = RunState.RAN
         if facts.succeeded:
             self._record_sound_prompt()
--- a/bronzeglade/forwarding/endpoint_connection.py
+++ b/bronzeglade/forwarding/endpoint_connection.py
@@ -18,6 +18,8 @@
 MAX_BLOCKING_SEND_BYTES = 8192
 # Idle connections are closed this long before the endpoint would close them.
 IDLE_MARGIN = dt.timedelta(milliseconds=600)
+BODILESS_STATUSES = frozenset((204, 304))
+FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 # Interim (1xx) answers accepted before the final one; endpoints send at most 1.
 MAX_INTERIM_ANSWERS = 4
 # Parser events handled before control is yielded to other green threads: an
@@ -88,6 +90,8 @@
         self.idle_limit = DEFAULT_IDLE_LIMIT
         self.closing = False
         self.aborted = False
+        # Whether only the end of the connection marks that of the answer.
+        self.ends_by_closing = False
         self.reused = False
         self.events_since_yield = 0  # parser events since the last yield
 
@@ -127,6 +131,7 @@
             event = outcome.ok_value
             if isinstance(event, h11.Response):
                 self.closing = self.closing or _requests_close(event)
+                self.ends_by_closing = self._ends_by_closing(event)
                 return Ok(RawHead(event.status_code, event.headers.raw_items()))
             if not isinstance(event, h11.InformationalResponse):
                 return Err(
@@ -229,6 +234,13 @@
         _trailing_bytes, closed = self.parser.trailing_data
         return closed
 
+    def _ends_by_closing(self, head: h11.Response) -> bool:
+        names = {name for name, _content in head.headers}
+        has_body = head.status_code not in BODILESS_STATUSES and (
+            self.request is None or self.request.method != b'HEAD'
+        )
+        return has_body and not names & FRAMING_HEADERS
+
     def finish(self) -> bool:
         """End the exchange; return whether the connection can be reused."""
         self.last_used_at = self.clock.monotonic()
