Test late and slow orders, and workers that end, in a planned stop

Another operator reports requests that were taken late in the grace period and cut at its end, among them some that may not be repeated. Orders whose bodies arrive 1 to 7.3 s after the signal get a whole answer or a true refusal, and orders whose worker is killed in the stop get 502. No change of logic.

--- a/fleet/planned_stop_test.py
+++ b/fleet/planned_stop_test.py
@@ -9,15 +9,18 @@
 import threading
 import time
 from collections.abc import Callable, Iterator, Sequence
+from http import client
 from pathlib import Path
 
 import pytest
 
 from fleet.planned_stop_rule import GRACE_S, Ending, Exchange, ending_of
 from fleet.planned_stops import PipedFleet
-from fleet.platform import configuration, wait_until
+from fleet.platform import API_HOST, API_KEY, configuration, wait_until
 from fleet.stop_callers import (
     CHAT,
+    LIMIT_S,
+    ORDER,
     READ,
     is_closed,
     open_connection,
@@ -32,6 +35,8 @@
 LONG_GAP_S = 1.7
 # From the signal, in the time after which no request is excused.
 LATE_S = (3.02, 3.06, 3.1, 3.13, 3.17)
+# When the body of an order arrives, up to the time at which the stop ends.
+LATE_BODIES_S = (1, 2.9, 3.5, 4.5, 6, 6.6, 6.9, 7.1, 7.25, 7.3)
 PAUSE_S = 0.1  # in which a caller notices that its connection is closed
 LOGGED_REQUESTS = 60  # fill the pipe of the log
 
@@ -69,6 +74,17 @@
     fleet.set_faults(fleet.workers[worker], event_interval_s=interval_s)
 
 
+def order_headers(request_id: str) -> dict[str, str]:
+    """Return the headers of an order with a body of one byte."""
+    return {
+        'Host': API_HOST,
+        'Request-Id': request_id,
+        'Credential': API_KEY,
+        'Deadline-Ms': str(int(LIMIT_S * 1000)),
+        'Content-Length': '1',
+    }
+
+
 def restore_interval(fleet: PipedFleet) -> None:
     """Let the workers send events often again after a long gap."""
     time.sleep(LONG_GAP_S)
@@ -116,6 +132,46 @@
             self.exchanges.append(exchange)
             time.sleep(PAUSE_S)
 
+    def order_slowly(self, number: int, body_at_s: float) -> None:
+        """Send the head of an order now, and its body later.
+
+        Args:
+          number: of the order.
+          body_at_s: monotonic time at which the body follows.
+        """
+        request_id = f'slow-{number}'
+        connection = open_connection(self.fleet.routers[ROUTER].callers)
+        assert connection is not None
+        connection.putrequest('POST', f'/{ORDER}/x', skip_host=True)
+        for name, text in order_headers(request_id).items():
+            connection.putheader(name, text)
+        connection.endheaders()
+        time.sleep(max(0, body_at_s - time.monotonic()))
+        status, error = 0, ''
+        sent_s = time.monotonic()
+        try:
+            connection.send(b'b')
+            sent_s = time.monotonic()
+            answer = connection.getresponse()
+            status = answer.status
+            answer.read()
+        except (OSError, client.HTTPException) as failure:
+            error = repr(failure)
+        self.exchanges.append(
+            Exchange(
+                request_id,
+                ORDER,
+                ROUTER,
+                kept=False,
+                sent_s=sent_s,
+                ended_s=time.monotonic(),
+                limit_s=LIMIT_S,
+                status=status,
+                complete=not error,
+                error=error,
+            )
+        )
+
     def stop_router(self) -> int:
         """Stop the router, wait for all requests and return the exit code."""
         process = self.fleet.processes[ROUTER]
@@ -181,6 +237,41 @@
     assert not requests.unanswered()
 
 
+# Guards against taking an order late in the stop that is cut at its end.
+def test_order_whose_body_arrives_late_in_the_stop(requests: Requests) -> None:
+    """An order may not be repeated, so its caller needs to know its fate."""
+    for name in WORKERS:
+        requests.fleet.set_faults(requests.fleet.workers[name], work_s=0.4)
+    signalled_s = time.monotonic()
+    for number, late_s in enumerate(LATE_BODIES_S):
+        requests.start(requests.order_slowly, number, signalled_s + late_s)
+    time.sleep(PAUSE_S)
+    assert requests.stop_router() == 0
+    assert len(requests.exchanges) == len(LATE_BODIES_S)
+    assert not requests.unanswered()
+
+
+# Guards against leaving an order without an answer when its worker ends too.
+def test_order_whose_worker_ends_in_the_stop(requests: Requests) -> None:
+    """The outcome is unknown, and the caller learns that."""
+    fleet = requests.fleet
+    for name in WORKERS:
+        fleet.set_faults(fleet.workers[name], work_s=4)
+    for number in range(4):
+        requests.start(requests.order_slowly, number, 0)
+    wait_until(lambda: has_runs(fleet, 4), 'the orders run')
+    process = fleet.processes[ROUTER]
+    process.send_signal(signal.SIGTERM)
+    time.sleep(PAUSE_S)
+    for name in WORKERS:
+        fleet.processes[name].kill()
+    for thread in requests.threads:
+        thread.join()
+    assert len(requests.exchanges) == 4
+    assert {exchange.status for exchange in requests.exchanges} == {502}
+    assert process.wait(GRACE_S) == 0
+
+
 # Guards against ending the stream of a slow endpoint when no other takes it.
 @pytest.mark.parametrize('others', ['leave', 'refuse', 'are slow'])
 def test_slow_stream_that_no_other_endpoint_takes(
