--- a/fleet/platform_test.py
+++ b/fleet/platform_test.py
@@ -53,6 +53,11 @@
     return fleet.send_request(name, '/read/x', 'r').status == 401
 
 
+def lists(fleet: PlatformFleet, name: str, addresses: set[str]) -> bool:
+    """Return whether the directory of a node lists just these addresses."""
+    return fleet.listed_addresses(name) == addresses
+
+
 def log_lines(fleet: PlatformFleet, name: str, event: str) -> list[Document]:
     """Return the log lines of an event."""
     return [
@@ -209,6 +214,39 @@
     assert fleet.processes['node-1'].wait(30) == 0
 
 
+# The directory listed a killed node until its row was removed.
+def test_killed_node_leaves_the_directory_before_its_row(
+    fleet: PlatformFleet,
+) -> None:
+    """Each caller that connects to it loses a try."""
+    fleet.start_router('node-3')
+    fleet.wait_until_ready('node-3')
+    addresses = {
+        name: f'{HOST}:{ports.callers}' for name, ports in fleet.routers.items()
+    }
+    for name in fleet.routers:
+        wait_until(
+            functools.partial(lists, fleet, name, set(addresses.values())),
+            f'{name} lists all nodes',
+        )
+    fleet.send_signal('node-1', signal.SIGKILL)
+    fleet.processes['node-1'].wait()
+    live = {addresses['node-2'], addresses['node-3']}
+    for name in ('node-2', 'node-3'):
+        wait_until(
+            functools.partial(lists, fleet, name, live),
+            f'{name} lists the two live nodes',
+        )
+        assert not log_lines(fleet, name, 'node_removed')
+    fleet.start_router('node-1')
+    fleet.wait_until_ready('node-1')
+    for name in fleet.routers:
+        wait_until(
+            functools.partial(lists, fleet, name, set(addresses.values())),
+            f'{name} lists all nodes again',
+        )
+
+
 def test_sighup_reloads_settings(fleet: PlatformFleet) -> None:
     """SIGHUP reloads the settings; requests are still served."""
     path = fleet.folder / 'node-1.json'
