Accuse a prompt also if its endpoint ends right after the first event

An endpoint that sends the beginning of an answer before it crashes on the prompt cleared the segment with each crash, and was never protected from it.

Cause: an answer that had begun counted as proof that the endpoint survives the prompt. Change: it has survived once events follow for 0.3 s, or the answer is whole; until then its end accuses the prompt, and such a prompt under suspicion is not resumed elsewhere.

--- a/bronzeglade/decisions/crashing_segments.py
+++ b/bronzeglade/decisions/crashing_segments.py
@@ -1,17 +1,17 @@
 """Prompt segments on which endpoints crash, from the ends of attempts.
 
 Each endpoint that begins to answer a prompt with such a segment ends, and with
-it all that it runs. An end accuses every shared segment of the requests that it
-had not begun to answer. An answer that has begun clears all segments of its
-prompt, since the endpoint survived them. A segment is refused once several
-endpoints have ended on it, none has begun an answer with it for a while, no
-other segment explains these ends better, and most ends of that time were on it:
-where endpoints end for other reasons all the time, a rare segment meets several
-ends by chance.
+it all that it runs. An end accuses every shared segment of the prompts that the
+endpoint has not survived: it had sent nothing yet, or only the beginning of an
+answer. An endpoint that goes on for a while after that, or answers whole,
+clears all segments of the prompt. A segment is refused once several endpoints
+have ended on it, none has survived it for a while, no other segment explains
+these ends better, and most ends of that time were on it: where endpoints end
+for other reasons all the time, a rare segment meets several ends by chance.
 
 Nodes exchange what they know. Merging is independent of order and repetition:
-ends are identified by the process that ended, and only the newest beginning of
-an answer counts.
+ends are identified by the process that ended, and only the newest survival
+counts.
 """
 
 import collections
@@ -29,8 +29,9 @@
     A segment is refused after `verdict` crashes, unless there were more than
     `max_others` times as many others within `sound_memory` before the last one;
     of the crashes within a `moment`, `max_together` count.
-    A request is not repeated after `suspicion` crashes on a segment of it. An
-    answer that began within `sound_memory` before a crash clears its segments.
+    A request is not repeated after `suspicion` crashes on a segment of it. A
+    prompt that was survived within `sound_memory` before a crash clears its
+    segments.
     A verdict lasts for `refusal`, twice as long for each further crash;
     evidence without a verdict lasts for `forget`. News are sent for `news`, and
     all that may lead to a verdict again after `refresh`, for nodes that have
@@ -70,7 +71,7 @@
     """What is known of a segment; all times are monotonic.
 
     `crashes` holds the times of crashes by the process that ended, `sound_at`
-    is the newest beginning of an answer, and `changed_at` the last change that
+    is the newest survival of a prompt, and `changed_at` the last change that
     other nodes have to learn.
     """
 
@@ -88,7 +89,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SegmentEvidence:
-    """What a node reports of a segment: ages of crashes and of an answer."""
+    """What a node reports of a segment: ages of crashes and of a survival."""
 
     key: SegmentKey
     crash_ages: Mapping[str, dt.timedelta]
@@ -128,7 +129,7 @@
         )
 
     def record_sound(self, service: str, names: Iterable[str]) -> None:
-        """Record that an endpoint began to answer a prompt.
+        """Record that an endpoint has survived a prompt.
 
         Args:
           service: service of the endpoint.
@@ -147,7 +148,7 @@
     def record_crash(
         self, service: str, names: Iterable[str], process: str
     ) -> None:
-        """Record that an endpoint ended before it had begun an answer.
+        """Record that an endpoint ended and has not survived a prompt.
 
         Args:
           service: service of the endpoint.
@@ -193,8 +194,8 @@
     def begin_probe(self, service: str, verdict: Verdict) -> bool:
         """Return whether a request may test a verdict whose time is over.
 
-        One request at a time may; if an endpoint begins to answer it, the
-        verdict ends, and otherwise it lasts longer.
+        One request at a time may; if its endpoint survives it, the verdict
+        ends, and otherwise it lasts longer.
         """
         now = self.clock.monotonic()
         if now < verdict.until:
@@ -267,7 +268,7 @@
             if sound_at is not None:
                 self._clear(record, sound_at)
         if self._is_sound(record) and self._is_disputed(segment):
-            # The sender has to learn that an answer has begun.
+            # The sender has to learn that the segment is sound.
             record.changed_at = now
 
     def _record_ended(self, process: str, at: dt.timedelta) -> None:
--- a/bronzeglade/forwarding/attempt.py
+++ b/bronzeglade/forwarding/attempt.py
@@ -64,7 +64,9 @@
     read, and `reading_prompt` whether it may still be reading them.
     `started_at` is a monotonic time, and `time_to_head` the time from then to
     the head of the answer. `last_progress_at` is the monotonic time of the last
-    event that the caller did not have yet. `timing` is set while a roll-out
+    event that the caller did not have yet. `first_event_at` is the monotonic
+    time of the first event, and `survived` whether the endpoint has outlived it
+    for a while, or answered whole. `timing` is set while a roll-out
     compares versions. `cancelled` is set when its answer is not wanted any
     more.
     """
@@ -79,6 +81,8 @@
     started_at: dt.timedelta = dt.timedelta()
     time_to_head: dt.timedelta | None = None
     last_progress_at: dt.timedelta | None = None
+    first_event_at: dt.timedelta | None = None
+    survived: bool = False
     timing: TimedAttempt | None = None
     reading_prompt: bool = True
     cancelled: bool = False
--- a/bronzeglade/forwarding/crash_detection.py
+++ b/bronzeglade/forwarding/crash_detection.py
@@ -12,6 +12,8 @@
 from bronzeglade.forwarding.departures import Incarnation
 from bronzeglade.forwarding.router import Router
 
+# A process that ends on a prompt may still send the beginning of the answer.
+SURVIVAL_TIME = dt.timedelta(milliseconds=300)
 # A process that ends closes its connections and its listener one after the
 # other.
 END_TIME = dt.timedelta(milliseconds=50)
@@ -32,8 +34,7 @@
       attempt: the attempt, which has ended.
       failed: how it failed, or None if it did not.
     """
-    names = request.shared_segments
-    if not names or attempt.last_progress_at is not None or failed is None:
+    if failed is None or attempt.survived or not request.shared_segments:
         return
     if failed.failure is Failure.LOST and not failed.timed_out:
         eventlet.spawn(
@@ -44,6 +45,26 @@
         )
 
 
+def record_event(
+    router: Router, request: AcceptedRequest, attempt: Attempt
+) -> None:
+    """Record that an endpoint sent an event of its answer."""
+    now = router.clock.monotonic()
+    if attempt.first_event_at is None:
+        attempt.first_event_at = now
+    elif now - attempt.first_event_at >= SURVIVAL_TIME:
+        record_survival(router, request, attempt)
+
+
+def record_survival(
+    router: Router, request: AcceptedRequest, attempt: Attempt
+) -> None:
+    """Record that an endpoint has survived the prompt of an attempt."""
+    if not attempt.survived:
+        attempt.survived = True
+        router.crashes.record_sound(request.service, request.shared_segments)
+
+
 def _record_if_ended(
     router: Router, request: AcceptedRequest, process: Incarnation
 ) -> None:
--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -89,7 +89,7 @@
     of the answer that began the response to the caller, or None before.
     `first_byte_at` and `last_byte_at` are monotonic times. `interrupted` is set
     when the process is about to exit, `verdict` when the prompt crashes
-    endpoints.
+    endpoints. `survived` tells whether the last endpoint outlived the prompt.
     """
 
     router: Router
@@ -111,6 +111,7 @@
     detail: str = ''
     current: Attempt | None = None
     interrupted: bool = False
+    survived: bool = False
     verdict: Verdict | None = None
 
     @property
@@ -155,6 +156,7 @@
             if self.caller.disconnected:
                 failed = None
             attempts.end_attempt(self.router, attempt, failed, complete)
+        self.survived = attempt.survived
         self._log_failure(attempt, failed)
         self._record_evidence(attempt, failed)
         crash_detection.record_attempt(
@@ -292,7 +294,7 @@
             return FailedAttempt(Failure.LOST, detail, facts.status), False
         self.run_state = RunState.RAN
         if facts.succeeded:
-            self._record_sound_prompt()
+            crash_detection.record_survival(self.router, self.request, attempt)
         if not body.ok_value.complete:
             return self._stream_long_body(
                 connection, facts, body.ok_value.content
@@ -355,6 +357,7 @@
     ) -> tuple[FailedAttempt | None, bool]:
         end, detail = self._read_stream(attempt, facts)
         if end is StreamEnd.COMPLETE:
+            crash_detection.record_survival(self.router, self.request, attempt)
             if not self.response_started:
                 self._start_response(facts)
             self.caller.finish()
@@ -410,18 +413,12 @@
         return StreamEnd.COMPLETE, ''
 
     def _record_event(self, attempt: Attempt, event: StreamEvent) -> None:
-        if attempt.last_progress_at is None:
-            self._record_sound_prompt()
+        crash_detection.record_event(self.router, self.request, attempt)
         attempts.mark_prompt_read(self.router, attempt)
         self._record_progress(attempt, event.number)
         if attempt.timing is not None:
             attempt.timing.progress.record_event(self.router.clock.monotonic())
 
-    def _record_sound_prompt(self) -> None:
-        self.router.crashes.record_sound(
-            self.request.service, self.request.shared_segments
-        )
-
     def _record_progress(self, attempt: Attempt, number: int | None) -> None:
         """Update the time of the last progress if an event is new.
 
@@ -605,10 +602,11 @@
         return self.router.retry_budget(self.request.service).allows()
 
     def _may_crash_endpoints(self, failed: FailedAttempt) -> bool:
-        """Return whether the prompt is suspected to have ended the endpoint."""
+        """Return whether the last endpoint may have ended on the prompt."""
         return (
             failed.failure is Failure.LOST
-            and not self.response_started
+            and not failed.timed_out
+            and not self.survived
             and self.router.crashes.is_suspect(
                 self.request.service, self.request.shared_segments
             )
@@ -725,7 +723,7 @@
             status=failed.status,
             detail=failed.detail,
             events=self.last_event,
-            began=attempt.last_progress_at is not None,
+            survived=attempt.survived,
             shared_segments=self.request.shared_segments,
         )
         self.router.metrics.failures.labels(failed.failure.value).inc()
--- a/fleet/crashing_part_test.py
+++ b/fleet/crashing_part_test.py
@@ -32,12 +32,12 @@
 class CrashingFleet(PlatformFleet):
     """A fleet whose workers end on a part and are started again."""
 
-    def __init__(self, folder: Path, after_head: bool) -> None:
+    def __init__(self, folder: Path, after: str) -> None:
         """Start the routers and the workers."""
         self.worker_options = (
             '--print_runs',
             f'--crash_part={BAD}',
-            f'--crash_after_head={after_head}',
+            f'--crash_after={after}',
         )
         super().__init__(folder)
         self.numbers = itertools.count()
@@ -111,11 +111,11 @@
                     self.restart_worker(name, 'models')
 
 
-@pytest.fixture(params=[True, False], ids=['after_head', 'without_a_byte'])
+@pytest.fixture(params=['nothing', 'head', 'event'])
 def fleet(
     tmp_path: Path, request: pytest.FixtureRequest
 ) -> Iterator[CrashingFleet]:
-    """Return a fleet whose workers end after the head, or without a byte."""
+    """Return a fleet whose workers end after some bytes of the answer."""
     started = CrashingFleet(tmp_path, request.param)
     try:
         yield started
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -31,26 +31,32 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crash:
-    """A part of prompts on which the process ends, after the head or before.
+    """A part of prompts on which the process ends, which is never the last.
 
-    The last part of a prompt never ends it.
+    Before that, it sends what `after` names: nothing, the head of the answer,
+    or the head and an event.
     """
 
     part: str = ''
-    after_head: bool = False
+    after: str = 'nothing'
 
     def end_process(self, environ: Mapping[str, Any]) -> None:
         """End the process, as it begins to answer, if the prompt holds it."""
         parts = environ.get('HTTP_PROMPT_PREFIX', '').split(',')[:-1]
         if self.part not in {part.partition(':')[0] for part in parts}:
             return
-        if self.after_head:
-            client = environ['eventlet.input'].get_socket()
-            client.sendall(
-                b'HTTP/1.1 200 OK\r\nServer-Signature: s\r\nRequest-Id: '
-                + environ['HTTP_REQUEST_ID'].encode()
-                + b'\r\nTransfer-Encoding: chunked\r\n\r\n'
-            )
+        head = (
+            'HTTP/1.1 200 OK\r\nServer-Signature: s\r\nTransfer-Encoding: '
+            f'chunked\r\nRequest-Id: {environ["HTTP_REQUEST_ID"]}\r\n\r\n'
+        )
+        event = 'id: 1\ndata: piece 1\n\n'
+        sent = {
+            'nothing': '',
+            'head': head,
+            'event': f'{head}{len(event):x}\r\n{event}\r\n',
+        }
+        client = environ['eventlet.input'].get_socket()
+        client.sendall(sent[self.after].encode())
         os._exit(1)  # no answer is written any more, nor anything flushed
 
 
@@ -166,14 +172,15 @@
     flags.DEFINE_string(
         'crash_part', '', 'Part that ends the process.', flag_values=values
     )
-    flags.DEFINE_bool(
-        'crash_after_head',
-        False,
-        'End after the head of the answer.',
+    flags.DEFINE_enum(
+        'crash_after',
+        'nothing',
+        ('nothing', 'head', 'event'),
+        'What is sent of the answer before the end.',
         flag_values=values,
     )
     parse_flags(values)
-    crash = Crash(values.crash_part, values.crash_after_head)
+    crash = Crash(values.crash_part, values.crash_after)
     worker = Worker(values.name, values.print_runs, crash)
     admin = fault_routes(worker.faults)
 
