Move the datagrams of nodes and their encoding to a module of their own

load_exchange.py held the messages, their validation and the exchange. Only code moves; what two methods wrote alike, whom news go to, is one method now.

--- a/bronzeglade/forwarding/load_exchange.py
+++ b/bronzeglade/forwarding/load_exchange.py
@@ -2,10 +2,9 @@
 
 The first two nodes of each failure domain (aggregators) sum up the reports of
 its nodes and the sums of the other domains, and send each node the total of all
-other nodes. They work independently, so that one aggregator may be down. A
-datagram is a msgpack list: its kind, its sender, and for each endpoint the
-number of requests and of unread prompt tokens. A lost datagram is superseded by
-the next one.
+other nodes. They work independently, so that one aggregator may be down, and
+the next node takes the place of one that is silent. A lost datagram is
+superseded by the next one.
 
 The same messages tell which nodes run (`bronzeglade.coordination.presence`).
 Messages of presence are sent between nodes that send each other no other ones,
@@ -16,36 +15,33 @@
 endpoint and the store.
 """
 
-import collections
-import dataclasses
 import datetime as dt
-import enum
 import random
-from collections.abc import Callable, Iterable, Mapping, Sequence
-from typing import Annotated, Any
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
 
 import eventlet
-import msgpack
-import pydantic as pd
-from pydantic import Field
-from result import Err, Ok, Result
+from result import Err
 
 from bronzeglade.clock import Clock
 from bronzeglade.datagram_socket import DatagramSocket
-from bronzeglade.decisions.crashing_segments import (
-    CrashingSegments,
-    SegmentEvidence,
-    SegmentKey,
-)
+from bronzeglade.decisions.crashing_segments import CrashingSegments
 from bronzeglade.decisions.outstanding import (
-    Outstanding,
     OutstandingReports,
-    WorkByEndpoint,
     subtract_work,
     sum_work,
 )
 from bronzeglade.decisions.placement import Placement
+from bronzeglade.forwarding import exchange_message
 from bronzeglade.forwarding.departures import Incarnation
+from bronzeglade.forwarding.exchange_message import (
+    CrashMessage,
+    Departure,
+    LoadMessage,
+    Message,
+    MessageKind,
+    PresenceMessage,
+)
 from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.roster import Roster, RouterNode
 from bronzeglade.forwarding.settings import Address
@@ -70,74 +66,6 @@
 OTHERS = 'others'
 
 
-class MessageKind(enum.IntEnum):
-    """Content of a datagram."""
-
-    NODE = 0  # the load of the sending node
-    DOMAIN = 1  # the sum of the sender's failure domain
-    OTHERS = 2  # the sum of all nodes except the receiver
-    DEPARTURE = 3  # an endpoint that is leaving
-    PRESENCE = 4  # the sender runs; the nodes that it lists are silent
-    CRASHES = 5  # evidence that endpoints end on prompt segments
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadMessage:
-    """A datagram with the load on endpoints from a node or failure domain."""
-
-    kind: MessageKind
-    sender: str
-    work: WorkByEndpoint
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Departure:
-    """A datagram that announces the departure of an endpoint."""
-
-    sender: str
-    incarnation: Incarnation
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PresenceMessage:
-    """A datagram that says that its sender runs.
-
-    `silent` lists how long it has heard nothing of silent nodes. It is None if
-    the sender is no aggregator, and so vouches for no other node.
-    """
-
-    sender: str
-    silent: Mapping[str, dt.timedelta] | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CrashMessage:
-    """A datagram with evidence against prompt segments."""
-
-    sender: str
-    segments: Sequence[SegmentEvidence]
-
-
-Message = LoadMessage | Departure | PresenceMessage | CrashMessage
-
-_DATAGRAM = pd.TypeAdapter(tuple[MessageKind, str, dict[str, Any] | None])
-# Sums of the counts of thousands of nodes stay within 64 bits.
-_MAX_COUNT = 2**48
-_MAX_REASON_CHARS = 200
-_Count = Annotated[int, Field(ge=0, le=_MAX_COUNT)]
-_WORK = pd.TypeAdapter(dict[str, tuple[_Count, _Count]])
-_INCARNATION = pd.TypeAdapter(Incarnation)
-# In milliseconds, within the range of timedelta arithmetic.
-_Duration = Annotated[int, Field(ge=0, le=_MAX_COUNT)]
-_SILENT = pd.TypeAdapter(dict[str, _Duration])
-# For each service and segment: the age of the newest beginning of an answer,
-# and the ages of the crashes by process.
-_CRASHES = pd.TypeAdapter(
-    dict[str, dict[str, tuple[_Duration | None, dict[str, _Duration]]]]
-)
-_MILLISECOND = dt.timedelta(milliseconds=1)
-
-
 class SilentList:
     """Decides whether a list of silent nodes is sent.
 
@@ -228,7 +156,7 @@
           content: the datagram.
           sender: address that it came from.
         """
-        decoded = _decode(content)
+        decoded = exchange_message.decode(content)
         if isinstance(decoded, Err):
             self.log.event(
                 'unreadable_datagram',
@@ -315,12 +243,7 @@
             return
         self.crashes_sent_at = now
         news = self.crashes.take_news()
-        receivers = self.roster.acting_aggregators()
-        if self._is_aggregator():
-            receivers = [
-                *self.roster.domain_nodes(),
-                *self.roster.acting_remote_aggregators(),
-            ]
+        receivers = self._news_receivers()
         local_name = self.roster.local_node.name
         for start in range(0, len(news), SEGMENTS_PER_MESSAGE):
             segments = news[start : start + SEGMENTS_PER_MESSAGE]
@@ -341,16 +264,19 @@
     def announce_departure(self, incarnation: Incarnation) -> None:
         """Announce the departure of an endpoint to the other nodes."""
         local_node = self.roster.local_node
-        receivers = self.roster.acting_aggregators()
-        if self._is_aggregator():
-            receivers = [
-                *self.roster.domain_nodes(),
-                *self.roster.acting_remote_aggregators(),
-            ]
-        for node in receivers:
-            if node != local_node:
+        for node in self._news_receivers():
+            if node.name != local_node.name:
                 self._send(node, Departure(local_node.name, incarnation))
 
+    def _news_receivers(self) -> list[RouterNode]:
+        """Return the nodes that learn of news from this one."""
+        if not self._is_aggregator():
+            return self.roster.acting_aggregators()
+        return [
+            *self.roster.domain_nodes(),
+            *self.roster.acting_remote_aggregators(),
+        ]
+
     def _apply_departure(self, message: Departure) -> None:
         if self.on_departure is None:
             return
@@ -419,101 +345,8 @@
 
     def _send(self, node: RouterNode, message: Message) -> None:
         try:
-            self.sock.sendto(_encode(message), node.exchange)
+            self.sock.sendto(exchange_message.encode(message), node.exchange)
         except OSError as error:
             self.log.event(
                 'datagram_send_failed', node=node.name, reason=repr(error)
             )
-
-
-def _encode(message: Message) -> bytes:
-    if isinstance(message, PresenceMessage):
-        return _encode_presence(message)
-    if isinstance(message, CrashMessage):
-        return _encode_crashes(message)
-    if isinstance(message, Departure):
-        incarnation = dataclasses.asdict(message.incarnation)
-        departure: bytes = msgpack.packb(
-            [MessageKind.DEPARTURE.value, message.sender, incarnation]
-        )
-        return departure
-    work = {
-        endpoint: (outstanding.requests, outstanding.unread_tokens)
-        for endpoint, outstanding in message.work.items()
-    }
-    packed: bytes = msgpack.packb([message.kind.value, message.sender, work])
-    return packed
-
-
-def _encode_presence(message: PresenceMessage) -> bytes:
-    silent = message.silent
-    payload = None
-    if silent is not None:
-        payload = {
-            name: silence // _MILLISECOND for name, silence in silent.items()
-        }
-    packed: bytes = msgpack.packb(
-        [MessageKind.PRESENCE.value, message.sender, payload]
-    )
-    return packed
-
-
-def _encode_crashes(message: CrashMessage) -> bytes:
-    payload: dict[str, dict[str, Any]] = collections.defaultdict(dict)
-    for segment in message.segments:
-        sound_age = segment.sound_age
-        payload[segment.key.service][segment.key.name] = (
-            None if sound_age is None else sound_age // _MILLISECOND,
-            {
-                process: age // _MILLISECOND
-                for process, age in segment.crash_ages.items()
-            },
-        )
-    packed: bytes = msgpack.packb(
-        [MessageKind.CRASHES.value, message.sender, dict(payload)]
-    )
-    return packed
-
-
-def _decode_crashes(payload: Any) -> list[SegmentEvidence]:
-    return [
-        SegmentEvidence(
-            SegmentKey(service, name),
-            {process: age * _MILLISECOND for process, age in ages.items()},
-            None if sound_age is None else sound_age * _MILLISECOND,
-        )
-        for service, segments in _CRASHES.validate_python(payload).items()
-        for name, (sound_age, ages) in segments.items()
-    ]
-
-
-def _decode_silent(payload: Any) -> dict[str, dt.timedelta] | None:
-    if payload is None:
-        return None
-    return {
-        name: silence * _MILLISECOND
-        for name, silence in _SILENT.validate_python(payload).items()
-    }
-
-
-def _decode(content: bytes) -> Result[Message, str]:
-    try:
-        kind, sender, payload = _DATAGRAM.validate_python(
-            msgpack.unpackb(content)
-        )
-        if kind is MessageKind.DEPARTURE:
-            return Ok(Departure(sender, _INCARNATION.validate_python(payload)))
-        if kind is MessageKind.PRESENCE:
-            return Ok(PresenceMessage(sender, _decode_silent(payload)))
-        if kind is MessageKind.CRASHES:
-            return Ok(CrashMessage(sender, _decode_crashes(payload)))
-        work = _WORK.validate_python(payload)
-    except (ValueError, msgpack.UnpackException) as error:
-        return Err(repr(error)[:_MAX_REASON_CHARS])
-    return Ok(
-        LoadMessage(
-            kind,
-            sender,
-            {name: Outstanding(*counts) for name, counts in work.items()},
-        )
-    )
--- a/bronzeglade/forwarding/malformed_messages_test.py
+++ b/bronzeglade/forwarding/malformed_messages_test.py
@@ -23,13 +23,10 @@
 from bronzeglade.coordination.table_mirror import TableMirror
 from bronzeglade.decisions.outstanding import Outstanding
 from bronzeglade.decisions.placement import PlacedRequest, SharedSegment
-from bronzeglade.forwarding import builders, copies, load_exchange
+from bronzeglade.forwarding import builders, copies, exchange_message
 from bronzeglade.forwarding.copies import CopySource, TableCopies
-from bronzeglade.forwarding.load_exchange import (
-    LoadExchange,
-    LoadMessage,
-    MessageKind,
-)
+from bronzeglade.forwarding.exchange_message import LoadMessage, MessageKind
+from bronzeglade.forwarding.load_exchange import LoadExchange
 
 LOAD = [0, 'a-2', {'e': [3, 400]}]
 DEPARTURE = [3, 'a-2', {'name': 'e', 'started': 1, 'address': ['10.0.0.1', 1]}]
@@ -113,14 +110,14 @@
 def test_reason_of_a_malformed_message_is_short() -> None:
     """A datagram from outside must not fill the log."""
     content = msgpack.packb([0, 'a', {malformed.LONG_TEXT: None}])
-    outcome = load_exchange._decode(content)
+    outcome = exchange_message.decode(content)
     assert len(outcome.unwrap_err()) < 400
 
 
 def test_load_of_a_node_decodes() -> None:
     """The bounds admit the counts of a busy node."""
     content = msgpack.packb([0, 'a', {'e': [5000, 10**9]}])
-    assert isinstance(load_exchange._decode(content), Ok)
+    assert isinstance(exchange_message.decode(content), Ok)
 
 
 def fetched(body: bytes) -> Result[TableCopies, str]:
--- a/bronzeglade/forwarding/malformed_rows_test.py
+++ b/bronzeglade/forwarding/malformed_rows_test.py
@@ -23,7 +23,8 @@
 from bronzeglade.coordination.rollout_plan import Order, Plan
 from bronzeglade.forwarding import builders
 from bronzeglade.forwarding.departures import Incarnation
-from bronzeglade.forwarding.load_exchange import Departure, LoadExchange
+from bronzeglade.forwarding.exchange_message import Departure
+from bronzeglade.forwarding.load_exchange import LoadExchange
 from bronzeglade.forwarding.roster import (
     NODE_PREFIX,
     RouterNode,
--- a/bronzeglade/forwarding/node_registration.py
+++ b/bronzeglade/forwarding/node_registration.py
@@ -19,7 +19,7 @@
 from bronzeglade.coordination.liveness import ExpectedNode, FailureDetector
 from bronzeglade.coordination.table_mirror import TableMirror
 from bronzeglade.forwarding import roster
-from bronzeglade.forwarding.load_exchange import MessageKind
+from bronzeglade.forwarding.exchange_message import MessageKind
 from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.roster import NODE_PREFIX, Roster, RouterNode
 
--- a/bronzeglade/forwarding/node_registration_test.py
+++ b/bronzeglade/forwarding/node_registration_test.py
@@ -18,7 +18,7 @@
 )
 from bronzeglade.coordination.table_mirror import TableMirror
 from bronzeglade.forwarding import builders, roster
-from bronzeglade.forwarding.load_exchange import MessageKind
+from bronzeglade.forwarding.exchange_message import MessageKind
 from bronzeglade.forwarding.node_registration import NodeRegistration
 from bronzeglade.forwarding.roster import NODE_PREFIX, Roster, RouterNode
 
--- a/bronzeglade/platform/malformed_headers_test.py
+++ b/bronzeglade/platform/malformed_headers_test.py
@@ -22,8 +22,8 @@
 from bronzeglade.decisions.rate_limit import Turn
 from bronzeglade.forwarding import builders
 from bronzeglade.forwarding.endpoint_connection import usable_idle_time
-from bronzeglade.forwarding.load_exchange import LoadMessage, MessageKind
-from bronzeglade.forwarding.load_exchange import _encode as encode_load
+from bronzeglade.forwarding.exchange_message import LoadMessage, MessageKind
+from bronzeglade.forwarding.exchange_message import encode as encode_load
 from bronzeglade.forwarding.message import (
     AnswerFacts,
     Dispatch,
