Bound the news of crashes, and tell refused callers to wait a second

In a crash each unanswered request accuses its rare segments; all of them were sent again every three seconds, 256 at most, to all nodes. Now 32 are sent at a time, those with most crashes first, and only segments under suspicion again. A crash older than those that are kept is no news. A caller refused by a verdict whose time is over was told to come back at once, and is told a second now.

--- a/bronzeglade/decisions/crashing_segments.py
+++ b/bronzeglade/decisions/crashing_segments.py
@@ -50,6 +50,7 @@
     probe: dt.timedelta = dt.timedelta(seconds=10)
     news: dt.timedelta = dt.timedelta(seconds=2)
     refresh: dt.timedelta = dt.timedelta(seconds=3)
+    max_news: int = 32
     max_segments: int = 256
     max_crashes: int = 12
     max_ended: int = 512
@@ -225,15 +226,17 @@
         """Return what to send to other nodes now."""
         now = self.clock.monotonic()
         self._forget_old(now)
-        news: list[SegmentEvidence] = []
-        for key, record in self.records.items():
-            sent_at = record.sent_at
-            is_new = now - record.changed_at <= self.settings.news
-            is_due = sent_at is None or now - sent_at >= self.settings.refresh
-            if is_new or (is_due and self._is_open(record, now)):
-                record.sent_at = now
-                news.append(_evidence(key, record, now))
-        return news
+        news = [
+            key
+            for key, record in self.records.items()
+            if now - record.changed_at <= self.settings.news
+            or self._needs_refresh(record, now)
+        ]
+        news.sort(key=self._weight, reverse=True)
+        del news[self.settings.max_news :]
+        for key in news:
+            self.records[key].sent_at = now
+        return [_evidence(key, self.records[key], now) for key in news]
 
     def _keys(self, service: str, names: Iterable[str]) -> list[SegmentKey]:
         settings = self.settings
@@ -255,12 +258,8 @@
             self.records[segment.key] = record
         for process, age in segment.crash_ages.items():
             self._record_ended(process, now - age)
-            if process not in record.crashes:
-                record.crashes[process] = now - age
+            if self._add_crash(record, process, now - age):
                 record.changed_at = now
-        while len(record.crashes) > self.settings.max_crashes:
-            oldest = min(record.crashes, key=record.crashes.__getitem__)
-            record.crashes.pop(oldest)
         for sound_at in (
             known_sound_at,
             None if segment.sound_age is None else now - segment.sound_age,
@@ -271,6 +270,21 @@
             # The sender has to learn that the segment is sound.
             record.changed_at = now
 
+    def _add_crash(
+        self, record: SegmentRecord, process: str, at: dt.timedelta
+    ) -> bool:
+        """Add a crash if it is among the newest; return whether it is new."""
+        crashes = record.crashes
+        if process in crashes:
+            return False
+        if len(crashes) >= self.settings.max_crashes:
+            oldest = min(crashes, key=crashes.__getitem__)
+            if at <= crashes[oldest]:
+                return False
+            crashes.pop(oldest)
+        crashes[process] = at
+        return True
+
     def _record_ended(self, process: str, at: dt.timedelta) -> None:
         self.ended_at.setdefault(process, at)
         if len(self.ended_at) > self.settings.max_ended:
@@ -289,10 +303,16 @@
         cleared_from = record.sound_at + self.settings.sound_memory
         return record.last_crash_at <= cleared_from
 
-    def _is_open(self, record: SegmentRecord, now: dt.timedelta) -> bool:
-        """Return whether further crashes may lead to a verdict soon."""
-        age = now - record.last_crash_at
-        return age <= self.settings.sound_memory or not self._is_sound(record)
+    def _needs_refresh(self, record: SegmentRecord, now: dt.timedelta) -> bool:
+        """Return whether to send a record again that may lead to a verdict."""
+        settings = self.settings
+        if record.sent_at is not None:
+            if now - record.sent_at < settings.refresh:
+                return False
+        if len(record.crashes) < settings.suspicion:
+            return False
+        is_recent = now - record.last_crash_at <= settings.sound_memory
+        return is_recent or not self._is_sound(record)
 
     def _is_disputed(self, segment: SegmentEvidence) -> bool:
         """Return whether the sender holds crashes against a segment."""
--- a/bronzeglade/decisions/crashing_segments_test.py
+++ b/bronzeglade/decisions/crashing_segments_test.py
@@ -167,6 +167,7 @@
         node.record_crash(SERVICE, [f'n-{number}', 'x' * 1000], f'e/{number}')
         node.record_sound(SERVICE, [f'sound-{number}-{n}' for n in range(9)])
     assert len(node.records) <= SETTINGS.max_segments
+    assert len(node.take_news()) <= SETTINGS.max_news
     assert len(node.sound_at) <= SETTINGS.max_sound
     assert is_refused(node, BAD)
     clock.advance(SETTINGS.refusal * 200)
--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -64,6 +64,8 @@
     RunState.NOT_RUN,
     dt.timedelta(),
 )
+# Retry-After of a prompt on which endpoints crash, at least.
+MIN_REFUSAL = dt.timedelta(seconds=1)
 _SERVER_ERROR = 500
 _MILLISECOND = dt.timedelta(milliseconds=1)
 
@@ -668,7 +670,7 @@
                 'crashing_prompt',
                 'endpoints crash on a part of the prompt',
                 RunState.NOT_RUN,
-                max(dt.timedelta(), self.verdict.until - now),
+                max(MIN_REFUSAL, self.verdict.until - now),
             )
         if self.run_state is RunState.NOT_RUN:
             return Refusal(
