Take a row for gone if only this node had lost the store

Requests went to an endpoint for 2.3 s after its row was removed, 2 s are allowed: a node that the store had refused was back 0.1 s later, and took the row for one that had expired during the outage.

Cause: a node judged the store by its own calls only. Change: a node that has lost the store asks others every 0.7 s; if the one asked reaches the store, rows that go within the next second are meant to go. Where all have lost it, rows are kept as before (two cases tested). Result: relay_test.py has the case, which fails before.

--- a/bronzeglade/coordination/table_mirror.py
+++ b/bronzeglade/coordination/table_mirror.py
@@ -6,7 +6,9 @@
 
 Rows that are removed during an outage of the store may have expired only
 because their owners could not renew them. Such rows are called lapsed and are
-kept until their owners have had time to write them again.
+kept until their owners have had time to write them again. If another node
+reached the store just before, only this node had lost it, and owners could
+renew their rows: a removal is meant then.
 """
 
 import datetime as dt
@@ -19,6 +21,10 @@
 # Time after an outage of the store by which owners have rewritten the rows that
 # expired during the outage.
 SETTLING_TIME = dt.timedelta(milliseconds=2500)
+# How long a removal counts as meant after another node reached the store.
+# Shorter than the time in which a row expires, and longer than the interval
+# between two calls of a node that has lost the store.
+PEER_CONTACT_TIME = dt.timedelta(seconds=1)
 # Maximum number of removed keys to keep; the oldest are evicted first. Other
 # nodes keep a lapsed row only for seconds, so a few hundred would suffice.
 MAX_REMOVED_KEYS = 4096
@@ -48,6 +54,8 @@
         self.changed_version = 0
         self.failing_since: dt.timedelta | None = None
         self.settled_at: dt.timedelta | None = None
+        # When another node was last known to reach the store.
+        self.peer_contact_at: dt.timedelta | None = None
         self.lapsed: dict[str, Row] = {}
         # Keys known to be removed and not lapsed, the oldest first.
         self.removed_keys: dict[str, None] = {}
@@ -125,6 +133,10 @@
         self.failing_since = self.clock.monotonic()
         return True
 
+    def record_peer_contact(self) -> None:
+        """Record that another node reaches the store."""
+        self.peer_contact_at = self.clock.monotonic()
+
     def failing_for(self) -> dt.timedelta:
         """Return how long the store has been unavailable, 0 if it is not."""
         if self.failing_since is None:
@@ -174,9 +186,10 @@
     def _keep_lapsed(self, removed: Iterable[str]) -> None:
         """Keep removed rows as lapsed during an outage of the store.
 
-        Without an outage, a removal is intended, so the rows are not kept.
+        Without an outage, a removal is intended, so the rows are not kept, nor
+        if the outage affects only this node.
         """
-        if self.failing_since is None:
+        if self.failing_since is None or self._store_serves_others():
             self._record_removed(removed)
             return
         for key in removed:
@@ -184,6 +197,12 @@
             if row is not None:
                 self.lapsed[key] = row
 
+    def _store_serves_others(self) -> bool:
+        if self.peer_contact_at is None:
+            return False
+        age = self.clock.monotonic() - self.peer_contact_at
+        return age <= PEER_CONTACT_TIME
+
     def _record_removed(self, removed: Iterable[str]) -> None:
         for key in removed:
             self.removed_keys[key] = None
--- a/bronzeglade/forwarding/relay.py
+++ b/bronzeglade/forwarding/relay.py
@@ -158,6 +158,9 @@
         if not isinstance(outcome, Err):
             for table, copy in outcome.ok_value.tables.items():
                 self._apply_copy(table, copy, peer)
+            if outcome.ok_value.current:
+                for follower in self.followers.values():
+                    follower.mirror.record_peer_contact()
         return outcome
 
     def _apply_copy(self, table: str, copy: TableCopy, peer: Address) -> None:
--- a/bronzeglade/forwarding/relay_test.py
+++ b/bronzeglade/forwarding/relay_test.py
@@ -12,7 +12,10 @@
 from bronzeglade.adapters.feed import Changes, HistoryTruncated, Snapshot
 from bronzeglade.adapters.table import Row, StoreError
 from bronzeglade.clock import BootClock
-from bronzeglade.coordination.table_mirror import TableMirror
+from bronzeglade.coordination.table_mirror import (
+    PEER_CONTACT_TIME,
+    TableMirror,
+)
 from bronzeglade.forwarding import builders, copies, relay
 from bronzeglade.forwarding.copies import CopySource, TableCopies
 from bronzeglade.forwarding.follower import Follower, FollowerContext
@@ -42,6 +45,10 @@
         self.mirror.replace(Snapshot(version, {KEY: row}))
         self.source.notify()
 
+    def mirror_snapshot(self) -> Snapshot:
+        """Return its copy as a snapshot."""
+        return Snapshot(self.mirror.as_of, dict(self.mirror.rows))
+
     def lose_store(self) -> None:
         """Lose the store, and wait until it is reported as lost."""
         self.mirror.record_failure()
@@ -267,3 +274,39 @@
     node.relay.fetch_from_peer()
     node.relay.fetch_from_peer()
     assert node.seen == [1, 9]
+
+
+def node_that_lost_the_store() -> tuple[Node, OtherNode]:
+    """Return a node that the store refuses, and one with a row at version 5."""
+    peer = OtherNode(as_of=5)
+    node = Node(peer)
+    node.mirror.record_failure()
+    return node, peer
+
+
+# A node that the store had refused took a removed row for a lapsed one, and
+# sent requests to an endpoint that had left for 2.5 s more.
+def test_row_removed_while_only_this_node_was_refused_is_gone() -> None:
+    """The store served the others, so its owner could renew it."""
+    node, peer = node_that_lost_the_store()
+    node.relay.fetch_from_peer()
+    assert list(node.mirror.current()) == [KEY]
+    node.mirror.apply(Changes(7, {}, frozenset((KEY,))))
+    node.mirror.record_success()
+    assert not node.mirror.current()
+
+
+@pytest.mark.parametrize('seen', [True, False])
+def test_row_removed_while_all_had_lost_the_store_is_kept(seen: bool) -> None:
+    """Its owner may have had no way to renew it."""
+    node, peer = node_that_lost_the_store()
+    if seen:
+        node.relay.fetch_from_peer()
+        eventlet.sleep(PEER_CONTACT_TIME.total_seconds() + 0.05)
+    else:
+        node.mirror.replace(peer.mirror_snapshot())
+    peer.lose_store()
+    node.relay.fetch_from_peer()
+    node.mirror.apply(Changes(7, {}, frozenset((KEY,))))
+    node.mirror.record_success()
+    assert list(node.mirror.current()) == [KEY]
