Yield within a block of many short events of a stream

Cause: the process has one loop, and all events of a received block were handled and written one by one without a yield. A block of 64 KB holds up to 32,768 events. The parser's yields count parser events, and a block is one of these. The deadline of the stream was not looked at within a block either, and after each event the splitter searched the rest of the block for the terminators that do not occur.

Change: `TimeSlice` counts pieces of work and received bytes, and yields. A batch is forwarded in one write; then the caller and the time without an event are checked. Chunks that were received together are joined, so that a fast stream in chunks is forwarded in batches, too.

--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -4,6 +4,7 @@
 import datetime as dt
 import enum
 import functools
+from collections.abc import Sequence
 
 from result import Err, Result
 
@@ -29,7 +30,11 @@
 from bronzeglade.forwarding.caller import Caller
 from bronzeglade.forwarding.endpoint import Endpoint
 from bronzeglade.forwarding.endpoint_connection import EndpointConnection
-from bronzeglade.forwarding.event import EventSplitter, StreamEvent
+from bronzeglade.forwarding.event import (
+    MAX_BATCH_EVENTS,
+    EventSplitter,
+    StreamEvent,
+)
 from bronzeglade.forwarding.event_sequence import EventSequence
 from bronzeglade.forwarding.message import AnswerFacts
 from bronzeglade.forwarding.route import RouteKind
@@ -79,6 +84,17 @@
     CALLER_DISCONNECTED = 'left'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class IncomingStream:
+    """The answer of an endpoint, while its events are read and forwarded."""
+
+    attempt: Attempt
+    facts: AnswerFacts
+    connection: EndpointConnection
+    splitter: EventSplitter
+    sequence: EventSequence
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Delivery:
     """State of one request during its delivery.
@@ -373,11 +389,16 @@
     def _read_stream(
         self, attempt: Attempt, facts: AnswerFacts
     ) -> tuple[StreamEnd, str]:
-        splitter = EventSplitter()
-        sequence = EventSequence(self.last_event, self.response_started)
         connection = attempt.connection
         if connection is None:
             return StreamEnd.BROKEN, 'no connection'
+        stream = IncomingStream(
+            attempt,
+            facts,
+            connection,
+            EventSplitter(),
+            EventSequence(self.last_event, self.response_started),
+        )
         next_deadline = functools.partial(self._read_deadline, attempt)
         while not self.caller.disconnected:
             block = attempts.read_with_deadlines(
@@ -388,30 +409,65 @@
                 end = StreamEnd.SILENT if silent else StreamEnd.BROKEN
                 return end, block.err_value.detail
             if block.ok_value is None:
-                if splitter.buffer:
+                if stream.splitter.buffer:
                     return StreamEnd.BROKEN, 'stream ended inside an event'
                 return self._end_stream(
-                    facts, sequence.end(connection.input_ended())
+                    facts, stream.sequence.end(connection.input_ended())
                 )
-            events = splitter.feed(block.ok_value)
+            ended = self._relay_block(stream, block.ok_value)
+            if ended is not None:
+                return ended
+        return StreamEnd.CALLER_DISCONNECTED, ''
+
+    def _relay_block(
+        self, stream: IncomingStream, block: bytes
+    ) -> tuple[StreamEnd, str] | None:
+        """Forward the events that a block completes, a batch at a time.
+
+        Returns:
+          How the stream ended, or None if it continues.
+        """
+        is_last = False
+        while not is_last:
+            events = stream.splitter.feed(block)
             if isinstance(events, Err):
                 return StreamEnd.BROKEN, events.err_value
-            for event in events.ok_value:
-                self._record_event(attempt, event)
-                accepted = sequence.accept(event)
-                if isinstance(accepted, Err):
-                    return StreamEnd.BROKEN, accepted.err_value
-                self._forward(facts, accepted.ok_value)
-                self.last_event = sequence.last_event
-                self.unnumbered = sequence.unnumbered
-        return StreamEnd.CALLER_DISCONNECTED, ''
+            error = self._relay_batch(stream, events.ok_value)
+            if error is not None:
+                return StreamEnd.BROKEN, error
+            block = b''
+            is_last = len(events.ok_value) < MAX_BATCH_EVENTS
+            stream.connection.time_slice.spend(len(events.ok_value))
+            if self.caller.disconnected:
+                return StreamEnd.CALLER_DISCONNECTED, ''
+            if not is_last and self._read_deadline(stream.attempt) is None:
+                return StreamEnd.SILENT, 'no new event in time'
+        return None
+
+    def _relay_batch(
+        self, stream: IncomingStream, events: Sequence[StreamEvent]
+    ) -> str | None:
+        """Forward events in one write; return why the stream broke, if so."""
+        contents: list[bytes] = []
+        error: str | None = None
+        for event in events:
+            self._record_event(stream.attempt, event)
+            accepted = stream.sequence.accept(event)
+            if isinstance(accepted, Err):
+                error = accepted.err_value
+                break
+            contents.append(accepted.ok_value)
+            self.last_event = stream.sequence.last_event
+        self._forward(stream.facts, contents)
+        self.unnumbered = stream.sequence.unnumbered
+        return error
 
     def _end_stream(
         self, facts: AnswerFacts, rest: Result[bytes, str]
     ) -> tuple[StreamEnd, str]:
         if isinstance(rest, Err):
             return StreamEnd.BROKEN, rest.err_value
-        self._forward(facts, rest.ok_value)
+        self._forward(facts, (rest.ok_value,))
         return StreamEnd.COMPLETE, ''
 
     def _record_event(self, attempt: Attempt, event: StreamEvent) -> None:
@@ -432,22 +488,23 @@
         if first or (number is not None and number > known):
             attempt.last_progress_at = self.router.clock.monotonic()
 
-    def _forward(self, facts: AnswerFacts, content: bytes) -> None:
+    def _forward(self, facts: AnswerFacts, contents: Sequence[bytes]) -> None:
         """Forward the bytes of events, if any, and begin the response first."""
-        if not content:
+        forwarded = [content for content in contents if content]
+        if not forwarded:
             return
         if not self.response_started:
             self._start_response(facts)
-        self._record_event_time()
-        self.caller.write(content)
+        self._record_event_times(len(forwarded))
+        self.caller.write(b''.join(forwarded))
         self.run_state = RunState.RAN
 
-    def _record_event_time(self) -> None:
+    def _record_event_times(self, count: int) -> None:
         now = self.router.clock.monotonic()
         if self.last_byte_at is not None:
             self.max_gap = max(self.max_gap, now - self.last_byte_at)
         self.last_byte_at = now
-        self.events += 1
+        self.events += count
 
     def _start_response(self, facts: AnswerFacts) -> None:
         self.response_facts = facts
--- a/bronzeglade/forwarding/endpoint_connection.py
+++ b/bronzeglade/forwarding/endpoint_connection.py
@@ -12,6 +12,7 @@
 from bronzeglade.clock import Clock
 from bronzeglade.forwarding import tcp
 from bronzeglade.forwarding.message import Headers
+from bronzeglade.time_slice import TimeSlice
 
 # A longer request is sent in a background thread while the answer is read: an
 # endpoint may answer before it has read the whole request.
@@ -22,11 +23,10 @@
 FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 # Interim (1xx) answers accepted before the final one; endpoints send at most 1.
 MAX_INTERIM_ANSWERS = 4
-# Parser events handled before control is yielded to other green threads: an
-# endpoint that sends without a pause would otherwise block the event loop.
-MAX_EVENTS_BETWEEN_YIELDS = 32
 # Idle limit of a connection whose endpoint states none.
 DEFAULT_IDLE_LIMIT = dt.timedelta(seconds=4)
+# Chunks of a body that are joined to one block, if they have been received.
+MAX_JOINED_CHUNKS = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,7 +93,9 @@
         # Whether only the end of the connection marks that of the answer.
         self.ends_by_closing = False
         self.reused = False
-        self.events_since_yield = 0  # parser events since the last yield
+        self.time_slice = TimeSlice()
+        # What the parser returned after the chunks that were joined.
+        self.read_ahead: Result[Any, ConnectionFailure] | None = None
 
     def send(
         self, request: OutgoingRequest, deadline: dt.timedelta
@@ -159,11 +161,25 @@
             return outcome
         event = outcome.ok_value
         if isinstance(event, h11.Data):
-            return Ok(bytes(event.data))
+            return Ok(self._join_received(event.data))
         if isinstance(event, h11.EndOfMessage):
             return Ok(None)
         return Err(ConnectionFailure(sent=True, detail='answer truncated'))
 
+    def _join_received(self, chunk: bytes) -> bytes:
+        """Return a chunk of the body and those that were received with it."""
+        block = bytearray(chunk)
+        for _ in range(MAX_JOINED_CHUNKS - 1):
+            parsed = self._parse()
+            if isinstance(parsed, Err) or not isinstance(
+                parsed.ok_value, h11.Data
+            ):
+                self.read_ahead = parsed
+                break
+            self.time_slice.spend()
+            block += parsed.ok_value.data
+        return bytes(block)
+
     def read_prefix(
         self, deadline: dt.timedelta, limit: int
     ) -> Result[BodyPrefix, ConnectionFailure]:
@@ -211,6 +227,7 @@
         then follows on the same connection.
         """
         trailing_bytes, closed = self.parser.trailing_data
+        self.read_ahead = None
         self.reused = True
         self.parser = h11.Connection(h11.CLIENT)
         if self.request is not None:
@@ -252,6 +269,7 @@
         if self.parser.their_state is not h11.DONE:
             return False
         self.parser.start_next_cycle()
+        self.read_ahead = None
         self.reused = True
         self.sender = None
         self.request = None
@@ -293,25 +311,30 @@
             # Reading the answer encounters the same failure and reports it.
             self.closing = True
 
+    def _parse(self) -> Result[Any, ConnectionFailure]:
+        """Return the next event of the parser, or that it needs more bytes."""
+        parsed = self.read_ahead
+        self.read_ahead = None
+        if parsed is not None:
+            return parsed
+        try:
+            return Ok(self.parser.next_event())
+        except h11.RemoteProtocolError as error:
+            detail = f'malformed answer: {error}'
+            return Err(ConnectionFailure(sent=True, detail=detail))
+
     def _next_event(
         self, deadline: dt.timedelta
     ) -> Result[Any, ConnectionFailure]:
         while True:
-            self._yield_if_due()
+            self.time_slice.spend()
             if self.aborted:
                 # The end of input would look like that of an answer without a
                 # length.
                 return Err(ConnectionFailure(sent=True, detail='aborted'))
-            try:
-                event = self.parser.next_event()
-            except h11.RemoteProtocolError as error:
-                return Err(
-                    ConnectionFailure(
-                        sent=True, detail=f'malformed answer: {error}'
-                    )
-                )
-            if event is not h11.NEED_DATA:
-                return Ok(event)
+            parsed = self._parse()
+            if isinstance(parsed, Err) or parsed.ok_value is not h11.NEED_DATA:
+                return parsed
             try:
                 received = tcp.receive(self.sock, self.clock, deadline)
             except TimeoutError as error:
@@ -326,15 +349,10 @@
             except OSError as error:
                 return Err(ConnectionFailure(sent=True, detail=repr(error)))
             self.pool.last_received_at = self.clock.monotonic()
+            self.time_slice.spend_bytes(len(received))
             if not self.aborted:
                 self.parser.receive_data(received)
 
-    def _yield_if_due(self) -> None:
-        self.events_since_yield += 1
-        if self.events_since_yield >= MAX_EVENTS_BETWEEN_YIELDS:
-            self.events_since_yield = 0
-            eventlet.sleep(0)
-
 
 def _requests_close(head: h11.Response) -> bool:
     return any(
--- a/bronzeglade/forwarding/hostile_test.py
+++ b/bronzeglade/forwarding/hostile_test.py
@@ -13,6 +13,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from bronzeglade import time_slice
 from bronzeglade.clock import BootClock
 from bronzeglade.forwarding import builders
 from bronzeglade.forwarding.builders import (
@@ -21,11 +22,12 @@
     send_request,
 )
 from bronzeglade.forwarding.endpoint_connection import (
-    MAX_EVENTS_BETWEEN_YIELDS,
     ConnectionPool,
     EndpointConnection,
     OutgoingRequest,
 )
+from bronzeglade.forwarding.event import StreamEvent
+from bronzeglade.forwarding.event_sequence import EventSequence
 from bronzeglade.forwarding.route import Route, RouteKind
 from bronzeglade.forwarding.scripted import (
     ScriptedConnection,
@@ -209,17 +211,53 @@
     for number, client in enumerate(floods):
         client.send(RouteKind.STREAM, f'flood-{number}')
     max_parser_events = 0
-    while parser_events < 40 * MAX_EVENTS_BETWEEN_YIELDS:
+    while parser_events < 40 * time_slice.MAX_PIECES:
         before = parser_events
         eventlet.sleep(0)
         max_parser_events = max(max_parser_events, parser_events - before)
     # Each flood runs once between two runs of this test, the last flood perhaps
     # twice. A block read without yielding has 10,000 parser events.
-    assert max_parser_events <= 2 * len(floods) * MAX_EVENTS_BETWEEN_YIELDS
+    assert max_parser_events <= 2 * len(floods) * time_slice.MAX_PIECES
     for client in floods:
         client.close()
 
 
+# The endpoint's blocks hold up to 30,000 events each, which were handled one
+# after the other without a yield: the process stood still.
+@pytest.mark.parametrize(
+    'piece',
+    [
+        *('\n', '\r\n', '\r', ': \n\n', 'data: y\n\n'),
+        *('id: 1\ndata: x\n\n', '\0\n\n'),
+    ],
+)
+def test_short_events_in_long_blocks_do_not_block_other_requests(
+    piece: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Other green threads run after a bounded number of events."""
+    events = 0
+    accept = EventSequence.accept
+
+    def counting(sequence: EventSequence, event: StreamEvent) -> object:
+        nonlocal events
+        events += 1
+        return accept(sequence, event)
+
+    monkeypatch.setattr(EventSequence, 'accept', counting)
+    flood = Flood(f'{HEAD}Id: ID\r\nSignature: s\r\n\r\n', piece * 20000)
+    stream = builders.route(RouteKind.STREAM, timeout=20 * builders.SECOND)
+    router, _endpoints = router_with_endpoints(stream, flood)
+    client = Client(builders.serve(router))
+    client.send(RouteKind.STREAM)
+    max_events = 0
+    while events < 10000:
+        before = events
+        eventlet.sleep(0)
+        max_events = max(max_events, events - before)
+    assert max_events <= 2 * time_slice.MAX_PIECES
+    client.close()
+
+
 class _FakeSocket:
     """A socket that receives given bytes and then the end of the stream."""
 
