Do not count comments of a stream as events

What callers saw: a stream of comments or blank lines, but no event, was held until the time limit of the request; a resumable one was not tried at another endpoint.

Cause: the first comment counted as the first event, and as long as the caller has no numbered event, every event without a number counts as a new one.

Change: an event that has only comments, which callers ignore, is forwarded and is no progress, no end of reading the prompt and no survival of it.

--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -451,7 +451,8 @@
         contents: list[bytes] = []
         error: str | None = None
         for event in events:
-            self._record_event(stream.attempt, event)
+            if not event.is_comment:
+                self._record_event(stream.attempt, event)
             accepted = stream.sequence.accept(event)
             if isinstance(accepted, Err):
                 error = accepted.err_value
--- a/bronzeglade/forwarding/stall_test.py
+++ b/bronzeglade/forwarding/stall_test.py
@@ -127,6 +127,27 @@
     assert endpoints[0].ended == 1  # the stalled request was aborted
 
 
+# A comment counted as the first event, after which any event without a number
+# counted as a new one.
+@pytest.mark.parametrize('pause_s', [0.2, 0])
+def test_comments_without_an_event_are_no_answer(pause_s: float) -> None:
+    """Callers ignore comments, so they wait for the first event all the same."""
+
+    def commenting(connection: ScriptedConnection) -> None:
+        connection.begin_stream(connection.read_request())
+        while True:
+            connection.send_chunk(': ping\n\n')
+            eventlet.sleep(pause_s)
+
+    router, endpoints = router_with_endpoints(
+        stream(resumable=True), commenting, streaming(1, 2)
+    )
+    answer = send_request(router, RouteKind.STREAM)
+    assert answer.complete
+    eventlet.sleep(0.6)
+    assert endpoints[0].ended == 1
+
+
 @pytest.mark.parametrize('fragment', FRAGMENTS)
 def test_stalled_stream_that_cannot_resume_ends(fragment: str) -> None:
     """The caller must not wait until the time limit of the route."""
