End a body that floods at its time limit, held in the memory of its content

What callers saw: a request whose endpoint sent a body in chunks of one byte, without a pause and without end, was held past its time limit.

Cause: reading looks at the deadline only when there is nothing to read, and a whole answer was read until 256 KB had arrived.

Change: `read_prefix` collects the body in a byte array and looks at the deadline after each block.

--- a/bronzeglade/forwarding/endpoint_connection.py
+++ b/bronzeglade/forwarding/endpoint_connection.py
@@ -189,18 +189,21 @@
           deadline: monotonic time at which reading times out.
           limit: number of bytes after which reading stops.
         """
-        blocks: list[bytes] = []
-        size = 0
-        while size < limit:
+        # A list of small blocks would take many times the size of its content.
+        content = bytearray()
+        while len(content) < limit:
             outcome = self.read_block(deadline)
             if isinstance(outcome, Err):
                 return outcome
             block = outcome.ok_value
             if block is None:
-                return Ok(BodyPrefix(b''.join(blocks), complete=True))
-            blocks.append(block)
-            size += len(block)
-        return Ok(BodyPrefix(b''.join(blocks), complete=False))
+                return Ok(BodyPrefix(bytes(content), complete=True))
+            content += block
+            if self.clock.monotonic() >= deadline:
+                # Reading itself times out only if there is nothing to read.
+                detail = 'the body did not end in time'
+                return Err(ConnectionFailure(True, detail, timed_out=True))
+        return Ok(BodyPrefix(bytes(content), complete=False))
 
     def discard_body(
         self, deadline: dt.timedelta, limit: int
--- a/bronzeglade/forwarding/hostile_test.py
+++ b/bronzeglade/forwarding/hostile_test.py
@@ -150,6 +150,41 @@
     assert peak_bytes() < MAX_HELD_BYTES
 
 
+# A body was read until 256 KB of it had arrived, whatever its time limit, and a
+# chunk of one byte took 57 bytes of memory.
+def test_body_in_one_byte_chunks_ends_at_the_time_limit(
+    peak_bytes: Callable[[], int],
+) -> None:
+    """A flood without a pause must not keep its request past the deadline."""
+    flood = Flood(f'{HEAD}Id: ID\r\n{CHUNKED}', '1\r\nx\r\n' * 10000)
+    served = builders.route(attempts=1, timeout=300 * builders.MILLISECOND)
+    router, _endpoints = router_with_endpoints(served, flood)
+    assert send_request(router, RouteKind.IDEMPOTENT).status == 504
+    eventlet.sleep(0.05)
+    assert flood.stopped
+    assert peak_bytes() < MAX_HELD_BYTES
+
+
+def test_small_chunks_are_held_in_the_memory_of_their_content(
+    peak_bytes: Callable[[], int],
+) -> None:
+    """The bound on a body counts its content, and so must the memory."""
+    clock = BootClock()
+    pool = ConnectionPool(('127.0.0.1', 1), 1, clock)
+    body = b'1\r\nx\r\n' * 60000
+    answer = f'{HEAD}{CHUNKED}'.encode() + body
+    connection = EndpointConnection(_FakeSocket(answer), pool)
+    deadline = clock.monotonic() + 60 * builders.SECOND
+    connection.send(
+        OutgoingRequest(b'GET', b'/', [(b'Host', b'h')], b''), deadline
+    )
+    assert connection.read_head(deadline).is_ok()
+    before = peak_bytes()
+    prefix = connection.read_prefix(deadline, 50000).unwrap()
+    assert len(prefix.content) >= 50000
+    assert peak_bytes() - before < 512 * 1024
+
+
 def test_long_valid_answer_is_forwarded_completely() -> None:
     """The bound on buffered bytes must not truncate a finite answer."""
     body = 'y' * 700_000
--- a/bronzeglade/forwarding/stall_test.py
+++ b/bronzeglade/forwarding/stall_test.py
@@ -131,7 +131,7 @@
 # counted as a new one.
 @pytest.mark.parametrize('pause_s', [0.2, 0])
 def test_comments_without_an_event_are_no_answer(pause_s: float) -> None:
-    """Callers ignore comments, so they wait for the first event all the same."""
+    """Callers ignore comments, so they still wait for the first event."""
 
     def commenting(connection: ScriptedConnection) -> None:
         connection.begin_stream(connection.read_request())
