Find lost answers of the store within three seconds

What callers saw: the store lost one answer, the one by which a router would have learned that an endpoint is draining.

Cause: a node learns of changes by calls that wait up to 12 s, and a call without an answer ended only after 13 s: nothing on its connection tells a lost answer from no change. An answer whose connection was closed was found at once, but taken for an outage of the store, in which removed rows are kept for 2.5 s.

So a newer version than the copy's, in an answer to another table's call, says that rows may have changed, and an equal one that none did.

Change: the calls for the operator's table wait 1.25 s instead of 2 s. When their answers show a newer version than a copy for which an older call still waits, a second call, which does not wait, asks for the changes; so it does when an answer is 0.4 s overdue. Only the third answer lost in a row makes an outage.

Test: lost_answer_test.py, nodes in virtual time that lose answers silently, after their first bytes, or with their connection: 1, 3 and 8 nodes, one or all of them, one answer or two in a row, each table.

--- a/bronzeglade/adapters/table.py
+++ b/bronzeglade/adapters/table.py
@@ -68,9 +68,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreError:
-    """A failed read."""
+    """A failed read.
+
+    `lost` is set when the call was sent and has no complete answer, so that
+    the store may be well.
+    """
 
     detail: str
+    lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bronzeglade/forwarding/follower.py
+++ b/bronzeglade/forwarding/follower.py
@@ -1,4 +1,11 @@
-"""Keeps a node's copy of a table current by long-polling the store."""
+"""Keeps a node's copy of a table current by long-polling the store.
+
+The answer of a waiting call may be lost while the store is well, and nothing on
+the connection tells. Two signs lead to a second call, which does not wait: the
+answer is overdue, or the store has a newer version than the copy. The version
+rises with each change of any table, so it says that rows may have changed, and
+never hides that they have.
+"""
 
 import dataclasses
 import datetime as dt
@@ -23,9 +30,15 @@
 # How long a call waits for changes. The calls for one table (the probe) wait
 # only PROBE_WAIT: a store that accepts calls without answering is detected
 # after this time plus the call's time limit. The calls for the other tables,
-# which wait longer to save calls, are then cancelled.
-PROBE_WAIT = dt.timedelta(seconds=2)
+# which wait longer to save calls, are then cancelled. The answers to the probe
+# also tell the version of the store: with one of them and two calls in a row
+# lost, each copy is current again in less than three seconds.
+PROBE_WAIT = dt.timedelta(milliseconds=1250)
 LONG_WAIT = dt.timedelta(seconds=12)
+# An answer is overdue this long after the time that its call asked to wait.
+OVERDUE_TIME = dt.timedelta(milliseconds=400)
+# With more answers lost in a row, the store itself counts as lost.
+MAX_LOST_ANSWERS = 2
 # Back-off between calls while the store does not answer.
 MIN_BACKOFF = dt.timedelta(milliseconds=150)
 MAX_BACKOFF = dt.timedelta(milliseconds=800)
@@ -59,6 +72,22 @@
     """Raised in a waiting call when the store is found not to answer."""
 
 
+class _AnswerLostError(Exception):
+    """Raised in a waiting call when its answer is found to be lost."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class WaitingCall:
+    """A call for changes that has no answer yet, made at a monotonic time.
+
+    `overdue` is set once its answer should have arrived.
+    """
+
+    thread: Any
+    began_at: dt.timedelta
+    overdue: bool = False
+
+
 class Follower:
     """Follows one table of the store and reports its changes."""
 
@@ -86,8 +115,17 @@
         self.on_store_lost: list[Callable[[], None]] = []
         # The table whose calls probe a lost store; None for that table itself.
         self.probe: TableMirror | None = None
-        self.waiting_call: Any = None
+        # Called with the version of the store, after each answer.
+        self.on_version: list[Callable[[int], None]] = []
+        self.waiting_call: WaitingCall | None = None
         self.backoff = MIN_BACKOFF
+        self.lost_answers = 0  # since the last answer
+        # The version of the store that the probe saw last, and when.
+        self.store_version = 0
+        self.version_seen_at = mirror.clock.monotonic()
+        self.confirming = False
+        self.check_scheduled = False
+        self.next_check_at = self.version_seen_at
         self.needs_snapshot = True
         # Set while the last change may not have been handled completely.
         self.unhandled = False
@@ -101,9 +139,12 @@
             self._load_snapshot()
             return
         outcome = self._fetch_changes()
+        if outcome is None:
+            return
         if isinstance(outcome, Ok):
             changed = self.mirror.apply(outcome.ok_value)
             self._record_success()
+            self._report_version()
             if changed or self.unhandled:
                 self._handle_change()
                 self._coalesce()
@@ -116,17 +157,91 @@
                 after=self.mirror.as_of,
             )
             self.needs_snapshot = True
-        else:
+        elif not self._may_be_lost_answer(error):
             self._record_failure(error)
 
     def cancel_call(self) -> None:
         """Cancel the waiting call, because the store does not answer."""
-        hubs.get_hub().schedule_call_global(0, self._cancel, self.waiting_call)
+        self._end_call(self.waiting_call, _CallCancelledError)
+
+    def check_version(self, version: int) -> None:
+        """Check soon that no answer was lost.
+
+        Args:
+          version: version of the store, as another table's answer tells.
+        """
+        self.store_version = version
+        self.version_seen_at = self.mirror.clock.monotonic()
+        if self.check_scheduled or not self._may_lack_changes():
+            return
+        self.check_scheduled = True
+        # The answer with the change may be on its way.
+        delay = max(MAX_CALL_TIME, self.next_check_at - self.version_seen_at)
+        eventlet.spawn_after(delay.total_seconds(), self._check)
+
+    def _check(self) -> None:
+        self.check_scheduled = False
+        if self.waiting_call is not None and self._may_lack_changes():
+            self.next_check_at = self.mirror.clock.monotonic() + PROBE_WAIT
+            self._confirm(self.waiting_call)
+
+    def _may_lack_changes(self) -> bool:
+        """Return whether a call waits since before the store's version."""
+        call = self.waiting_call
+        return (
+            call is not None
+            and call.began_at < self.version_seen_at
+            and self.mirror.as_of < self.store_version
+        )
+
+    def _confirm(self, call: WaitingCall) -> None:
+        """Ask for changes that the answer to a waiting call should bring."""
+        if self.confirming or call is not self.waiting_call:
+            return
+        self.confirming = True
+        try:
+            outcome = self.context.store.changes(
+                self.mirror.table, self.mirror.as_of, dt.timedelta()
+            )
+        finally:
+            self.confirming = False
+        if call is not self.waiting_call:
+            return
+        if isinstance(outcome, Ok):
+            self._apply_confirmed(call, outcome.ok_value)
+        elif isinstance(outcome.err_value, HistoryTruncated):
+            self._end_call(call, _AnswerLostError)
+        elif outcome.err_value.lost:
+            if not self._may_be_lost_answer(outcome.err_value):
+                self._end_call(call, _CallCancelledError)
+
+    def _apply_confirmed(self, call: WaitingCall, changes: Changes) -> None:
+        changed = self.mirror.apply(changes)
+        self.lost_answers = 0
+        self._report_version()
+        if changed or call.overdue:
+            waited = self.mirror.clock.monotonic() - call.began_at
+            self._log_lost_answer(waited // _MILLISECOND)
+            self._end_call(call, _AnswerLostError)
+        if changed:
+            self._handle_change()
 
-    def _cancel(self, call: Any) -> None:
-        # The call may have returned since it was cancelled.
+    def _confirm_overdue(self, call: WaitingCall) -> None:
+        call.overdue = True
+        if self.mirror.failing_since is None:
+            self._confirm(call)
+
+    def _end_call(
+        self, call: WaitingCall | None, error: type[Exception]
+    ) -> None:
+        hubs.get_hub().schedule_call_global(0, self._raise_in, call, error)
+
+    def _raise_in(
+        self, call: WaitingCall | None, error: type[Exception]
+    ) -> None:
+        # The call may have returned meanwhile.
         if call is not None and call is self.waiting_call:
-            call.throw(_CallCancelledError())
+            call.thread.throw(error())
 
     def apply_copy(self, copy: TableCopy) -> bool:
         """Apply a copy from another node; return whether it was newer."""
@@ -148,21 +263,60 @@
             and self.mirror.failing_since is not None
         )
 
-    def _fetch_changes(self) -> Result[Changes, StoreError | HistoryTruncated]:
+    def _fetch_changes(
+        self,
+    ) -> Result[Changes, StoreError | HistoryTruncated] | None:
+        """Wait for changes; return None if the answer is found to be lost."""
         # A failing store is called without a wait: it may accept a call and
         # never answer, and changes made after its return must be
-        # distinguishable from changes made during the outage.
+        # distinguishable from changes made during the outage. After a lost
+        # answer, there may be a change already.
         failing = self.mirror.failing_since is not None
-        wait = dt.timedelta() if failing else self.wait
-        self.waiting_call = eventlet.getcurrent()
+        wait = dt.timedelta() if failing or self.lost_answers else self.wait
+        call = WaitingCall(eventlet.getcurrent(), self.mirror.clock.monotonic())
+        self.waiting_call = call
+        overdue_s = (wait + OVERDUE_TIME).total_seconds()
+        timer = eventlet.spawn_after(overdue_s, self._confirm_overdue, call)
         try:
             return self.context.store.changes(
                 self.mirror.table, self.mirror.as_of, wait
             )
         except _CallCancelledError:
             return Err(StoreError('another call to the store was not answered'))
+        except _AnswerLostError:
+            return None
         finally:
             self.waiting_call = None
+            timer.cancel()
+
+    def _report_version(self) -> None:
+        for action in self.on_version:
+            action(self.mirror.as_of)
+
+    def _may_be_lost_answer(self, error: StoreError) -> bool:
+        """Record a failed call; return whether the store may be well.
+
+        Then the next call is made at once. After an outage, a removed row
+        would count as lapsed.
+        """
+        if not error.lost or self.mirror.failing_since is not None:
+            return False
+        self.lost_answers += 1
+        if self.lost_answers > MAX_LOST_ANSWERS:
+            return False
+        self._log_lost_answer(None, error.detail)
+        return True
+
+    def _log_lost_answer(
+        self, waited_ms: int | None, detail: str | None = None
+    ) -> None:
+        self.context.log.event(
+            'answer_lost',
+            table=self.mirror.table,
+            as_of=self.mirror.as_of,
+            waited_ms=waited_ms,
+            detail=detail,
+        )
 
     def _coalesce(self) -> None:
         """Delay the next call so that it returns several changes at once."""
@@ -173,7 +327,8 @@
     def _load_snapshot(self) -> None:
         outcome = self.context.store.snapshot(self.mirror.table)
         if isinstance(outcome, Err):
-            self._record_failure(outcome.err_value)
+            if not self._may_be_lost_answer(outcome.err_value):
+                self._record_failure(outcome.err_value)
             return
         self.needs_snapshot = False
         self.mirror.replace(outcome.ok_value)
@@ -192,6 +347,7 @@
 
     def _record_success(self) -> None:
         self.backoff = MIN_BACKOFF
+        self.lost_answers = 0
         failing_since = self.mirror.failing_since
         if self.mirror.record_success() and failing_since is not None:
             outage = self.mirror.clock.monotonic() - failing_since
--- /dev/null
+++ b/bronzeglade/forwarding/lost_answer_test.py
@@ -0,0 +1,113 @@
+"""Bounds the time for which nodes act on rows whose change was not answered.
+
+An answer of the store, or of another node, is lost in each way; the store is
+well. All runs are in virtual time.
+"""
+
+import dataclasses
+import random
+
+import pytest
+
+from bronzeglade import virtual_time
+from bronzeglade.forwarding.simulated_store import (
+    TABLES,
+    Loss,
+    Losses,
+    SimulatedFollowers,
+    SimulatedStore,
+)
+from bronzeglade.virtual_time import VirtualClock
+
+# Nodes are bound by the store's state after this time (`contact-ms`).
+MAX_STALE_S = 3.0
+# With one answer lost, endpoints are left before they may end (`drain-ms`).
+MAX_STALE_ONE_LOST_S = 2.0
+MAX_CALLS_PER_S = 2.0  # of a node, without changes
+SEEDS = range(60)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """Answers that are lost when a table changes.
+
+    `count` answers in a row are lost by one node, or by all with `everywhere`;
+    with `peers`, also the first answers of other nodes.
+    """
+
+    size: int
+    loss: Loss
+    count: int = 1
+    everywhere: bool = False
+    peers: bool = False
+
+
+def time_until_known(case: Case, seed: int) -> float:
+    """Return the time until all nodes act on a change.
+
+    Args:
+      case: which answers are lost.
+      seed: draws the table, the kind of change, its time and the node.
+    """
+
+    def simulate(clock: VirtualClock) -> float:
+        rng = random.Random(seed)
+        fleet = SimulatedFollowers(clock, case.size, seed)
+        fleet.run(rng.uniform(15, 30))
+        table = rng.choice(TABLES)
+        one = rng.randrange(case.size)
+        nodes = range(case.size) if case.everywhere else [one]
+        fleet.store.losses.append(
+            Losses(table, frozenset(nodes), case.count, case.loss, case.peers)
+        )
+        change = rng.choice([SimulatedStore.put, SimulatedStore.remove])
+        version = change(fleet.store, table)
+        return fleet.time_to_know(table, version)
+
+    return virtual_time.run(simulate)
+
+
+# A node followed a table with calls of up to 13 s, whose answer may be lost: it
+# used endpoints that had left, and it took one lost answer for an outage.
+@pytest.mark.parametrize('loss', Loss)
+@pytest.mark.parametrize('everywhere', [False, True], ids=['one', 'all'])
+@pytest.mark.parametrize('size', [1, 3, 8])
+def test_one_lost_answer(size: int, everywhere: bool, loss: Loss) -> None:
+    """The change is known before a leaving endpoint may end."""
+    case = Case(size, loss, everywhere=everywhere)
+    times = [time_until_known(case, seed) for seed in SEEDS]
+    assert max(times) <= MAX_STALE_ONE_LOST_S
+
+
+@pytest.mark.parametrize('loss', Loss)
+@pytest.mark.parametrize('everywhere', [False, True], ids=['one', 'all'])
+@pytest.mark.parametrize('size', [1, 3, 8])
+def test_two_answers_lost_in_a_row(
+    size: int, everywhere: bool, loss: Loss
+) -> None:
+    """The call that checks for a lost answer may lose its own."""
+    case = Case(size, loss, 2, everywhere)
+    times = [time_until_known(case, seed) for seed in SEEDS]
+    assert max(times) <= MAX_STALE_S
+
+
+@pytest.mark.parametrize('loss', Loss)
+def test_lost_answers_of_store_and_watchers(loss: Loss) -> None:
+    """A watcher loses an answer, and its answer to a node is lost, too."""
+    case = Case(8, loss, everywhere=True, peers=True)
+    times = [time_until_known(case, seed) for seed in SEEDS]
+    assert max(times) <= MAX_STALE_S
+
+
+@pytest.mark.parametrize('size', [3, 80])
+def test_calls_while_nothing_changes(size: int) -> None:
+    """Finding lost answers must not cost many calls of the store."""
+
+    def simulate(clock: VirtualClock) -> float:
+        fleet = SimulatedFollowers(clock, size, seed=1)
+        fleet.run(30)
+        before = fleet.store.calls
+        fleet.run(60)
+        return (fleet.store.calls - before) / 60 / size
+
+    assert virtual_time.run(simulate) <= MAX_CALLS_PER_S
--- a/bronzeglade/forwarding/tables.py
+++ b/bronzeglade/forwarding/tables.py
@@ -84,6 +84,7 @@
             self.copy_source.notify,
             *(other.cancel_call for other in others),
         ]
+        operator.on_version = [other.check_version for other in others]
         self._start(context, (operator, *others), directory, fetch)
 
     def _start(
--- a/bronzeglade/platform/store.py
+++ b/bronzeglade/platform/store.py
@@ -133,7 +133,8 @@
         path = f'/api/rows-feed?table={table}&after={after}&wait-ms={wait_ms}'
         reply = self._call('feed', 'GET', path, wait)
         if isinstance(reply, Err):
-            return Err(StoreError(reply.err_value.detail))
+            failure = reply.err_value
+            return Err(StoreError(failure.detail, lost=failure.sent))
         if reply.ok_value.status == _HTTP_GONE:
             return Err(HistoryTruncated())
         document = _parse_document(reply.ok_value)
@@ -170,7 +171,8 @@
         path = f'/api/rows-get?table={table}&part=&{query}'
         reply = self._call('read', 'GET', path, dt.timedelta())
         if isinstance(reply, Err):
-            return Err(StoreError(reply.err_value.detail))
+            failure = reply.err_value
+            return Err(StoreError(failure.detail, lost=failure.sent))
         document = _parse_document(reply.ok_value)
         if isinstance(document, Err):
             return document
