Bound what the OpenAI interface keeps of a body without end

What callers would see: an engine that sends the size of a chunk, an extension or trailers without end made the router process keep all of it (the users' report of a machine that ran out of memory). A body that goes on after the end marker was read for as long as it did, without a yield.

Cause: only complete chunks and lines had a maximum size; reading to the end of the body had none.

Change: an incomplete chunk or trailers of more than 1 MiB end the stream, at most 64 KB are read after the end marker, and reading counts in a time slice.

Test: test_body_without_end_is_not_read_on; its four cases read 16 MB, the end of the test's flood, on the code before.

--- a/bronzeglade/adapters/engine.py
+++ b/bronzeglade/adapters/engine.py
@@ -11,6 +11,7 @@
 from urllib3.exceptions import HTTPError
 
 from bronzeglade.adapters import transport
+from bronzeglade.time_slice import TimeSlice
 
 _HTTP_OK = 200
 _EVENT_PREFIX = b'data:'
@@ -19,7 +20,11 @@
 _END_MARKER = b'[DONE]'
 # Maximum size of an event line or a chunk; a longer one ends the stream.
 _MAX_LINE_BYTES = 1024 * 1024
+# Bytes of an incomplete chunk with its size line, or of trailers.
+_MAX_PENDING_BYTES = _MAX_LINE_BYTES + 1024
 _READ_BYTES = 65536
+# Bytes after the end marker that are read so that the connection can be reused.
+_MAX_SURPLUS_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,13 +100,24 @@
                 yield payloads
             if ended:
                 self.complete = True
-                # The body must be read to its end to reuse the connection.
-                for _block in blocks:
-                    continue
-                self.drained = True
+                self.drained = _drain(blocks)
                 return
 
 
+def _drain(blocks: Iterator[bytes]) -> bool:
+    """Read a body to its end, so that the connection can be reused.
+
+    Returns:
+      False if it is too long.
+    """
+    size = 0
+    for block in blocks:
+        size += len(block)
+        if size > _MAX_SURPLUS_BYTES:
+            return False
+    return True
+
+
 def _lines(blocks: Iterator[bytes]) -> Iterator[list[bytes]]:
     incomplete = b''
     for block in blocks:
@@ -118,7 +134,10 @@
     reply = getattr(response, '_fp', None)
     reader = getattr(reply, 'fp', None)
     if reader is None or not getattr(response, 'chunked', False):
-        yield from response.stream(_READ_BYTES)
+        time_slice = TimeSlice()
+        for block in response.stream(_READ_BYTES):
+            time_slice.spend_bytes(len(block))
+            yield block
         return
     yield from _chunked(reader)
     reply.close()  # type: ignore[union-attr]
@@ -126,10 +145,14 @@
 
 def _chunked(reader: Any) -> Iterator[bytes]:
     received = b''
+    time_slice = TimeSlice()
     while not received.startswith(_LAST_CHUNK):
+        if len(received) > _MAX_PENDING_BYTES:
+            raise ValueError('a chunk, its size or the trailers have no end')
         block = reader.read1(_READ_BYTES)
         if not block:
             raise ValueError('connection closed before the end of the body')
+        time_slice.spend_bytes(len(block))
         content, received = split_chunks(received + block)
         if content:
             yield content
--- a/bronzeglade/adapters/engine_test.py
+++ b/bronzeglade/adapters/engine_test.py
@@ -80,3 +80,65 @@
         events = engine.read_cache_events(pool, '10.0.0.1:1', 0, TIMEOUT)
         read += events is not None
     assert read
+
+
+class Flood:
+    """The body of an answer: a start, then a block that repeats."""
+
+    def __init__(self, start: bytes, block: bytes) -> None:
+        """Create a body of which nothing was read."""
+        self.start = start
+        self.block = block
+        self.size = 0
+
+    def read1(self, _size: int) -> bytes:
+        """Return the next bytes.
+
+        Raises:
+          OSError: more was read than any bound allows.
+        """
+        content = self.start or self.block
+        self.start = b''
+        self.size += len(content)
+        if self.size > 16 * 1024 * 1024:
+            raise OSError('the flood was read without end')
+        return content
+
+
+class FloodedResponse:
+    """A response with a body in chunks that has no end."""
+
+    chunked = True
+
+    def __init__(self, flood: Flood) -> None:
+        """Create a response around the body."""
+        self._fp = self
+        self.fp = flood
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+# The bytes of a chunk's size or of trailers were kept until their end, and
+# after the end marker a body was read for as long as it went on.
+@pytest.mark.parametrize(
+    ('start', 'block', 'complete'),
+    [
+        (b'', b'0' * 60000, False),
+        (b'5;', b'x' * 60000, False),
+        (b'0\r\n', b'A: b\r\n' * 10000, False),
+        (b'e\r\ndata: [DONE]\n\n\r\n', b'1\r\nx\r\n' * 10000, True),
+    ],
+    ids=['size', 'extension', 'trailers', 'after the end marker'],
+)
+def test_body_without_end_is_not_read_on(
+    start: bytes, block: bytes, complete: bool
+) -> None:
+    """The answer ends, and its connection is not used again."""
+    flood = Flood(start, block)
+    response: Any = FloodedResponse(flood)
+    stream = engine.EngineStream(response)
+    assert not list(stream.batches())
+    assert stream.complete == complete
+    assert not stream.drained
+    assert flood.size < 4 * 1024 * 1024
