Yield between datagrams and between requests of a page's caller

What callers would see: a peer that sends datagrams without a pause, or a caller of the readiness, directory, control or metrics page that sends requests without waiting for the answers, held the process.

Cause: as for streams, a loop that waits only when there is nothing to read.

Change: both loops count in a time slice.

Tests, which fail on the code before: test_pipelined_requests_do_not_block_other_green_threads (1,000 requests between two yields) and test_flood_of_datagrams_blocks_no_request (it never yields).

--- a/bronzeglade/forwarding/load_exchange.py
+++ b/bronzeglade/forwarding/load_exchange.py
@@ -45,6 +45,7 @@
 from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.roster import Roster, RouterNode
 from bronzeglade.forwarding.settings import Address
+from bronzeglade.time_slice import TimeSlice
 
 # Interval between a node's reports. It grows with the size of the failure
 # domain, so that an aggregator receives about 100 datagrams per second.
@@ -139,6 +140,7 @@
         self.domain_list = SilentList()
         self.fleet_list = SilentList()
         self.sock: Any = None
+        self.time_slice = TimeSlice()
         self.crashes: CrashingSegments | None = None
         # Called with the kind and sender of each load message.
         self.on_load_message: Callable[[MessageKind, str], None] | None = None
@@ -152,6 +154,7 @@
     def receive_next(self) -> None:
         """Receive and apply one datagram; the body of a loop."""
         self.apply(*self.sock.recvfrom(MAX_DATAGRAM_BYTES))
+        self.time_slice.spend()
 
     def apply(self, content: bytes, sender: Address) -> None:
         """Apply a datagram.
--- a/bronzeglade/forwarding/load_exchange_test.py
+++ b/bronzeglade/forwarding/load_exchange_test.py
@@ -11,6 +11,7 @@
 import eventlet
 import pytest
 
+from bronzeglade import time_slice
 from bronzeglade.clock import BootClock
 from bronzeglade.decisions.outstanding import Outstanding
 from bronzeglade.decisions.placement import (
@@ -283,3 +284,32 @@
         thread.wait()
     events = [json.loads(line.text)['event'] for line in exchange.log.lines]
     assert set(events) == {'datagram_send_failed'}
+
+
+class FloodedSocket:
+    """A socket that always has a datagram."""
+
+    def __init__(self) -> None:
+        """Start without datagrams received."""
+        self.received = 0
+
+    def recvfrom(self, _max_bytes: int) -> tuple[bytes, Address]:
+        """Return a datagram that cannot be read."""
+        self.received += 1
+        return b'', ('10.0.0.1', 1)
+
+
+# Received datagrams were applied one after the other without a yield.
+def test_flood_of_datagrams_blocks_no_request() -> None:
+    """Other green threads run after a bounded number of datagrams."""
+    fleet = Fleet('a-1')
+    exchange = fleet.exchanges['a-1']
+    fleet.stop('a-1')
+    flooded = FloodedSocket()
+    exchange.sock = flooded
+    with eventlet.Timeout(5):
+        thread = eventlet.spawn(repeat, exchange.receive_next)
+        for _ in range(10):
+            eventlet.sleep(0)
+    thread.kill()
+    assert 0 < flooded.received <= 11 * time_slice.MAX_PIECES
--- a/bronzeglade/serving.py
+++ b/bronzeglade/serving.py
@@ -11,6 +11,7 @@
 
 from bronzeglade import listeners
 from bronzeglade.clock import Clock, SystemClock
+from bronzeglade.time_slice import TimeSlice
 
 MAX_CONNECTIONS = 1024
 ACCEPT_RETRY_DELAY = dt.timedelta(milliseconds=50)
@@ -36,6 +37,7 @@
 
     def handle(self) -> None:
         """Handle the requests of the connection."""
+        self.time_slice = TimeSlice()
         try:
             super().handle()
         finally:
@@ -54,6 +56,7 @@
             self.close_connection = True
             return b''
         self.begin_request()
+        self.time_slice.spend()
         return super()._read_request_line()
 
 
--- a/bronzeglade/serving_test.py
+++ b/bronzeglade/serving_test.py
@@ -8,7 +8,7 @@
 import pytest
 from eventlet.event import Event
 
-from bronzeglade import listeners, serving
+from bronzeglade import listeners, serving, time_slice
 from bronzeglade.clock import SystemClock
 from bronzeglade.serving import Server
 
@@ -135,3 +135,24 @@
     with pytest.raises(OSError, match='in use'):
         listeners.listen(listener.getsockname(), BACKLOG)
     listener.close()
+
+
+# A caller that sends requests without waiting for answers held the process.
+def test_pipelined_requests_do_not_block_other_green_threads() -> None:
+    """Other green threads run after a bounded number of requests."""
+    handled = 0
+
+    def count(environ: Any, start_response: Any) -> tuple[bytes]:
+        nonlocal handled
+        handled += 1
+        return answer(environ, start_response)
+
+    server = start_server(count)
+    sock = connect(server, REQUEST * 1000)
+    max_handled = 0
+    while handled < 500:
+        before = handled
+        eventlet.sleep(0)
+        max_handled = max(max_handled, handled - before)
+    assert max_handled <= 2 * time_slice.MAX_PIECES
+    sock.close()
