Ask again when an answer of the store is overdue, instead of waiting less

A silent store was noticed only after its third call without an answer, more than four seconds late.

Change: these calls wait 1.5 s. A check that is 0.35 s late is followed by another one, so that two answers in a row may be lost without a shorter interval. A waiting call that ends without an answer is an outage, as before, if it was overdue: then two other calls had none either. Closed connections are tried again twice.

--- a/bronzeglade/forwarding/follower.py
+++ b/bronzeglade/forwarding/follower.py
@@ -31,13 +31,14 @@
 # only PROBE_WAIT: a store that accepts calls without answering is detected
 # after this time plus the call's time limit. The calls for the other tables,
 # which wait longer to save calls, are then cancelled. The answers to the probe
-# also tell the version of the store: with one of them and two calls in a row
-# lost, each copy is current again in less than three seconds.
-PROBE_WAIT = dt.timedelta(milliseconds=1250)
+# also tell the version of the store, so that a lost answer is found in less
+# than two seconds.
+PROBE_WAIT = dt.timedelta(milliseconds=1500)
 LONG_WAIT = dt.timedelta(seconds=12)
 # An answer is overdue this long after the time that its call asked to wait.
-OVERDUE_TIME = dt.timedelta(milliseconds=400)
-# With more answers lost in a row, the store itself counts as lost.
+OVERDUE_TIME = dt.timedelta(milliseconds=350)
+# Connections that may be closed in a row in place of an answer. With more of
+# them, the store itself counts as lost.
 MAX_LOST_ANSWERS = 2
 # Back-off between calls while the store does not answer.
 MIN_BACKOFF = dt.timedelta(milliseconds=150)
@@ -120,6 +121,8 @@
         self.waiting_call: WaitingCall | None = None
         self.backoff = MIN_BACKOFF
         self.lost_answers = 0  # since the last answer
+        # Whether the last call was overdue, so that two others had no answer.
+        self.was_overdue = False
         # The version of the store that the probe saw last, and when.
         self.store_version = 0
         self.version_seen_at = mirror.clock.monotonic()
@@ -139,7 +142,7 @@
             self._load_snapshot()
             return
         outcome = self._fetch_changes()
-        if outcome is None:
+        if outcome is None:  # another call has brought the answer
             return
         if isinstance(outcome, Ok):
             changed = self.mirror.apply(outcome.ok_value)
@@ -157,7 +160,7 @@
                 after=self.mirror.as_of,
             )
             self.needs_snapshot = True
-        elif not self._may_be_lost_answer(error):
+        elif self.was_overdue or not self._may_be_lost_answer(error):
             self._record_failure(error)
 
     def cancel_call(self) -> None:
@@ -195,25 +198,35 @@
         )
 
     def _confirm(self, call: WaitingCall) -> None:
-        """Ask for changes that the answer to a waiting call should bring."""
-        if self.confirming or call is not self.waiting_call:
+        """Ask for changes that the answer to a waiting call should bring.
+
+        The answer may be lost, too, so that another call follows if it is
+        overdue.
+        """
+        if self.confirming:
             return
         self.confirming = True
+        second = eventlet.spawn_after(
+            OVERDUE_TIME.total_seconds(), self._ask, call
+        )
         try:
-            outcome = self.context.store.changes(
-                self.mirror.table, self.mirror.as_of, dt.timedelta()
-            )
+            self._ask(call)
         finally:
+            second.cancel()
             self.confirming = False
+
+    def _ask(self, call: WaitingCall) -> None:
+        if call is not self.waiting_call:
+            return
+        outcome = self.context.store.changes(
+            self.mirror.table, self.mirror.as_of, dt.timedelta()
+        )
         if call is not self.waiting_call:
             return
         if isinstance(outcome, Ok):
             self._apply_confirmed(call, outcome.ok_value)
         elif isinstance(outcome.err_value, HistoryTruncated):
             self._end_call(call, _AnswerLostError)
-        elif outcome.err_value.lost:
-            if not self._may_be_lost_answer(outcome.err_value):
-                self._end_call(call, _CallCancelledError)
 
     def _apply_confirmed(self, call: WaitingCall, changes: Changes) -> None:
         changed = self.mirror.apply(changes)
@@ -287,6 +300,7 @@
             return None
         finally:
             self.waiting_call = None
+            self.was_overdue = call.overdue
             timer.cancel()
 
     def _report_version(self) -> None:
@@ -327,8 +341,9 @@
     def _load_snapshot(self) -> None:
         outcome = self.context.store.snapshot(self.mirror.table)
         if isinstance(outcome, Err):
-            if not self._may_be_lost_answer(outcome.err_value):
-                self._record_failure(outcome.err_value)
+            error = outcome.err_value
+            if not self.mirror.loaded or not self._may_be_lost_answer(error):
+                self._record_failure(error)
             return
         self.needs_snapshot = False
         self.mirror.replace(outcome.ok_value)
--- a/bronzeglade/forwarding/simulated_store.py
+++ b/bronzeglade/forwarding/simulated_store.py
@@ -72,6 +72,7 @@
         self.removed: dict[str, int] = {}
         self.changed = Event()
         self.losses: list[Losses] = []
+        self.silent = False  # no call is answered
         self.calls = 0
         for table in TABLES:
             self.put(table)
@@ -129,6 +130,8 @@
             with eventlet.Timeout(remaining_s, exception=False):
                 self.store.changed.wait()
         changes = self._changes(table, after)
+        if self.store.silent:
+            return self._lose(Loss.SILENT, waits_until)
         if changes.written or changes.removed:
             for losses in self.store.losses:
                 if losses.take(self.node, (table,)):
