--- a/bronzeglade/forwarding/follower.py
+++ b/bronzeglade/forwarding/follower.py
@@ -35,6 +35,9 @@
 # than two seconds.
 PROBE_WAIT = dt.timedelta(milliseconds=1500)
 LONG_WAIT = dt.timedelta(seconds=12)
+# Minimum interval of the calls that check a table while others change. With it
+# and a lost answer of a watcher, copies are current again in three seconds.
+CHECK_INTERVAL = dt.timedelta(milliseconds=1800)
 # An answer is overdue this long after the time that its call asked to wait.
 OVERDUE_TIME = dt.timedelta(milliseconds=350)
 # Connections that may be closed in a row in place of an answer. With more of
@@ -185,7 +188,7 @@
     def _check(self) -> None:
         self.check_scheduled = False
         if self.waiting_call is not None and self._may_lack_changes():
-            self.next_check_at = self.mirror.clock.monotonic() + PROBE_WAIT
+            self.next_check_at = self.mirror.clock.monotonic() + CHECK_INTERVAL
             self._confirm(self.waiting_call)
 
     def _may_lack_changes(self) -> bool:
