Count small reads from engines as work, too

What callers would see: an engine that sends a few bytes at a time, without a pause, held the process of the OpenAI interface: a read of less than 2 KB was rounded down to no work.

Change: each read counts as a piece beside its bytes.

Test: test_small_blocks_do_not_block_other_green_threads; on the code before it did not end within 60 s.

--- a/bronzeglade/adapters/engine.py
+++ b/bronzeglade/adapters/engine.py
@@ -136,6 +136,7 @@
     if reader is None or not getattr(response, 'chunked', False):
         time_slice = TimeSlice()
         for block in response.stream(_READ_BYTES):
+            time_slice.spend()
             time_slice.spend_bytes(len(block))
             yield block
         return
@@ -152,6 +153,7 @@
         block = reader.read1(_READ_BYTES)
         if not block:
             raise ValueError('connection closed before the end of the body')
+        time_slice.spend()
         time_slice.spend_bytes(len(block))
         content, received = split_chunks(received + block)
         if content:
--- a/bronzeglade/adapters/engine_test.py
+++ b/bronzeglade/adapters/engine_test.py
@@ -4,12 +4,13 @@
 import io
 from typing import Any
 
+import eventlet
 import pytest
 import urllib3
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bronzeglade import malformed
+from bronzeglade import malformed, time_slice
 from bronzeglade.adapters import engine
 from bronzeglade.adapters.engine import split_chunks
 
@@ -142,3 +143,14 @@
     assert stream.complete == complete
     assert not stream.drained
     assert flood.size < 4 * 1024 * 1024
+
+
+# Reads of less than 2 KB were rounded down to no work at all.
+def test_small_blocks_do_not_block_other_green_threads() -> None:
+    """Other green threads run after a bounded number of reads."""
+    flood = Flood(b'', b'1\r\nx\r\n')
+    response: Any = FloodedResponse(flood)
+    reader = eventlet.spawn(list, engine.EngineStream(response).batches())
+    eventlet.sleep(0)
+    reader.kill()
+    assert flood.size <= 2 * time_slice.MAX_PIECES * len(flood.block)
