Run the fleets of the load exchange's tests in virtual time

Cause: the test counted datagrams during 2 s of real time. After a pause of the test's process the nodes take each other for silent (0.7 s) and send lists of silent nodes, as they should. Ruled out: small delays of every wait (up to 0.2 s: 24).

The count passed even with the code broken on purpose: sums to all nodes of another domain, or sums from all aggregators. So the bounds stay, and the senders are checked, too; both broken versions now fail.

Change: the fleets run in virtual time, so that a pause of the process passes no time. The bounds are the same.

--- a/bronzeglade/forwarding/load_exchange_test.py
+++ b/bronzeglade/forwarding/load_exchange_test.py
@@ -1,18 +1,23 @@
-"""Tests that each node receives the load of all others on the endpoints."""
+"""Tests that each node receives the load of all others on the endpoints.
+
+Fleets run in virtual time, so that the number of rounds is exact.
+"""
 
 import collections
 import dataclasses
 import errno
+import functools
 import json
 import os
 import posix
 import random
+from collections.abc import Callable
 
 import eventlet
 import pytest
 
-from bronzeglade import time_slice
-from bronzeglade.clock import BootClock
+from bronzeglade import time_slice, virtual_time
+from bronzeglade.clock import BootClock, Clock
 from bronzeglade.decisions.outstanding import Outstanding
 from bronzeglade.decisions.placement import (
     PlacedRequest,
@@ -22,8 +27,13 @@
 from bronzeglade.forwarding import builders
 from bronzeglade.forwarding.departures import Departures, Incarnation
 from bronzeglade.forwarding.load_exchange import LoadExchange
-from bronzeglade.forwarding.roster import AGGREGATORS_PER_DOMAIN
+from bronzeglade.forwarding.roster import (
+    AGGREGATORS_PER_DOMAIN,
+    Roster,
+    RouterNode,
+)
 from bronzeglade.forwarding.settings import Address
+from bronzeglade.virtual_time import VirtualClock
 
 ROUNDS = 8  # enough rounds for a sum to pass two aggregators
 
@@ -34,13 +44,24 @@
     def __init__(self) -> None:
         """Start without sockets."""
         self.queues: dict[Address, eventlet.queue.Queue] = {}
-        self.sent: collections.Counter[Address] = collections.Counter()
+        # Number of datagrams by the addresses of sender and receiver.
+        self.sent: collections.Counter[tuple[Address, Address]] = (
+            collections.Counter()
+        )
 
     def socket(self, address: Address) -> 'Socket':
         """Return the socket of a node."""
         self.queues[address] = eventlet.queue.Queue()
         return Socket(self, address)
 
+    def sent_to(self, node: RouterNode) -> dict[Address, int]:
+        """Return the number of datagrams to a node by their sender."""
+        return {
+            sender: count
+            for (sender, receiver), count in self.sent.items()
+            if receiver == node.exchange
+        }
+
 
 class Socket:
     """The socket of a node."""
@@ -52,7 +73,7 @@
 
     def sendto(self, content: bytes, address: Address) -> None:
         """Send a datagram; one to an unknown address is lost."""
-        self.network.sent[address] += 1
+        self.network.sent[self.address, address] += 1
         queue = self.network.queues.get(address)
         if queue is not None:
             queue.put((content, self.address))
@@ -67,10 +88,10 @@
 class Fleet:
     """Nodes named `domain-number` that exchange their loads."""
 
-    def __init__(self, *names: str) -> None:
+    def __init__(self, clock: Clock, *names: str) -> None:
         """Start the nodes."""
         self.network = Network()
-        self.clock = BootClock()
+        self.clock = clock
         self.nodes = {name: builders.node(name) for name in names}
         self.placements: dict[str, Placement] = {}
         self.exchanges: dict[str, LoadExchange] = {}
@@ -114,8 +135,10 @@
         placement = Placement(
             PlacementSettings(), 'a', self.clock, random.Random(1)
         )
+        roster = Roster(self.nodes[name], (), self.clock)
+        roster.update(self.nodes)
         exchange = LoadExchange(
-            builders.roster(name, *self.nodes),
+            roster,
             placement,
             self.clock,
             builders.log(),
@@ -141,15 +164,30 @@
     eventlet.sleep(rounds * 0.25)
 
 
+def in_virtual_time(
+    test: Callable[[VirtualClock], None],
+) -> Callable[[], None]:
+    """Run a test in virtual time."""
+
+    @functools.wraps(test)
+    def run() -> None:
+        virtual_time.run(test)
+
+    # Keeps pytest from taking the clock for a fixture.
+    del run.__wrapped__
+    return run
+
+
 @pytest.fixture(autouse=True)
 def _time_limit():  # type: ignore[no-untyped-def]
     with eventlet.Timeout(30):
         yield
 
 
-def test_each_node_knows_the_sum_of_all_others() -> None:
+@in_virtual_time
+def test_each_node_knows_the_sum_of_all_others(clock: VirtualClock) -> None:
     """An endpoint that others have loaded must not look idle."""
-    fleet = Fleet('a-1', 'a-2', 'a-3', 'a-4', 'b-1', 'b-2')
+    fleet = Fleet(clock, 'a-1', 'a-2', 'a-3', 'a-4', 'b-1', 'b-2')
     fleet.start_prompt('a-1', 'e', 100)
     fleet.start_prompt('a-4', 'e', 20)
     fleet.start_prompt('b-2', 'e', 3)
@@ -160,9 +198,12 @@
     assert fleet.peer_load('b-1')['e'] == Outstanding(3, 123)
 
 
-def test_sums_continue_when_the_first_aggregator_is_killed() -> None:
+@in_virtual_time
+def test_sums_continue_when_the_first_aggregator_is_killed(
+    clock: VirtualClock,
+) -> None:
     """One killed node must not stop the reports of a failure domain."""
-    fleet = Fleet('a-1', 'a-2', 'a-3', 'b-1')
+    fleet = Fleet(clock, 'a-1', 'a-2', 'a-3', 'b-1')
     wait()
     fleet.stop('a-1')
     fleet.start_prompt('a-3', 'e', 7)
@@ -171,9 +212,10 @@
     assert fleet.peer_load('a-2')['e'] == Outstanding(1, 7)
 
 
-def test_finished_requests_are_reported_too() -> None:
+@in_virtual_time
+def test_finished_requests_are_reported_too(clock: VirtualClock) -> None:
     """An endpoint that has become idle must no longer be avoided."""
-    fleet = Fleet('a-1', 'a-2')
+    fleet = Fleet(clock, 'a-1', 'a-2')
     fleet.start_prompt('a-1', 'e', 7)
     wait(3)
     assert fleet.peer_load('a-2')['e'] == Outstanding(1, 7)
@@ -183,20 +225,30 @@
     assert 'e' not in fleet.peer_load('a-2')
 
 
-def test_sums_that_cross_failure_domains_are_few() -> None:
+@in_virtual_time
+def test_sums_that_cross_failure_domains_are_few(clock: VirtualClock) -> None:
     """Traffic between failure domains costs more than traffic inside."""
-    fleet = Fleet(*(f'a-{number}' for number in range(6)), 'b-1', 'b-2', 'b-3')
+    fleet = Fleet(
+        clock, *(f'a-{number}' for number in range(6)), 'b-1', 'b-2', 'b-3'
+    )
     wait(8)
+    nodes = fleet.nodes
+    to_first = fleet.network.sent_to(nodes['b-1'])
+    assert to_first.keys() == {
+        nodes[name].exchange for name in ('a-0', 'b-2', 'b-3')
+    }
+    assert sum(to_first.values()) < 40
     # Only the aggregators of its own domain send to the third node of b.
-    sent = fleet.network.sent
-    assert sent[builders.node('b-1').exchange] < 40
-    assert 0 < sent[builders.node('b-3').exchange] < 30
+    to_third = fleet.network.sent_to(nodes['b-3'])
+    assert to_third.keys() == {nodes[name].exchange for name in ('b-1', 'b-2')}
+    assert sum(to_third.values()) < 30
 
 
-def test_announced_departure_reaches_every_node() -> None:
+@in_virtual_time
+def test_announced_departure_reaches_every_node(clock: VirtualClock) -> None:
     """Otherwise every node would still send a request to the endpoint."""
     names = ('a-1', 'a-2', 'a-3', 'a-4', 'b-1', 'b-2', 'b-3')
-    fleet = Fleet(*names)
+    fleet = Fleet(clock, *names)
     first_received: collections.Counter[str] = collections.Counter()
     received: collections.Counter[str] = collections.Counter()
     leaving = Incarnation('e', 7, ('h', 1))
@@ -214,9 +266,10 @@
     assert received.total() - before == AGGREGATORS_PER_DOMAIN
 
 
-def test_unreadable_datagram_is_dropped() -> None:
+@in_virtual_time
+def test_unreadable_datagram_is_dropped(clock: VirtualClock) -> None:
     """A datagram from outside must not stop the exchange."""
-    fleet = Fleet('a-1', 'a-2')
+    fleet = Fleet(clock, 'a-1', 'a-2')
     sock = fleet.network.socket(('stranger', 1))
     for content in (
         b'',
@@ -300,9 +353,10 @@
 
 
 # Received datagrams were applied one after the other without a yield.
-def test_flood_of_datagrams_blocks_no_request() -> None:
+@in_virtual_time
+def test_flood_of_datagrams_blocks_no_request(clock: VirtualClock) -> None:
     """Other green threads run after a bounded number of datagrams."""
-    fleet = Fleet('a-1')
+    fleet = Fleet(clock, 'a-1')
     exchange = fleet.exchanges['a-1']
     fleet.stop('a-1')
     flooded = FloodedSocket()
