Bound interim answers and trailers of engines

Callers saw (trial, one process of the OpenAI interface's client code): an engine that sends interim answers ("100 Continue"), or trailers after the last chunk of a page or of a refusal, without end keeps the process from all other work for more than 12 s, when the trial ended it.

Cause: http.client skips both in a loop without a limit, and a green thread does not yield while bytes are there.

Change: the node of the OpenAI interface uses connections whose answers end after 16 interim answers or 100 trailers. The router process of the platform does not use them: it calls only the store and its peers with this client, and reads endpoints with its own parser.

--- a/bronzeglade/entry/node.py
+++ b/bronzeglade/entry/node.py
@@ -9,7 +9,7 @@
 from prometheus_client import CollectorRegistry
 from result import Err
 
-from bronzeglade.adapters import transport
+from bronzeglade.adapters import bounded_response
 from bronzeglade.adapters.breaker import CircuitBreakerTable
 from bronzeglade.adapters.orders import HttpOrders
 from bronzeglade.adapters.rating import (
@@ -76,7 +76,7 @@
         self.clock: Clock = SystemClock()
         self.rng = random.Random(secrets.randbits(64))
         self.origin = f'{settings.vm}-{secrets.token_hex(4)}'
-        self.pool: urllib3.PoolManager = transport.new_pool()
+        self.pool: urllib3.PoolManager = bounded_response.new_pool()
         self.table = HttpTable(
             settings.table_url, self.pool, settings.table_timeout
         )
