Yield while a page of an engine is read, and end it at its time limit

The time limit of the call is one on each read, which never fires while bytes come.

Change: chunks are joined as they arrive, in time slices, and the pages of engines (load, cache events) have a limit on the whole call.

--- a/bronzeglade/adapters/bounded_response.py
+++ b/bronzeglade/adapters/bounded_response.py
@@ -1,7 +1,8 @@
 """Bounds what is read of an answer whose server sends without end.
 
 The client of the standard library skips interim answers and trailers for as
-long as they arrive. All calls of one process share a thread, so that such an
+long as they arrive, keeps a list of the chunks of a body, and never yields
+while bytes are there. All calls of one process share a thread, so that such an
 answer would keep it from all other work.
 """
 
@@ -12,6 +13,7 @@
 from urllib3.connection import HTTPConnection
 
 from bronzeglade.adapters import transport
+from bronzeglade.time_slice import TimeSlice
 
 # Interim answers (1xx) before the answer; servers send one at most in reply to
 # requests without `Expect`.
@@ -19,11 +21,12 @@
 
 
 class BoundedResponse(client.HTTPResponse):
-    """An answer whose parts are bounded."""
+    """An answer that yields while it is read, and has bounded parts."""
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         """Create an answer of which nothing was read; see the base class."""
         super().__init__(*arguments, **options)
+        self.time_slice = TimeSlice()
         self.status_lines = 0
 
     # The base class reads the parts of an answer in methods of their own, whose
@@ -37,6 +40,21 @@
     def _read_and_discard_trailer(self: Any) -> None:
         client.parse_headers(self.fp)  # limits their number and length
 
+    def _read_chunked(self: Any, amt: int | None = None) -> bytes:
+        content = bytearray()
+        while amt is None or len(content) < amt:
+            chunk_left = self._get_chunk_left()
+            if chunk_left is None:
+                break
+            size = chunk_left
+            if amt is not None:
+                size = min(size, amt - len(content))
+            content += self._safe_read(size)
+            self.chunk_left = chunk_left - size
+            self.time_slice.spend()
+            self.time_slice.spend_bytes(size)
+        return bytes(content)
+
 
 class BoundedConnection(HTTPConnection):
     """A connection whose answers are bounded."""
--- a/bronzeglade/adapters/bounded_response_test.py
+++ b/bronzeglade/adapters/bounded_response_test.py
@@ -5,10 +5,12 @@
 import io
 import socket
 import threading
+import tracemalloc
 from collections.abc import Callable, Iterable
 from http import client
 from typing import Any
 
+import eventlet
 import pytest
 import urllib3
 from hypothesis import given
@@ -20,6 +22,8 @@
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 BUSY = b'HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n'
 INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
+SMALL_CHUNK = b'2\r\nxx\r\n'
+LARGE_CHUNK = b'1000\r\n' + b'x'.ljust(4096) + b'\r\n'
 FIELD = b'A: b\r\n'
 FLOOD_BYTES = 32 * 1024 * 1024
 TIMEOUT = dt.timedelta(seconds=0.5)
@@ -83,8 +87,8 @@
     return engine.read_cache_events(pool, address, 0, TIMEOUT) is not None
 
 
-# Interim answers and trailers were skipped for as long as they came, and no
-# other green thread ran meanwhile.
+# Interim answers and trailers were skipped for as long as they came; during
+# these, and while a body came in small chunks, no other green thread ran.
 @pytest.mark.parametrize('call', [open_stream, read_load, read_events])
 @pytest.mark.parametrize(
     'flood',
@@ -92,9 +96,10 @@
         Flood(b'', INTERIM),
         Flood(b'', INTERIM.replace(b'\r\n\r\n', b'\r\n' + FIELD * 9 + b'\r\n')),
         Flood(BUSY + b'0\r\n', FIELD),
+        Flood(BUSY, SMALL_CHUNK),
         Flood(b'HTTP/1.1 503 Busy\r\n', FIELD),
     ],
-    ids=['interim', 'interim fields', 'trailers', 'fields'],
+    ids=['interim', 'interim fields', 'trailers', 'small chunks', 'fields'],
 )
 def test_answer_without_end_is_given_up(
     call: Callable[[urllib3.PoolManager, str], bool], flood: Flood
@@ -105,6 +110,29 @@
     assert not server.read_to_the_end
 
 
+# The limit on each read never ended a page in small chunks, of which up to
+# 16 MiB were kept at 40 bytes a byte.
+@pytest.mark.parametrize('call', [read_load, read_events])
+@pytest.mark.parametrize('part', [SMALL_CHUNK, LARGE_CHUNK])
+def test_page_without_end_blocks_no_other_green_thread(
+    call: Callable[[urllib3.PoolManager, str], bool], part: bytes
+) -> None:
+    """Others run while a page is read, which ends at its time limit."""
+    server = FloodingServer(Flood(CHUNKED, part))
+    runs: list[None] = []
+
+    def run() -> None:
+        while True:
+            runs.append(None)
+            eventlet.sleep(0)
+
+    thread = eventlet.spawn(run)
+    assert not call(bounded_response.new_pool(), server.address)
+    thread.kill()
+    assert len(runs) > 10
+    assert not server.read_to_the_end
+
+
 class Connection:
     """The socket of an answer that has arrived."""
 
@@ -146,6 +174,21 @@
     assert b''.join(bounded) == b''.join(chunks)
 
 
+def test_small_chunks_take_the_memory_of_their_content() -> None:
+    """No object is kept for each chunk."""
+    size = 256 * 1024
+    chunks = [b'xx' for _ in range(size // 2)]
+    received = Connection(encode(chunks))
+    response = BoundedResponse(received)
+    response.begin()
+    tracemalloc.start()
+    content = response.read(size + 1)
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(content) == size
+    assert peak < 4 * size
+
+
 def test_incomplete_answer_is_an_error() -> None:
     """A body that ends within a chunk does not look complete."""
     received = Connection(CHUNKED + b'5\r\nab')
--- a/bronzeglade/adapters/engine.py
+++ b/bronzeglade/adapters/engine.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
+import eventlet
 import urllib3
 from result import Err, Ok, Result
 from urllib3.exceptions import HTTPError
@@ -290,15 +291,31 @@
 _MAX_DIGITS = 9  # of a number of requests
 
 
+def _read_page(
+    pool: urllib3.PoolManager, url: str, timeout: dt.timedelta
+) -> bytes | None:
+    # The limits on each read never end an answer that goes on and on.
+    with eventlet.Timeout(timeout.total_seconds(), False):
+        reply = transport.call(pool, 'GET', url, timeout)
+        if isinstance(reply, Ok) and reply.ok_value.status == _HTTP_OK:
+            return reply.ok_value.body
+    return None
+
+
 def read_load(
     pool: urllib3.PoolManager, address: str, timeout: dt.timedelta
 ) -> EngineLoad | None:
-    """Read the load of an engine, or None if it does not report it."""
-    url = f'http://{address}/metrics'
-    reply = transport.call(pool, 'GET', url, timeout)
-    if isinstance(reply, Err) or reply.ok_value.status != _HTTP_OK:
+    """Read the load of an engine, or None if it does not report it.
+
+    Args:
+      pool: connections to use.
+      address: IP address and port of the engine.
+      timeout: limit on the whole call.
+    """
+    page = _read_page(pool, f'http://{address}/metrics', timeout)
+    if page is None:
         return None
-    gauges = _parse_gauges(reply.ok_value.body.decode(errors='replace'))
+    gauges = _parse_gauges(page.decode(errors='replace'))
     running = gauges.get('engine_requests_running')
     waiting = gauges.get('engine_requests_waiting')
     if running is None or waiting is None:
@@ -325,14 +342,14 @@
       pool: connections to use.
       address: IP address and port of the engine.
       since: only events after this sequence number are returned.
-      timeout: limit on connecting and on each read.
+      timeout: limit on the whole call.
     """
     url = f'http://{address}/cache/events?since={since}'
-    reply = transport.call(pool, 'GET', url, timeout)
-    if isinstance(reply, Err) or reply.ok_value.status != _HTTP_OK:
+    page = _read_page(pool, url, timeout)
+    if page is None:
         return None
     try:
-        return _parse_cache_events(json.loads(reply.ok_value.body))
+        return _parse_cache_events(json.loads(page))
     except _DOCUMENT_ERRORS:
         return None
 
