--- a/bronzeglade/adapters/bounded_response_test.py
+++ b/bronzeglade/adapters/bounded_response_test.py
@@ -40,17 +40,22 @@
 class FloodingServer:
     """A server whose answer goes on until the client closes.
 
-    `read_to_the_end` is set once a client has taken all of the flood, which
-    has an end so that a client without bounds fails the test.
+    The flood has an end, so that a client without bounds fails the test.
     """
 
     def __init__(self, flood: Flood) -> None:
         """Listen, and serve in a thread."""
         self.flood = flood
-        self.read_to_the_end = False
+        self.was_closed = False
         self.listener = socket.create_server(('127.0.0.1', 0))
         self.address = '{0}:{1}'.format(*self.listener.getsockname())
-        threading.Thread(target=self._serve, daemon=True).start()
+        self.thread = threading.Thread(target=self._serve, daemon=True)
+        self.thread.start()
+
+    def is_closed_early(self) -> bool:
+        """Return whether the client closed before the end of the flood."""
+        self.thread.join(10)
+        return self.was_closed
 
     def _serve(self) -> None:
         connection, _ = self.listener.accept()
@@ -62,8 +67,7 @@
                 for _ in range(FLOOD_BYTES // len(block)):
                     connection.sendall(block)
             except OSError:
-                return
-        self.read_to_the_end = True
+                self.was_closed = True
 
 
 def open_stream(pool: urllib3.PoolManager, address: str) -> bool:
@@ -107,7 +111,7 @@
     """The call fails before the flood ends, and its connection is closed."""
     server = FloodingServer(flood)
     assert not call(bounded_response.new_pool(), server.address)
-    assert not server.read_to_the_end
+    assert server.is_closed_early()
 
 
 # The limit on each read never ended a page in small chunks, of which up to
@@ -130,7 +134,7 @@
     assert not call(bounded_response.new_pool(), server.address)
     thread.kill()
     assert len(runs) > 10
-    assert not server.read_to_the_end
+    assert server.is_closed_early()
 
 
 class Connection:
