--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -209,9 +209,11 @@
     )
 
 
-def router(*routes: Route) -> Router:
+def router(
+    *routes: Route, clock: ManualClock | BootClock | None = None
+) -> Router:
     """Return the router of a node with one service and no endpoints."""
-    clock = BootClock()
+    clock = clock or BootClock()
     rng = random.Random(1)
     built = Router(
         settings=settings(),
@@ -359,13 +361,15 @@
 
 
 def router_with_endpoints(
-    served: Route, *scripts: Script
+    served: Route,
+    *scripts: Script,
+    clock: ManualClock | BootClock | None = None,
 ) -> tuple[Router, list[ScriptedEndpoint]]:
     """Return a router with an endpoint for each script.
 
     The router prefers the endpoints in the order of the scripts.
     """
-    built = router(served)
+    built = router(served, clock=clock)
     endpoints = [ScriptedEndpoint(script) for script in scripts]
     entries = [
         entry(f'e{number}', endpoint.port)
