--- a/bronzeglade/builders.py
+++ b/bronzeglade/builders.py
@@ -45,6 +45,23 @@
     return largest
 
 
+class CallCounter:
+    """Counts the calls of a function that a test replaces."""
+
+    def __init__(self) -> None:
+        """Start without calls."""
+        self.count = 0
+
+    def wrap(self, counted: Callable[..., Any]) -> Callable[..., Any]:
+        """Return a function that calls another one and counts this."""
+
+        def counting(*arguments: Any) -> Any:
+            self.count += 1
+            return counted(*arguments)
+
+        return counting
+
+
 class ManualClock:
     """A clock that advances only by calls of `advance` and `sleep`."""
 
--- a/bronzeglade/forwarding/hostile_test.py
+++ b/bronzeglade/forwarding/hostile_test.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from bronzeglade import time_slice
-from bronzeglade.builders import largest_step
+from bronzeglade.builders import CallCounter, largest_step
 from bronzeglade.clock import BootClock
 from bronzeglade.forwarding import builders
 from bronzeglade.forwarding.builders import (
@@ -27,7 +27,6 @@
     EndpointConnection,
     OutgoingRequest,
 )
-from bronzeglade.forwarding.event import StreamEvent
 from bronzeglade.forwarding.event_sequence import EventSequence
 from bronzeglade.forwarding.route import Route, RouteKind
 from bronzeglade.forwarding.scripted import (
@@ -228,14 +227,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """An endpoint that never pauses must not block the event loop."""
-    parser_events = 0
-    next_event = h11.Connection.next_event
-
-    def counting(parser: h11.Connection) -> object:
-        nonlocal parser_events
-        parser_events += 1
-        return next_event(parser)
-
+    events = CallCounter()
+    counting = events.wrap(h11.Connection.next_event)
     monkeypatch.setattr(h11.Connection, 'next_event', counting)
     head = f'{HEAD}Id: ID\r\n{CHUNKED}'
     stream = builders.route(RouteKind.STREAM, timeout=20 * builders.SECOND)
@@ -246,7 +239,7 @@
     floods = [Client(port) for _ in range(4)]
     for number, client in enumerate(floods):
         client.send(RouteKind.STREAM, f'flood-{number}')
-    largest = largest_step(lambda: parser_events, 40 * time_slice.MAX_PIECES)
+    largest = largest_step(lambda: events.count, 40 * time_slice.MAX_PIECES)
     # Each flood runs once between two runs of this test, the last flood perhaps
     # twice. A block read without yielding has 10,000 parser events.
     assert largest <= 2 * len(floods) * time_slice.MAX_PIECES
@@ -267,21 +260,15 @@
     piece: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Other green threads run after a bounded number of events."""
-    events = 0
-    accept = EventSequence.accept
-
-    def counting(sequence: EventSequence, event: StreamEvent) -> object:
-        nonlocal events
-        events += 1
-        return accept(sequence, event)
-
+    events = CallCounter()
+    counting = events.wrap(EventSequence.accept)
     monkeypatch.setattr(EventSequence, 'accept', counting)
     flood = Flood(f'{HEAD}Id: ID\r\nSignature: s\r\n\r\n', piece * 20000)
     stream = builders.route(RouteKind.STREAM, timeout=20 * builders.SECOND)
     router, _endpoints = router_with_endpoints(stream, flood)
     client = Client(builders.serve(router))
     client.send(RouteKind.STREAM)
-    largest = largest_step(lambda: events, 10000)
+    largest = largest_step(lambda: events.count, 10000)
     assert largest <= 2 * time_slice.MAX_PIECES
     client.close()
 
--- a/bronzeglade/forwarding/inbound_test.py
+++ b/bronzeglade/forwarding/inbound_test.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bronzeglade import time_slice
-from bronzeglade.builders import largest_step
+from bronzeglade.builders import CallCounter, largest_step
 from bronzeglade.forwarding import builders
 from bronzeglade.forwarding.builders import Client
 from bronzeglade.forwarding.route import RouteKind
@@ -128,20 +128,14 @@
     content: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Other green threads run after a bounded number of parser events."""
-    events = 0
-    next_event = h11.Connection.next_event
-
-    def counting(parser: h11.Connection) -> object:
-        nonlocal events
-        events += 1
-        return next_event(parser)
-
+    events = CallCounter()
+    counting = events.wrap(h11.Connection.next_event)
     monkeypatch.setattr(h11.Connection, 'next_event', counting)
     _router, _endpoint, port = serving()
     client = Client(port)
     sender = eventlet.spawn(client.sock.sendall, content.encode())
     reader = eventlet.spawn(read_to_the_end, client)
-    largest = largest_step(lambda: events, 4000)
+    largest = largest_step(lambda: events.count, 4000)
     assert largest <= 2 * time_slice.MAX_PIECES
     client.close()
     for thread in (sender, reader):
--- a/bronzeglade/forwarding/simulated_store.py
+++ b/bronzeglade/forwarding/simulated_store.py
@@ -161,7 +161,7 @@
         return Changes(self.store.version, written, frozenset(removed))
 
 
-class SimulatedNode:
+class FollowingNode:
     """A node that follows the tables; the first ones are watchers."""
 
     def __init__(
@@ -238,10 +238,10 @@
         self.size = size
         self.store = SimulatedStore()
         self.fetches = 0
-        self.nodes: list[SimulatedNode] = []
+        self.nodes: list[FollowingNode] = []
         rng = random.Random(seed)
         for number in range(size):
-            node = SimulatedNode(self, number, rng.randrange(2**32))
+            node = FollowingNode(self, number, rng.randrange(2**32))
             self.nodes.append(node)
 
     def run(self, seconds: float) -> None:
