--- a/bronzeglade/adapters/feed.py
+++ b/bronzeglade/adapters/feed.py
@@ -8,17 +8,28 @@
 
 from bronzeglade.adapters.table import Row, StoreError
 
+# Era and version of the store. Later states compare greater.
+Position = tuple[int, int]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
     """All rows of a table by key, as of a version of the store.
 
-    `now` is the monotonic time of the store at the read.
+    `now` is the monotonic time of the store at the read. `era` counts the times
+    that the store was restored from a backup; versions of different eras cannot
+    be compared.
     """
 
     as_of: int
     rows: dict[str, Row]
     now: dt.timedelta = dt.timedelta()
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """The state of the store that was read."""
+        return self.era, self.as_of
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +40,12 @@
     written: dict[str, Row]
     removed: frozenset[str] = frozenset()
     now: dt.timedelta = dt.timedelta()
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """The state of the store that was read."""
+        return self.era, self.as_of
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bronzeglade/coordination/rollout_plan.py
+++ b/bronzeglade/coordination/rollout_plan.py
@@ -3,6 +3,10 @@
 The plan of a service is stored in one row. A write is conditional on the row
 being unchanged and also updates the status that the operator reads. Any node
 may write it; a write based on a stale read is rejected.
+
+A store that is restored from a backup loses its last writes and gives their
+versions out again. Numbers of orders therefore contain the store's era, and a
+plan never goes back: the nodes that know its lost steps write them again.
 """
 
 import dataclasses
@@ -23,6 +27,8 @@
 # of orders within 64 bits.
 _MAX_TIME_MS = 10**15
 _MAX_ORDER = 2**63 - 1
+# Numbers of orders combine the store's era with the version of the row.
+_VERSIONS = 2**48
 _MILLISECOND = dt.timedelta(milliseconds=1)
 
 
@@ -80,6 +86,51 @@
         return self.share if now >= self.stepped else self.share_before
 
 
+def order_number(era: int, version: int) -> int:
+    """Return the number of an order.
+
+    Args:
+      era: era of the store.
+      version: version of the order's row.
+    """
+    return era * _VERSIONS + min(version, _VERSIONS - 1)
+
+
+def continues(plan: Plan, order: Order) -> bool:
+    """Return whether a plan carries out an order of another era.
+
+    A restored store has the row of the order with another number.
+    """
+    return plan.target == order.target and _is_other_era(
+        plan.order, order.number
+    )
+
+
+def is_repeated(order: Order, known: Order) -> bool:
+    """Return whether a row in a restored store is a known order."""
+    return (order.target, order.duration) == (known.target, known.duration)
+
+
+def is_outdated(plan: Plan, known: Plan) -> bool:
+    """Return whether a plan lacks steps that a known plan has taken.
+
+    Plans that have ended are not outdated: the endpoints of the other version
+    are being shut down.
+    """
+    same_order = plan.order == known.order or (
+        plan.target == known.target and _is_other_era(plan.order, known.order)
+    )
+    if not same_order:
+        return plan.order < known.order
+    if plan.stage is not Stage.RUNNING:
+        return False
+    return known.stage is not Stage.RUNNING or plan.stepped < known.stepped
+
+
+def _is_other_era(order: int, other: int) -> bool:
+    return order // _VERSIONS != other // _VERSIONS
+
+
 def first_plan(order: Order, now: dt.timedelta, previous: Plan | None) -> Plan:
     """Return the plan of a new order.
 
--- a/bronzeglade/coordination/table_mirror_test.py
+++ b/bronzeglade/coordination/table_mirror_test.py
@@ -1,5 +1,6 @@
 """Tests for the order of versions in a table copy and for lapsed rows."""
 
+import dataclasses
 import datetime as dt
 
 import pytest
@@ -11,6 +12,7 @@
 from bronzeglade.builders import ManualClock
 from bronzeglade.coordination.table_mirror import (
     MAX_REMOVED_KEYS,
+    RESTORING_TIME,
     SETTLING_TIME,
     TableMirror,
 )
@@ -146,3 +148,60 @@
             mirror.apply(Changes(as_of, {}))
         assert mirror.as_of >= newest
         newest = mirror.as_of
+
+
+def restored(as_of: int, *keys: str) -> Snapshot:
+    """Return a snapshot of the next era."""
+    return dataclasses.replace(snapshot(as_of, *keys), era=1)
+
+
+def test_state_of_a_later_era_is_newer() -> None:
+    """The versions of a restored store are lower than those of the copy."""
+    mirror = TableMirror('t', ManualClock())
+    mirror.replace(snapshot(9, 't/old'))
+    assert mirror.replace(restored(4, 't/new'))
+    assert mirror.position == (1, 4)
+    assert not mirror.replace(snapshot(12, 't/late'))
+    assert not mirror.apply(Changes(12, {'t/late': Row('t/late', 12, b'')}))
+    assert list(mirror.rows) == ['t/new']
+
+
+def test_changes_of_a_later_era_need_a_snapshot() -> None:
+    """Rows that the store has lost are not among the changes."""
+    mirror = TableMirror('t', ManualClock())
+    mirror.replace(snapshot(9, 't/old'))
+    row = Row('t/new', 12, b'')
+    assert not mirror.apply(Changes(12, {row.key: row}, era=1))
+    assert mirror.position == (0, 9)
+
+
+def test_rows_that_a_restored_store_lacks_are_lapsed() -> None:
+    """Their owners write them again; meanwhile they are in force."""
+    clock = ManualClock()
+    mirror = TableMirror('t', clock)
+    mirror.replace(snapshot(9, 't/lost', 't/kept'))
+    mirror.replace(restored(4, 't/kept'))
+    assert set(mirror.current()) == {'t/lost', 't/kept'}
+    clock.advance(SETTLING_TIME)
+    assert set(mirror.current()) == {'t/kept'}
+
+
+# Guards against endpoints that had left, and orders that were taken back.
+@pytest.mark.parametrize('end', ['written', 'removed', 'time'])
+def test_removed_rows_of_a_restored_store_do_not_count(end: str) -> None:
+    """They count once they are written again, or were not removed again."""
+    clock = ManualClock()
+    mirror = TableMirror('t', clock)
+    mirror.replace(snapshot(7, 't/gone', 't/kept'))
+    mirror.apply(Changes(8, {}, frozenset(('t/gone',))))
+    mirror.replace(restored(7, 't/gone', 't/kept'))
+    assert set(mirror.current()) == {'t/kept'}
+    if end == 'written':
+        row = Row('t/gone', 9, b'')
+        mirror.apply(Changes(9, {row.key: row}, era=1))
+    elif end == 'removed':
+        mirror.apply(Changes(9, {}, frozenset(('t/gone',)), era=1))
+    clock.advance(RESTORING_TIME)
+    mirror.settle()
+    gone = set() if end == 'removed' else {'t/gone'}
+    assert set(mirror.current()) == {'t/kept'} | gone
--- a/bronzeglade/forwarding/copies.py
+++ b/bronzeglade/forwarding/copies.py
@@ -1,12 +1,13 @@
 """Copies of tables that nodes serve to each other on their control addresses.
 
-One call fetches several tables: `GET /copies?wait_ms=N&TABLE=VERSION&...`. It
-is answered immediately if a table has changed since the given version,
-otherwise when one changes, the store is lost, or the wait has elapsed. The
-answer is 200 with a msgpack list: whether the node is connected to the store,
-and a map from each changed table to its version, the store's time, the rows,
-the lapsed rows (which disappeared during an outage and may be written again),
-and the remaining time for which those are kept. Unchanged tables are omitted.
+One call fetches several tables: `GET /copies?wait_ms=N&TABLE=ERA.VERSION&...`.
+It is answered immediately if a table has changed since the given state of the
+store, otherwise when one changes, the store is lost, or the wait has elapsed.
+The answer is 200 with a msgpack list: whether the node is connected to the
+store, and a map from each changed table to its version, the store's time, the
+rows, the lapsed rows (which disappeared during an outage and may be written
+again), the remaining time for which those are kept, and the era. Unchanged
+tables are omitted.
 """
 
 import dataclasses
@@ -23,7 +24,7 @@
 from result import Err, Ok, Result
 
 from bronzeglade.adapters import transport
-from bronzeglade.adapters.feed import Snapshot
+from bronzeglade.adapters.feed import Position, Snapshot
 from bronzeglade.adapters.table import Row
 from bronzeglade.coordination.table_mirror import TableMirror
 from bronzeglade.forwarding.settings import Address
@@ -43,6 +44,7 @@
 _COMPRESSION = 1  # zlib level: the fastest suffices for repetitive rows
 _OK = 200
 _MILLISECOND = dt.timedelta(milliseconds=1)
+_NOTHING_READ: Position = (0, 0)
 
 
 # Raised when decoding bytes that are not valid copies.
@@ -77,7 +79,7 @@
         """
         self.mirrors = {mirror.table: mirror for mirror in mirrors}
         self.changed = Event()
-        self.packed_rows: dict[str, tuple[int, bytes]] = {}
+        self.packed_rows: dict[str, tuple[Position, bytes]] = {}
 
     def notify(self) -> None:
         """Wake the calls that are waiting for a change."""
@@ -93,7 +95,10 @@
             return ()
         try:
             wait = int(query.pop('wait_ms', ['0'])[0]) * _MILLISECOND
-            known = {table: int(value[0]) for table, value in query.items()}
+            known = {
+                table: _parse_position(value[0])
+                for table, value in query.items()
+            }
         except (ValueError, OverflowError):
             start('400 Bad Request', [('Content-Length', '0')])
             return ()
@@ -101,11 +106,13 @@
         start('200 OK', [('Content-Length', str(len(body)))])
         return (body,)
 
-    def answer(self, known: Mapping[str, int], wait: dt.timedelta) -> bytes:
+    def answer(
+        self, known: Mapping[str, Position], wait: dt.timedelta
+    ) -> bytes:
         """Return the packed tables that changed, waiting if there are none.
 
         Args:
-          known: versions that the other node has, by table.
+          known: states of the store that the other node has, by table.
           wait: maximum time to wait for a change.
         """
         if not self._changed_since(known) and self.is_current():
@@ -125,20 +132,23 @@
             for mirror in self.mirrors.values()
         )
 
-    def _changed_since(self, known: Mapping[str, int]) -> list[TableMirror]:
+    def _changed_since(
+        self, known: Mapping[str, Position]
+    ) -> list[TableMirror]:
         return [
             mirror
             for table, mirror in self.mirrors.items()
-            if mirror.loaded and mirror.changed_version > known.get(table, 0)
+            if mirror.loaded
+            and mirror.changed_position > known.get(table, _NOTHING_READ)
         ]
 
     def _pack(self, mirror: TableMirror) -> list[Any]:
         cached = self.packed_rows.get(mirror.table)
-        if cached is None or cached[0] != mirror.changed_version:
+        if cached is None or cached[0] != mirror.changed_position:
             rows = zlib.compress(
-                msgpack.packb(_encode_rows(mirror.rows)), _COMPRESSION
+                msgpack.packb(_encode_rows(mirror.stored())), _COMPRESSION
             )
-            cached = (mirror.changed_version, rows)
+            cached = (mirror.changed_position, rows)
             self.packed_rows[mirror.table] = cached
         lapsed = mirror.current().keys() - mirror.rows.keys()
         return [
@@ -147,13 +157,14 @@
             cached[1],
             _encode_rows({key: mirror.lapsed[key] for key in lapsed}),
             mirror.settling_remaining() // _MILLISECOND,
+            mirror.era,
         ]
 
 
 def fetch(
     pool: urllib3.PoolManager,
     peer: Address,
-    known: Mapping[str, int],
+    known: Mapping[str, Position],
     wait: dt.timedelta,
 ) -> Result[TableCopies, str]:
     """Fetch the tables that changed from another node.
@@ -161,10 +172,13 @@
     Args:
       pool: connection pool.
       peer: control address of the node.
-      known: versions that this node has, by table.
+      known: states of the store that this node has, by table.
       wait: maximum time for which the peer may hold the call.
     """
-    query = urlencode({'wait_ms': wait // _MILLISECOND, **known})
+    positions = {
+        table: f'{era}.{version}' for table, (era, version) in known.items()
+    }
+    query = urlencode({'wait_ms': wait // _MILLISECOND, **positions})
     url = f'http://{peer[0]}:{peer[1]}{COPIES_PATH}?{query}'
     reply = transport.call(
         pool,
@@ -205,6 +219,7 @@
     rows: bytes,
     lapsed: Sequence[Sequence[Any]],
     settling_ms: int,
+    era: int,
 ) -> TableCopy:
     # A short answer may expand to any size.
     decompressor = zlib.decompressobj()
@@ -216,12 +231,18 @@
             _integer(as_of, MAX_VERSION),
             _decode_rows(msgpack.unpackb(unpacked)),
             _integer(now_ms, _MAX_TIME_MS) * _MILLISECOND,
+            _integer(era, MAX_VERSION),
         ),
         _decode_rows(lapsed),
         _integer(settling_ms, _MAX_TIME_MS) * _MILLISECOND,
     )
 
 
+def _parse_position(text: str) -> Position:
+    era, _, version = text.partition('.')
+    return int(era), int(version)
+
+
 def _encode_rows(rows: Mapping[str, Row]) -> list[list[Any]]:
     return [[row.key, row.version, row.body] for row in rows.values()]
 
--- a/bronzeglade/forwarding/copies_test.py
+++ b/bronzeglade/forwarding/copies_test.py
@@ -40,7 +40,7 @@
 
 def test_only_tables_that_changed_are_sent() -> None:
     """Sending all tables at each change would saturate a slow link."""
-    status, body = call(source(), '/copies', 'wait_ms=0&t=5&u=2')
+    status, body = call(source(), '/copies', 'wait_ms=0&t=0.5&u=0.2')
     found = copies.unpack(body)
     assert status == '200 OK'
     assert found.current
@@ -52,7 +52,7 @@
 def test_call_without_changes_ends_after_its_wait() -> None:
     """A waiting node must be able to detect a stopped watcher."""
     with eventlet.Timeout(5):
-        _status, body = call(source(), '/copies', 'wait_ms=50&t=7&u=2')
+        _status, body = call(source(), '/copies', 'wait_ms=50&t=0.7&u=0.2')
     assert copies.unpack(body).tables == {}
 
 
@@ -65,7 +65,7 @@
 def test_packed_rows_follow_the_table() -> None:
     """A cached packed copy must not hide a later change."""
     copy_source = source()
-    call(copy_source, '/copies', 't=1')
+    call(copy_source, '/copies', 't=0.1')
     copy_source.mirrors['t'].replace(Snapshot(9, {}))
-    _status, body = call(copy_source, '/copies', 't=7')
+    _status, body = call(copy_source, '/copies', 't=0.7')
     assert copies.unpack(body).tables['t'].snapshot.rows == {}
--- a/bronzeglade/forwarding/decoding.py
+++ b/bronzeglade/forwarding/decoding.py
@@ -1,7 +1,8 @@
 """Decodes the rows of a table, and each version of a row only once.
 
 A node reads its whole copy of a table again after each change of a row, so
-results are cached by row and version.
+results are cached by row. The version alone does not identify the content: a
+restored store gives it out again.
 """
 
 from collections.abc import Callable, Iterable
@@ -36,7 +37,7 @@
         self.decode = decode
         self.event = event
         self.log = log
-        self.known: dict[tuple[str, int], Result[Content, str]] = {}
+        self.known: dict[str, tuple[Row, Result[Content, str]]] = {}
 
     def read(self, rows: Iterable[Row]) -> list[Content]:
         """Return the content of all rows that can be decoded."""
@@ -44,11 +45,10 @@
         self.known = {}
         contents: list[Content] = []
         for row in rows:
-            version = (row.key, row.version)
-            outcome = known.get(version)
-            if outcome is None:
+            decoded_row, outcome = known.get(row.key, (None, None))
+            if outcome is None or decoded_row != row:
                 outcome = self._decode(row)
-            self.known[version] = outcome
+            self.known[row.key] = (row, outcome)
             if not isinstance(outcome, Err):
                 contents.append(outcome.ok_value)
         return contents
--- a/bronzeglade/forwarding/follower.py
+++ b/bronzeglade/forwarding/follower.py
@@ -5,12 +5,15 @@
 answer is overdue, or the store has a newer version than the copy. The version
 rises with each change of any table, so it says that rows may have changed, and
 never hides that they have.
+
+A store that was restored from a backup begins a new era. The first answer that
+tells of it leads to a new snapshot, whatever its content.
 """
 
 import dataclasses
 import datetime as dt
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 import eventlet
@@ -20,10 +23,12 @@
 from bronzeglade.adapters.feed import (
     Changes,
     HistoryTruncated,
+    Position,
+    Snapshot,
     TableFeed,
 )
 from bronzeglade.adapters.table import StoreError
-from bronzeglade.coordination.table_mirror import TableMirror
+from bronzeglade.coordination.table_mirror import RESTORING_TIME, TableMirror
 from bronzeglade.forwarding.copies import TableCopy
 from bronzeglade.forwarding.log import Log
 
@@ -56,6 +61,8 @@
 MAX_COALESCING_DELAY = dt.timedelta(milliseconds=400)
 # Maximum duration of a call that returns changes, under normal conditions.
 MAX_CALL_TIME = dt.timedelta(milliseconds=100)
+# Timers fire after the time that they wait for.
+TIMER_MARGIN_S = 0.01
 _MILLISECOND = dt.timedelta(milliseconds=1)
 
 
@@ -119,15 +126,15 @@
         self.on_store_lost: list[Callable[[], None]] = []
         # The table whose calls probe a lost store; None for that table itself.
         self.probe: TableMirror | None = None
-        # Called with the version of the store, after each answer.
-        self.on_version: list[Callable[[int], None]] = []
+        # Called with the state of the store, after each answer.
+        self.on_version: list[Callable[[Position], None]] = []
         self.waiting_call: WaitingCall | None = None
         self.backoff = MIN_BACKOFF
         self.lost_answers = 0  # since the last answer
         # Whether the last call was overdue, so that two others had no answer.
         self.was_overdue = False
-        # The version of the store that the probe saw last, and when.
-        self.store_version = 0
+        # The state of the store that the probe saw last, and when.
+        self.store_position: Position = (0, 0)
         self.version_seen_at = mirror.clock.monotonic()
         self.confirming = False
         self.check_scheduled = False
@@ -148,6 +155,8 @@
         if outcome is None:  # another call has brought the answer
             return
         if isinstance(outcome, Ok):
+            if self._begins_era(outcome.ok_value):
+                return
             changed = self.mirror.apply(outcome.ok_value)
             self._record_success()
             self._report_version()
@@ -170,13 +179,13 @@
         """Cancel the waiting call, because the store does not answer."""
         self._end_call(self.waiting_call, _CallCancelledError)
 
-    def check_version(self, version: int) -> None:
+    def check_version(self, position: Position) -> None:
         """Check soon that no answer was lost.
 
         Args:
-          version: version of the store, as another table's answer tells.
+          position: state of the store, as another table's answer tells.
         """
-        self.store_version = version
+        self.store_position = position
         self.version_seen_at = self.mirror.clock.monotonic()
         if self.check_scheduled or not self._may_lack_changes():
             return
@@ -197,7 +206,7 @@
         return (
             call is not None
             and call.began_at < self.version_seen_at
-            and self.mirror.as_of < self.store_version
+            and self.mirror.position < self.store_position
         )
 
     def _confirm(self, call: WaitingCall) -> None:
@@ -235,7 +244,17 @@
             return False
         return True
 
+    def _begins_era(self, changes: Changes) -> bool:
+        """Return whether the store was restored, and all rows must be read."""
+        if changes.era <= self.mirror.era:
+            return False
+        self.needs_snapshot = True
+        return True
+
     def _apply_confirmed(self, call: WaitingCall, changes: Changes) -> None:
+        if self._begins_era(changes):
+            self._end_call(call, _AnswerLostError)
+            return
         changed = self.mirror.apply(changes)
         self.lost_answers = 0
         self._report_version()
@@ -265,9 +284,9 @@
 
     def apply_copy(self, copy: TableCopy) -> bool:
         """Apply a copy from another node; return whether it was newer."""
-        if copy.snapshot.as_of < self.mirror.as_of:
+        if copy.snapshot.position < self.mirror.position:
             return False
-        newer = self.mirror.replace(copy.snapshot, lapsed=copy.lapsed.keys())
+        newer = self._replace(copy.snapshot, copy.lapsed.keys())
         if copy.lapsed:
             self.mirror.take_lapsed(copy.lapsed, copy.settling)
             eventlet.spawn_after(self._settling_s(), self._handle_change)
@@ -312,7 +331,7 @@
 
     def _report_version(self) -> None:
         for action in self.on_version:
-            action(self.mirror.as_of)
+            action(self.mirror.position)
 
     def _may_be_lost_answer(self, error: StoreError) -> bool:
         """Record a failed call; return whether the store may be well.
@@ -352,11 +371,43 @@
             if not self.mirror.loaded or not self._may_be_lost_answer(error):
                 self._record_failure(error)
             return
+        snapshot = outcome.ok_value
+        if snapshot.position < self.mirror.position:
+            # The copy would never be current again, and be read in a loop.
+            detail = f'version {snapshot.as_of} after {self.mirror.as_of}'
+            self._record_failure(StoreError(detail))
+            return
         self.needs_snapshot = False
-        self.mirror.replace(outcome.ok_value)
+        self._replace(snapshot, None)
         self._record_success()
         self._handle_change()
 
+    def _replace(
+        self, snapshot: Snapshot, lapsed: Collection[str] | None
+    ) -> bool:
+        """Replace the copy; return whether it changed."""
+        is_restored = self.mirror.loaded and snapshot.era > self.mirror.era
+        changed = self.mirror.replace(snapshot, lapsed)
+        if is_restored:
+            self._report_version()
+            self.context.log.event(
+                'store_restored',
+                table=self.mirror.table,
+                era=self.mirror.era,
+                as_of=self.mirror.as_of,
+                missing=len(self.mirror.lapsed),
+                outdated=len(self.mirror.outdated),
+            )
+            eventlet.spawn_after(self._settling_s(), self._handle_change)
+            eventlet.spawn_after(
+                RESTORING_TIME.total_seconds() + TIMER_MARGIN_S, self._settle
+            )
+        return changed
+
+    def _settle(self) -> None:
+        self.mirror.settle()
+        self._handle_change()
+
     def _handle_change(self) -> None:
         """Report a change; after an exception it is reported again later.
 
@@ -383,7 +434,7 @@
     def _settling_s(self) -> float:
         until = self.mirror.settled_at or dt.timedelta()
         remaining = until - self.mirror.clock.monotonic()
-        return remaining.total_seconds() + 0.01
+        return remaining.total_seconds() + TIMER_MARGIN_S
 
     def _record_failure(self, error: StoreError) -> None:
         if self.mirror.record_failure():
--- a/bronzeglade/forwarding/malformed_messages_test.py
+++ b/bronzeglade/forwarding/malformed_messages_test.py
@@ -123,7 +123,7 @@
 def fetched(body: bytes) -> Result[TableCopies, str]:
     """Return copies that a node answers with, as another one fetches them."""
     pool: Any = Pool(body)
-    return copies.fetch(pool, ('10.0.0.1', 1), {'t': 0}, dt.timedelta())
+    return copies.fetch(pool, ('10.0.0.1', 1), {'t': (0, 0)}, dt.timedelta())
 
 
 class Pool:
@@ -146,7 +146,8 @@
         mirror = TableMirror('t', ManualClock())
         mirror.replace(copy.snapshot, lapsed=copy.lapsed.keys())
         mirror.take_lapsed(copy.lapsed, copy.settling)
-        mirror.apply(Changes(2**63 - 1, {'t/z': Row('t/z', 1, b'')}))
+        changed = {'t/z': Row('t/z', 1, b'')}
+        mirror.apply(Changes(2**63 - 1, changed, era=mirror.era))
         source = CopySource([mirror])
         assert fetched(source.answer({}, dt.timedelta())).is_ok()
         assert json.dumps(sorted(mirror.current()))
@@ -158,7 +159,7 @@
 
 
 ROWS = [['t/a', 3, b'body'], ['t/b', 4, b'']]
-COPIES = [True, {'t': [5, 55, packed(ROWS), ROWS, 3]}]
+COPIES = [True, {'t': [5, 55, packed(ROWS), ROWS, 3, 1]}]
 
 
 def test_copies_with_one_malformed_value() -> None:
@@ -177,7 +178,10 @@
 def test_copies_with_one_malformed_row() -> None:
     """A version that is a text failed each later comparison of versions."""
     for rows in malformed.packed_variants(ROWS):
-        for content in ([5, 55, packed(rows), ROWS, 3], [5, 5, ROWS, rows, 3]):
+        for content in (
+            [5, 55, packed(rows), ROWS, 3, 1],
+            [5, 5, ROWS, rows, 3, 1],
+        ):
             outcome = fetched(msgpack.packb([True, {'t': content}]))
             if isinstance(outcome, Ok):
                 apply(outcome.ok_value)
@@ -190,13 +194,13 @@
     if isinstance(outcome, Ok):
         apply(outcome.ok_value)
     compressed = zlib.compress(content)
-    fetched(msgpack.packb([True, {'t': [5, 55, compressed, ROWS, 3]}]))
+    fetched(msgpack.packb([True, {'t': [5, 55, compressed, ROWS, 3, 1]}]))
 
 
 def test_copies_that_expand_to_a_large_size() -> None:
     """A short answer must not fill the memory of the node."""
     bomb = zlib.compress(bytes(8 * copies.MAX_TABLE_BYTES), 9)
-    body = msgpack.packb([True, {'t': [5, 55, bomb, ROWS, 3]}])
+    body = msgpack.packb([True, {'t': [5, 55, bomb, ROWS, 3, 1]}])
     assert len(body) < 1024 * 1024
     tracemalloc.start()
     assert fetched(body).is_err()
@@ -210,7 +214,12 @@
     """A wait beyond a timedelta was answered with 500 and a traceback."""
     mirror = TableMirror('t', ManualClock())
     mirror.replace(Snapshot(7, {}))
-    for query in ({'wait_ms': number, 't': '1'}, {'wait_ms': 0, 't': number}):
+    for query in (
+        {'wait_ms': number, 't': '0.1'},
+        {'wait_ms': 0, 't': number},
+        {'wait_ms': 0, 't': f'{number}.1'},
+        {'wait_ms': 0, 't': f'1.{number}'},
+    ):
         status = call_status(CopySource([mirror]), urlencode(query))
         assert status in {'200 OK', '400 Bad Request'}
 
--- a/bronzeglade/forwarding/node_registration.py
+++ b/bronzeglade/forwarding/node_registration.py
@@ -88,7 +88,9 @@
 
     def run_checks(self) -> None:
         """Register again if removed, and probe or remove one silent node."""
-        if self._was_removed():
+        if self._was_forgotten():
+            self.write_row()
+        elif self._was_removed():
             self._rejoin()
         if self.failure_detector.is_isolated():
             self._probe_any_node()
@@ -162,6 +164,14 @@
             )
         return isinstance(outcome, Ok)
 
+    def _was_forgotten(self) -> bool:
+        """Return whether a restored store lacks the row of this node."""
+        return (
+            self.written_at is not None
+            and self.rows.is_restoring()
+            and NODE_PREFIX + self.roster.local_node.name not in self.rows.rows
+        )
+
     def _was_removed(self) -> bool:
         """Return whether another node has removed the row of this node."""
         if self.written_at is None or self.rows.failing_since is not None:
--- a/bronzeglade/forwarding/node_registration_test.py
+++ b/bronzeglade/forwarding/node_registration_test.py
@@ -255,3 +255,16 @@
     fleet.nodes[name].register()
     other.node_registration._remove(name)  # noqa: SLF001
     assert name in fleet.listed()
+
+
+def test_row_that_a_restored_store_lacks_is_written_at_once() -> None:
+    """No node was removed, so no later removal may be delayed for it."""
+    fleet = Fleet(6)
+    name, node = next(iter(fleet.nodes.items()))
+    del fleet.memory.rows[NODE_PREFIX + name]
+    rows = fleet.rows()
+    for other in fleet.nodes.values():
+        other.rows.replace(Snapshot(1, rows, era=1))
+    node.node_registration.run_checks()
+    assert name in fleet.listed()
+    assert node.roster.local_node.rejoins == 0
--- a/bronzeglade/forwarding/relay.py
+++ b/bronzeglade/forwarding/relay.py
@@ -16,6 +16,7 @@
 from eventlet.event import Event
 from result import Err, Result
 
+from bronzeglade.adapters.feed import Position
 from bronzeglade.clock import Clock
 from bronzeglade.forwarding.copies import TableCopies, TableCopy
 from bronzeglade.forwarding.follower import Follower
@@ -31,10 +32,10 @@
 # Interval between calls to peers while the store cannot be reached.
 PEER_INTERVAL = dt.timedelta(milliseconds=700)
 
-# Fetches the tables that changed since the known versions from a node, which
-# may hold the call for the given time.
+# Fetches the tables that changed since the known states from a node, which may
+# hold the call for the given time.
 Fetch = Callable[
-    [Address, Mapping[str, int], dt.timedelta], Result[TableCopies, str]
+    [Address, Mapping[str, Position], dt.timedelta], Result[TableCopies, str]
 ]
 
 
@@ -151,7 +152,7 @@
         self, peer: Address, wait: dt.timedelta
     ) -> Result[TableCopies, str]:
         known = {
-            table: follower.mirror.as_of
+            table: follower.mirror.position
             for table, follower in self.followers.items()
         }
         outcome = self.fetch(peer, known, wait)
--- a/bronzeglade/forwarding/relay_test.py
+++ b/bronzeglade/forwarding/relay_test.py
@@ -9,7 +9,12 @@
 import pytest
 from result import Err, Ok, Result
 
-from bronzeglade.adapters.feed import Changes, HistoryTruncated, Snapshot
+from bronzeglade.adapters.feed import (
+    Changes,
+    HistoryTruncated,
+    Position,
+    Snapshot,
+)
 from bronzeglade.adapters.table import Row, StoreError
 from bronzeglade.clock import BootClock
 from bronzeglade.coordination.table_mirror import (
@@ -56,7 +61,7 @@
         self.source.notify()
 
     def answer(
-        self, known: Mapping[str, int], wait: dt.timedelta
+        self, known: Mapping[str, Position], wait: dt.timedelta
     ) -> Result[TableCopies, str]:
         """Answer a call from another node."""
         self.calls += 1
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -300,7 +300,7 @@
     def _is_alive(self, node: roster.RouterNode) -> bool:
         """Probe the control address of a node."""
         outcome = copies.fetch(
-            self.pool, node.control, self.tables.versions(), dt.timedelta()
+            self.pool, node.control, self.tables.positions(), dt.timedelta()
         )
         return isinstance(outcome, Ok)
 
--- a/bronzeglade/forwarding/service_rollouts.py
+++ b/bronzeglade/forwarding/service_rollouts.py
@@ -85,15 +85,27 @@
         self.orders: dict[str, Order] = {}
         self.plans: dict[str, Plan] = {}
         self.running: dict[str, RunningRollout] = {}
+        # The newest row of each order, by its number. The order itself keeps
+        # the number that it got first.
+        self.order_rows: dict[str, int] = {}
+        # Plans that a restored store has lost, and when to write them again.
+        self.lost_plans: dict[str, dt.timedelta] = {}
+        self.era = 0
 
     def refresh(self) -> None:
         """Apply the orders and plans in the local copies of the tables."""
-        plans = _with_prefix(self.router_rows, rollout_plan.PLAN_PREFIX)
-        for plan in self.plan_decoder.read(plans):
+        self._begin_era()
+        rows = _with_prefix(self.router_rows, rollout_plan.PLAN_PREFIX)
+        plans = self.plan_decoder.read(rows)
+        for plan in plans:
             self._apply_plan(plan)
+        if self.router_rows.is_restoring():
+            for service in self.plans.keys() - {plan.service for plan in plans}:
+                self._record_lost_plan(self.plans[service])
         orders = _with_prefix(self.operator_rows, self.documents.order_prefix)
         for order in self.order_decoder.read(orders):
             self._apply_order(order)
+        self._adopt_numbers()
 
     def select(
         self, request: AcceptedRequest, endpoints: Sequence[Endpoint]
@@ -257,6 +269,9 @@
 
     def tick(self) -> None:
         """Exchange evidence and advance the roll-outs this node may write."""
+        for service, due_at in list(self.lost_plans.items()):
+            if self.clock.monotonic() >= due_at:
+                self._restore_plan(self.plans[service])
         for service, rollout in list(self.running.items()):
             try:
                 self._tick(service, rollout)
@@ -274,11 +289,61 @@
         else:
             self.running.pop(service)
 
-    def _apply_order(self, order: Order) -> None:
+    def _begin_era(self) -> None:
+        """Write what a restored store may have lost again, in due time."""
+        if self.router_rows.era == self.era:
+            return
+        self.era = self.router_rows.era
+        for rollout in self.running.values():
+            rollout.written = EvidenceRecord()
+
+    def _adopt_numbers(self) -> None:
+        """Number each order as its plan does, the same on all nodes."""
+        for service, order in self.orders.items():
+            plan = self.plans.get(service)
+            if plan is None or not rollout_plan.continues(plan, order):
+                continue
+            adopted = dataclasses.replace(order, number=plan.order)
+            self.orders[service] = adopted
+            rollout = self.running.get(service)
+            if rollout is not None:
+                rollout.order = adopted
+
+    def _is_new(self, order: Order, version: int) -> bool:
+        """Return whether a row contains another order than the known one.
+
+        Args:
+          order: the order in the row.
+          version: version of the row.
+        """
         known = self.orders.get(order.service)
-        if known is not None and known.number >= order.number:
+        if known is None:
+            return True
+        newest = self.order_rows.get(order.service, known.number)
+        if order.number <= newest:
+            return False
+        rows = self.operator_rows
+        is_first = newest < rollout_plan.order_number(rows.era, 0)
+        if rollout_plan.is_repeated(order, known):
+            if is_first or rows.is_restoring():
+                self.order_rows[order.service] = order.number
+                return False
+        elif rows.is_restoring() and version <= rows.restored_at:
+            # An earlier order, until the operator has repeated the known one.
+            return False
+        return True
+
+    def _apply_order(self, row_order: Order) -> None:
+        order = dataclasses.replace(
+            row_order,
+            number=rollout_plan.order_number(
+                self.operator_rows.era, row_order.number
+            ),
+        )
+        if not self._is_new(order, row_order.number):
             return
         self.orders[order.service] = order
+        self.order_rows[order.service] = order.number
         plan = self.plans.get(order.service)
         if plan is not None and plan.order == order.number:
             if plan.stage is not Stage.RUNNING:
@@ -294,6 +359,10 @@
 
     def _apply_plan(self, plan: Plan) -> None:
         known = self.plans.get(plan.service)
+        if known is not None and rollout_plan.is_outdated(plan, known):
+            self._record_lost_plan(known)
+            return
+        self.lost_plans.pop(plan.service, None)
         if known == plan:
             return
         self.plans[plan.service] = plan
@@ -306,6 +375,29 @@
             reason=plan.reason,
         )
 
+    def _record_lost_plan(self, plan: Plan) -> None:
+        """Keep a plan that the store has lost, and write it again.
+
+        Its writer does so at once, other nodes only if the writer does not.
+        """
+        if plan.service in self.lost_plans:
+            return
+        due_at = self.clock.monotonic()
+        if plan.writer != self.roster.local_node.name:
+            due_at += TAKEOVER_DELAY * (self.roster.rank() + 1)
+        self.lost_plans[plan.service] = due_at
+        self.log.event(
+            'rollout_plan_lost',
+            service=plan.service,
+            target=plan.target,
+            stage=plan.stage.value,
+            share=plan.share,
+        )
+
+    def _restore_plan(self, plan: Plan) -> None:
+        self.lost_plans[plan.service] = self.clock.monotonic() + COMMIT_BACKOFF
+        self._commit_plan(plan)
+
     def _is_halted(self, service: str) -> bool:
         rollout = self.running.get(service)
         return rollout is not None and rollout.halted
@@ -411,6 +503,14 @@
     def _commit(self, rollout: RunningRollout, plan: Plan) -> None:
         if self.clock.monotonic() < rollout.retry_at:
             return
+        if not self._commit_plan(plan):
+            rollout.retry_at = self.clock.monotonic() + COMMIT_BACKOFF
+
+    def _commit_plan(self, plan: Plan) -> bool:
+        """Write a plan and the status of its order; return whether it is done.
+
+        The row must be as this node knows it.
+        """
         plan = dataclasses.replace(plan, writer=self.roster.local_node.name)
         key = rollout_plan.PLAN_PREFIX + plan.service
         row = self.router_rows.rows.get(key)
@@ -424,8 +524,6 @@
                 ),
             )
         )
-        if isinstance(outcome, Err):
-            rollout.retry_at = self.clock.monotonic() + COMMIT_BACKOFF
         self.log.event(
             'rollout_step',
             service=plan.service,
@@ -434,6 +532,7 @@
             reason=plan.reason,
             outcome='done' if isinstance(outcome, Ok) else str(outcome.err()),
         )
+        return isinstance(outcome, Ok)
 
     def _write_evidence(self, service: str, rollout: RunningRollout) -> None:
         now = self.clock.monotonic()
--- a/bronzeglade/forwarding/simulated_store.py
+++ b/bronzeglade/forwarding/simulated_store.py
@@ -1,6 +1,7 @@
 """Simulated nodes that follow a store whose answers may be lost.
 
 For tests of how long a node acts on rows that have changed, in virtual time.
+The store may also be restored from a copy of an earlier state.
 """
 
 import dataclasses
@@ -13,7 +14,12 @@
 from eventlet.event import Event
 from result import Err, Ok, Result
 
-from bronzeglade.adapters.feed import Changes, HistoryTruncated, Snapshot
+from bronzeglade.adapters.feed import (
+    Changes,
+    HistoryTruncated,
+    Position,
+    Snapshot,
+)
 from bronzeglade.adapters.table import Row, StoreError
 from bronzeglade.forwarding import builders, copies
 from bronzeglade.forwarding.copies import TableCopies
@@ -61,17 +67,34 @@
         return self.kinds[lost] if lost < len(self.kinds) else None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Backup:
+    """State of a store."""
+
+    version: int
+    rows: dict[str, Row]
+    removed: dict[str, int]
+
+
 class SimulatedStore:
-    """Rows of the tables, and the versions at which they last changed."""
+    """Rows of the tables, and the versions at which they last changed.
+
+    The body of a row is its own number, so that rows of different eras differ
+    although their versions are the same.
+    """
 
     def __init__(self) -> None:
         """Create a store with one row in each table."""
+        self.era = 1
+        self.writes = 0
+        self.backups: list[Backup] = []
         self.version = 0
         self.rows: dict[str, Row] = {}
         self.removed: dict[str, int] = {}
         self.changed = Event()
         self.losses: list[Losses] = []
         self.silent = False  # no call is answered
+        self.down = False  # each call is refused
         self.calls = 0
         for table in TABLES:
             self.put(table)
@@ -84,14 +107,30 @@
         """Remove the row of a table; return the version of the store."""
         return self._change(table, is_removal=True)
 
+    def restore(self, lost_changes: int) -> None:
+        """Return to the state before the last changes, in a new era."""
+        backup = self.backups[-lost_changes]
+        del self.backups[-lost_changes:]
+        self.era += 1
+        self.version = backup.version
+        self.rows = dict(backup.rows)
+        self.removed = dict(backup.removed)
+        waiting = self.changed
+        self.changed = Event()
+        waiting.send()
+
     def _change(self, table: str, is_removal: bool) -> int:
+        backup = Backup(self.version, dict(self.rows), dict(self.removed))
+        self.backups.append(backup)
         self.version += 1
+        self.writes += 1
         key = f'{table}/{ROW}'
         if is_removal:
-            del self.rows[key]
+            self.rows.pop(key, None)
             self.removed[key] = self.version
         else:
-            self.rows[key] = Row(key, self.version, b'')
+            body = str(self.writes).encode()
+            self.rows[key] = Row(key, self.version, body)
             self.removed.pop(key, None)
         waiting = self.changed
         self.changed = Event()
@@ -111,9 +150,11 @@
         """Return all rows of a table."""
         self.store.calls += 1
         eventlet.sleep(LATENCY_S)
+        if self.store.down:
+            return Err(StoreError('status 503'))
         key = f'{table}/{ROW}'
         rows = {key: self.store.rows[key]} if key in self.store.rows else {}
-        return Ok(Snapshot(self.store.version, rows))
+        return Ok(Snapshot(self.store.version, rows, era=self.store.era))
 
     def changes(
         self, table: str, after: int, wait: dt.timedelta
@@ -122,23 +163,40 @@
         self.store.calls += 1
         eventlet.sleep(LATENCY_S / 2)
         waits_until = eventlet.hubs.get_hub().clock() + wait.total_seconds()
-        while not self._has_changed(table, after):
+        era = self.store.era
+        while after <= self.store.version:
+            if self._has_changed(table, after):
+                break
             remaining_s = waits_until - eventlet.hubs.get_hub().clock()
             if remaining_s <= 0:
                 break
             with eventlet.Timeout(remaining_s, exception=False):
                 self.store.changed.wait()
+            if self.store.down or self.store.era != era:
+                return self._lose(Loss.CLOSED, waits_until)
+        if self.store.down:
+            return Err(StoreError('status 503'))
+        if after > self.store.version:
+            return Err(HistoryTruncated())
         changes = self._changes(table, after)
-        if self.store.silent:
-            return self._lose(Loss.SILENT, waits_until)
-        if changes.written or changes.removed:
-            for losses in self.store.losses:
-                loss = losses.take(self.node, (table,))
-                if loss is not None:
-                    return self._lose(loss, waits_until)
+        loss = self._next_loss(changes, table)
+        if loss is not None:
+            return self._lose(loss, waits_until)
         eventlet.sleep(LATENCY_S / 2)
         return Ok(changes)
 
+    def _next_loss(self, changes: Changes, table: str) -> Loss | None:
+        """Return how an answer is lost, or None if it arrives."""
+        if self.store.silent:
+            return Loss.SILENT
+        if not changes.written and not changes.removed:
+            return None
+        for losses in self.store.losses:
+            loss = losses.take(self.node, (table,))
+            if loss is not None:
+                return loss
+        return None
+
     def _lose(
         self, loss: Loss, waits_until: float
     ) -> Result[Changes, StoreError | HistoryTruncated]:
@@ -158,7 +216,12 @@
         row = self.store.rows.get(key)
         written = {key: row} if row is not None and row.version > after else {}
         removed = [key] if self.store.removed.get(key, 0) > after else []
-        return Changes(self.store.version, written, frozenset(removed))
+        return Changes(
+            self.store.version,
+            written,
+            frozenset(removed),
+            era=self.store.era,
+        )
 
 
 class FollowingNode:
@@ -195,7 +258,7 @@
         return [(str(each), 1) for each in numbers if each != self.number]
 
     def fetch(
-        self, peer: Address, known: Mapping[str, int], wait: dt.timedelta
+        self, peer: Address, known: Mapping[str, Position], wait: dt.timedelta
     ) -> Result[TableCopies, str]:
         """Fetch changed tables from another node."""
         self.fleet.fetches += 1
@@ -214,6 +277,19 @@
 
     def has(self, table: str, version: int) -> bool:
         """Return whether this node acts on a change of the row of a table."""
+        row = self.row(table)
+        stored = self.fleet.store.rows.get(f'{table}/{ROW}')
+        if stored is None or row is None:
+            return row is stored
+        return row.version >= version
+
+    def is_current(self, table: str) -> bool:
+        """Return whether this node acts on what the store has."""
+        stored = self.fleet.store.rows.get(f'{table}/{ROW}')
+        return self.row(table) == stored
+
+    def row(self, table: str) -> Row | None:
+        """Return the row of a table that this node acts on, if any."""
         mirrors = {
             mirror.table: mirror
             for mirror in (
@@ -222,11 +298,7 @@
                 self.tables.router,
             )
         }
-        row = mirrors[table].current().get(f'{table}/{ROW}')
-        stored = self.fleet.store.rows.get(f'{table}/{ROW}')
-        if stored is None:
-            return row is None
-        return row is not None and row.version >= version
+        return mirrors[table].current().get(f'{table}/{ROW}')
 
 
 class SimulatedFollowers:
--- a/bronzeglade/forwarding/tables.py
+++ b/bronzeglade/forwarding/tables.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
+from bronzeglade.adapters.feed import Position
 from bronzeglade.clock import Clock
 from bronzeglade.coordination.table_mirror import TableMirror
 from bronzeglade.forwarding import follower
@@ -41,10 +42,10 @@
             (self.operator, self.endpoints, self.router)
         )
 
-    def versions(self) -> dict[str, int]:
-        """Return the version of each copy."""
+    def positions(self) -> dict[str, Position]:
+        """Return the state of the store that each copy has."""
         return {
-            mirror.table: mirror.as_of
+            mirror.table: mirror.position
             for mirror in (self.operator, self.endpoints, self.router)
         }
 
--- a/bronzeglade/platform/store.py
+++ b/bronzeglade/platform/store.py
@@ -2,6 +2,10 @@
 
 The router addresses a row as `TABLE/KEY`. On the wire this is the row KEY in
 the table TABLE and the partition with the empty name (`part`).
+
+All answers of a store that can be restored from a backup name their era in the
+header Store-Era, which rises with each restoration. Once an answer had the
+header, one without it, with a lower or an unreadable era counts as no answer.
 """
 
 import base64
@@ -9,6 +13,7 @@
 import dataclasses
 import datetime as dt
 import json
+import re
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any, TypeGuard
 from urllib.parse import quote
@@ -39,8 +44,13 @@
 # Statuses of a transaction that was certainly not applied.
 _HTTP_NOT_APPLIED = frozenset((400, 403, 413, 429, 503))
 
+_ERA_HEADER = 'store-era'
 # Bounds for messages to other nodes and for timedelta arithmetic.
 _MAX_VERSION = 2**63 - 1
+# Numbers of roll-out orders have the era in their upper bits.
+_MAX_ERA = 2**15 - 1
+_DIGITS = re.compile('[0-9]{1,10}')
+_MAX_LOGGED_CHARS = 40  # of a malformed era
 _MAX_TIME_MS = 10**15
 
 CountCall = Callable[[str, str], None]
@@ -65,6 +75,7 @@
         self.url = f'http://{address[0]}:{address[1]}'
         self.pool = pool
         self.count = count
+        self.era = 0  # of the newest answer; 0 while none was named
 
     def read(
         self, keys: Sequence[str]
@@ -98,7 +109,7 @@
         be newer.
         """
         rows: dict[str, Row] = {}
-        as_of: int | None = None
+        first: _Page | None = None
         query = f'limit={MAX_PAGE_ROWS}'
         while True:
             page = self._page(table, query)
@@ -109,9 +120,12 @@
             rows.update(page.ok_value.rows)
             # From this version on the feed has every change made after the
             # first page was read.
-            as_of = page.ok_value.as_of if as_of is None else as_of
+            first = first or page.ok_value
+            if page.ok_value.era != first.era:
+                return Err(StoreError('the store was restored meanwhile'))
             if not page.ok_value.has_more or not page.ok_value.rows:
-                return Ok(Snapshot(as_of, rows, page.ok_value.now))
+                now = page.ok_value.now
+                return Ok(Snapshot(first.as_of, rows, now, first.era))
             last = max(page.ok_value.rows).partition('/')[2]
             query = f'limit={MAX_PAGE_ROWS}&from={_quoted(last)}%00'
 
@@ -135,6 +149,9 @@
         if isinstance(reply, Err):
             failure = reply.err_value
             return Err(StoreError(failure.detail, lost=failure.sent))
+        era = self._read_era(reply.ok_value)
+        if isinstance(era, Err):
+            return era
         if reply.ok_value.status == _HTTP_GONE:
             return Err(HistoryTruncated())
         document = _parse_document(reply.ok_value)
@@ -152,7 +169,9 @@
                 written[key] = _decode_row(entry)
         as_of = document.ok_value['ver']
         now = _store_time(document.ok_value)
-        return Ok(Changes(as_of, written, frozenset(removed), now))
+        return Ok(
+            Changes(as_of, written, frozenset(removed), now, era.ok_value)
+        )
 
     def commit(self, transaction: Transaction) -> Result[None, CommitError]:
         """Apply a transaction atomically."""
@@ -173,6 +192,9 @@
         if isinstance(reply, Err):
             failure = reply.err_value
             return Err(StoreError(failure.detail, lost=failure.sent))
+        era = self._read_era(reply.ok_value)
+        if isinstance(era, Err):
+            return era
         document = _parse_document(reply.ok_value)
         if isinstance(document, Err):
             return document
@@ -187,9 +209,26 @@
                 document.ok_value['ver'],
                 more,
                 _store_time(document.ok_value),
+                era.ok_value,
             )
         )
 
+    def _read_era(self, reply: transport.Reply) -> Result[int, StoreError]:
+        """Return the era of an answer, or why the answer is not used."""
+        text = _header(reply, _ERA_HEADER)
+        if text is None:
+            if self.era:
+                return Err(StoreError('malformed answer: no era'))
+            return Ok(0)
+        era = int(text) if _DIGITS.fullmatch(text) else -1
+        if not 0 <= era <= _MAX_ERA:
+            shown = text[:_MAX_LOGGED_CHARS]
+            return Err(StoreError(f'malformed answer: era {shown!r}'))
+        if era < self.era:
+            return Err(StoreError(f'answer of era {era} after {self.era}'))
+        self.era = era
+        return Ok(era)
+
     def _call(
         self,
         kind: str,
@@ -223,6 +262,15 @@
     as_of: int
     has_more: bool
     now: dt.timedelta
+    era: int
+
+
+def _header(reply: transport.Reply, name: str) -> str | None:
+    """Return the value of a header, whose name is in lower case."""
+    for header, text in reply.headers.items():
+        if header.lower() == name:
+            return text.strip()
+    return None
 
 
 def _parse_document(
--- a/bronzeglade/platform/store_test.py
+++ b/bronzeglade/platform/store_test.py
@@ -32,12 +32,13 @@
     """The store's HTTP interface to rows in memory, with injected faults.
 
     A `status` other than 0 is the answer to every transaction; `lose` applies
-    transactions without an answer.
+    transactions without an answer; `era` is named in all answers.
     """
 
     rows: ClassVar[Rows]
     status: ClassVar[int]
     lose: ClassVar[bool]
+    era: ClassVar[str | None]
 
     def do_GET(self) -> None:
         """Answer a read or a feed."""
@@ -73,6 +74,8 @@
         body = json.dumps(document).encode()
         self.send_response(status)
         self.send_header('Content-Length', str(len(body)))
+        if self.era is not None:
+            self.send_header('Store-Era', self.era)
         self.end_headers()
         self.wfile.write(body)
 
@@ -86,6 +89,7 @@
     StoreHandler.rows = Rows()
     StoreHandler.status = 0
     StoreHandler.lose = False
+    StoreHandler.era = None
     http = server.ThreadingHTTPServer(('127.0.0.1', 0), StoreHandler)
     threading.Thread(target=http.serve_forever, daemon=True).start()
     counted: list[tuple[str, str]] = []
@@ -144,3 +148,55 @@
     assert snapshot is not None
     assert len(snapshot.rows) == 1200
     assert len(store.scan('t/000', 500).ok() or []) == 100
+
+
+def test_answers_name_the_era(store: PlatformStore) -> None:
+    """Versions of different eras cannot be compared."""
+    StoreHandler.era = '3'
+    assert store.snapshot('t').unwrap().position == (3, 0)
+    assert store.changes('t', 0, dt.timedelta()).unwrap().position == (3, 0)
+    StoreHandler.rows.oldest_feed_version = 5
+    StoreHandler.era = '4'
+    assert store.changes('t', 2, dt.timedelta()) == Err(HistoryTruncated())
+    assert store.era == 4
+
+
+def test_store_without_eras(store: PlatformStore) -> None:
+    """A store that is never restored need not name an era."""
+    assert store.snapshot('t').unwrap().position == (0, 0)
+
+
+@pytest.mark.parametrize(
+    'era', [None, '2', '-4', '3.0', 'x', '', '9' * 5000, str(2**40)]
+)
+def test_answer_without_a_later_era_is_not_used(
+    store: PlatformStore, era: str | None
+) -> None:
+    """It may be late, from before the store was restored."""
+    StoreHandler.era = '3'
+    assert store.snapshot('t').is_ok()
+    StoreHandler.era = era
+    reason = store.snapshot('t').unwrap_err()
+    assert len(reason.detail) < 200
+    assert store.changes('t', 0, dt.timedelta()).is_err()
+    StoreHandler.era = '3'
+    assert store.snapshot('t').is_ok()
+
+
+def test_pages_of_two_eras_are_no_snapshot(
+    store: PlatformStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A table would have rows of both."""
+    for start in range(0, 600, 100):
+        keys = (f't/{number:05d}' for number in range(start, start + 100))
+        store.commit(Transaction(puts=tuple(Put(key, b'') for key in keys)))
+    StoreHandler.era = '1'
+    read_page = StoreHandler.rows.get
+
+    def read_and_restore(query: dict[str, str]) -> tuple[int, object]:
+        answer = read_page(query)
+        StoreHandler.era = '2' if 'from' in query else '1'
+        return answer
+
+    monkeypatch.setattr(StoreHandler.rows, 'get', read_and_restore)
+    assert 'restored' in store.snapshot('t').unwrap_err().detail
--- a/fleet/platform.py
+++ b/fleet/platform.py
@@ -94,6 +94,7 @@
         self.workers: dict[str, int] = {}
         self.started_ms: dict[str, int] = {}  # Unix milliseconds
         self.routers: dict[str, RouterPorts] = {}
+        self.written: dict[str, Document | None] = {}
         self._spawn('store', 'standins.rows', f'--port={self.store_port}')
         wait_until(
             lambda: self._is_listening(self.store_port), 'the store listens'
@@ -109,8 +110,17 @@
 
     def put(self, documents: Mapping[str, Document | None]) -> None:
         """Write rows to the store as the operator; None removes a row."""
+        self.written.update(documents)
         self.post(self.store_port, '/admin/put', documents)
 
+    def restore_store(self, age_s: float) -> None:
+        """Return the store to an earlier state, without its last writes."""
+        self.post(self.store_port, '/admin/restore', {'age_s': age_s})
+
+    def repeat_writes(self) -> None:
+        """Write all that the operator and the workers wrote again."""
+        self.put(dict(self.written))
+
     def post(self, port: int, path: str, document: object) -> Any:
         """Post to an administrative path of a stand-in; return its reply."""
         url = f'http://{HOST}:{port}{path}'
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -30,6 +30,7 @@
 # the workers do.
 PROTECTED_TABLES = frozenset(('op', 'servers'))
 FEED_POLL_S = 0.01
+BACKUP_AGE_S = 10.0  # of the oldest state to which the store can be restored
 
 RowKey = tuple[str, str]  # table, key
 
@@ -43,14 +44,26 @@
     removed: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Backup:
+    """State of a store before the transaction at a time, in seconds."""
+
+    at_s: float
+    version: int
+    rows: dict[RowKey, StoredRow]
+
+
 class Rows:
     """Rows of all tables, with one version counter.
 
     `oldest_feed_version` is the oldest version from which a feed can continue.
+    `era` rises with each restoration.
     """
 
     def __init__(self) -> None:
         """Create an empty store; the first transaction gets version 1."""
+        self.era = 1
+        self.backups: list[Backup] = []
         self.rows: dict[RowKey, StoredRow] = {}
         self.version = 0
         self.oldest_feed_version = 0
@@ -73,6 +86,7 @@
                     if stored is not None and not stored.removed
                 ]
                 return 412, {**self.common_fields(), 'rows': rows}
+        self._back_up()
         self.version += 1
         for entry in document.get('writes', ()):
             self.rows[_row_key(entry)] = StoredRow(self.version, entry['value'])
@@ -129,6 +143,10 @@
         newer_rows.sort(key=lambda entry: entry[:2])
         return [self.encode(key, row) for _version, key, row in newer_rows]
 
+    def has_history_since(self, version: int) -> bool:
+        """Return whether a feed can continue from a version."""
+        return self.oldest_feed_version <= version <= self.version
+
     def common_fields(self) -> dict[str, Any]:
         """Return the fields that every answer about rows contains."""
         return {'ver': self.version, 'now-ms': int(time.monotonic() * 1000)}
@@ -145,6 +163,31 @@
             return {**entry, 'removed': True}
         return {**entry, 'value': row.value}
 
+    def restore(self, document: Mapping[str, Any]) -> Reply:
+        """Return to the state of `age_s` seconds ago, in a new era."""
+        since_s = time.monotonic() - document['age_s']
+        lost = [backup for backup in self.backups if backup.at_s > since_s]
+        self.backups = [
+            backup for backup in self.backups if backup.at_s <= since_s
+        ]
+        if lost:
+            self.version = lost[0].version
+            self.rows = lost[0].rows
+            self.oldest_feed_version = min(
+                self.oldest_feed_version, self.version
+            )
+        self.era += 1
+        return 200, {'lost': len(lost)}
+
+    def _back_up(self) -> None:
+        now_s = time.monotonic()
+        self.backups = [
+            backup
+            for backup in self.backups
+            if backup.at_s >= now_s - BACKUP_AGE_S
+        ]
+        self.backups.append(Backup(now_s, self.version, dict(self.rows)))
+
     def _lookup(self, entry: Mapping[str, Any]) -> StoredRow | None:
         return self.rows.get(_row_key(entry))
 
@@ -203,14 +246,17 @@
     def _feed(self, query: Mapping[str, str]) -> Reply:
         after = int(query['after'])
         deadline = time.monotonic() + int(query.get('wait-ms', 0)) / 1000
+        era = self.rows.era
         while True:
-            if after < self.rows.oldest_feed_version:
+            if not self.rows.has_history_since(after):
                 return 410, {}
             rows = self.rows.changed_rows(query['table'], after)
             if rows or time.monotonic() >= deadline:
                 return 200, {**self.rows.common_fields(), 'rows': rows}
             if self.faults.value_of('outage') or self.faults.value_of('silent'):
                 return DROP
+            if self.rows.era != era:
+                return DROP
             eventlet.sleep(FEED_POLL_S)
 
     def _guarded(self, kind: str, action: Callable[[], Reply]) -> Reply:
@@ -234,13 +280,16 @@
         ('POST', '/admin/put-raw'): store.rows.transact,
         ('GET', '/admin/counts'): lambda _document: (200, dict(store.counts)),
         ('POST', '/admin/compact'): lambda _document: _compact(store.rows),
+        ('POST', '/admin/restore'): store.rows.restore,
         **fault_routes(store.faults),
     }
 
     def handle(environ: dict[str, Any], start: Any) -> Iterable[bytes]:
         action = admin.get((environ['REQUEST_METHOD'], environ['PATH_INFO']))
         if action is None:
-            return send_reply(environ, start, store.handle(environ))
+            reply = store.handle(environ)
+            era = ('Store-Era', str(store.rows.era))
+            return send_reply(environ, start, reply, (era,))
         return send_reply(environ, start, action(read_json(environ)))
 
     return handle
--- a/standins/web.py
+++ b/standins/web.py
@@ -76,16 +76,24 @@
 
 
 def send_reply(
-    environ: Mapping[str, Any], start: Any, reply: Reply
+    environ: Mapping[str, Any],
+    start: Any,
+    reply: Reply,
+    headers: Sequence[tuple[str, str]] = (),
 ) -> Iterable[bytes]:
     """Send the reply of an action; `DROP` closes the connection instead."""
     if reply == DROP:
         drop_connection(environ)
         return ()
-    return send_json(start, *reply)
+    return send_json(start, *reply, headers)
 
 
-def send_json(start: Any, status: int, document: Any) -> Iterable[bytes]:
+def send_json(
+    start: Any,
+    status: int,
+    document: Any,
+    headers: Sequence[tuple[str, str]] = (),
+) -> Iterable[bytes]:
     """Start a JSON response and return its body."""
     body = json.dumps(document).encode()
     start(
@@ -93,6 +101,7 @@
         [
             ('Content-Type', 'application/json'),
             ('Content-Length', str(len(body))),
+            *headers,
         ],
     )
     return (body,)
