Limit what cold endpoints get, and empty failure domains on order

The operator's order to empty a failure domain was not read.

Cold are endpoints that say so in their row or an answer, that refused a connection (told to the other nodes by datagram), and those of a domain whose evacuation ends. A cold endpoint costs up to twice as much in placement. On with cold-over in the settings and cold-per-s of a service. Endpoints of an evacuated domain get no work; running requests end. Server-Load takes further figures; the fourth is logged, and not used yet.

--- a/bronzeglade/decisions/placement.py
+++ b/bronzeglade/decisions/placement.py
@@ -10,6 +10,7 @@
 import datetime as dt
 import random
 from collections.abc import Collection, Mapping, Sequence
+from types import MappingProxyType
 from typing import Protocol
 
 import xxhash
@@ -27,6 +28,9 @@
 from bronzeglade.decisions.prefix import PrefixIndex, PrefixSettings
 
 
+_NONE_COLD: Mapping[str, float] = MappingProxyType({})
+
+
 class Candidate(Protocol):
     """An endpoint that is able to run the request."""
 
@@ -103,6 +107,9 @@
     # Cost of an endpoint in another failure domain for a request without a
     # prompt, in outstanding requests.
     cross_domain_requests: float = 0.5
+    # How much longer work takes at an endpoint that has just started, relative
+    # to a warm one. It falls in proportion to the remaining cold time.
+    cold_slowdown: float = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,6 +167,7 @@
         candidates: Sequence[Candidate],
         request: PlacedRequest,
         exclude: Collection[str] = (),
+        cold: Mapping[str, float] = _NONE_COLD,
     ) -> EndpointChoice | None:
         """Choose an endpoint.
 
@@ -167,6 +175,7 @@
           candidates: endpoints that are able to run the request.
           request: prompt and size.
           exclude: names of endpoints with an earlier attempt.
+          cold: fraction of its cold time that each cold endpoint has left.
 
         Returns:
           The choice, or None when all candidates are excluded. If all other
@@ -191,6 +200,8 @@
             choices = [
                 self._promptless_choice(candidate) for candidate in eligible
             ]
+        if cold:
+            choices = [self._slowed(choice, cold) for choice in choices]
         return min(choices, key=lambda choice: (choice.cost, self.rng.random()))
 
     def started(self, name: str, request: PlacedRequest, unread: int) -> None:
@@ -238,6 +249,13 @@
             + peer_load.get(name, NO_WORK).requests
         )
 
+    def _slowed(
+        self, choice: EndpointChoice, cold: Mapping[str, float]
+    ) -> EndpointChoice:
+        fraction = cold.get(choice.name, 0)
+        factor = 1 + self.settings.cold_slowdown * fraction
+        return dataclasses.replace(choice, cost=choice.cost * factor)
+
     def _promptless_choice(self, candidate: Candidate) -> EndpointChoice:
         # Peer reports are ignored: a request without a prompt ends before they
         # arrive.
--- a/bronzeglade/decisions/rate_limit.py
+++ b/bronzeglade/decisions/rate_limit.py
@@ -74,13 +74,16 @@
 
     def exhausted(self, turn: Turn) -> set[str]:
         """Return the endpoints to which this node may not send now."""
-        now = turn.now.total_seconds()
         return {
             endpoint
             for endpoint in self.rates
-            if self._sending_time(endpoint, turn) > now
+            if not self.has_turn(endpoint, turn)
         }
 
+    def has_turn(self, endpoint: str, turn: Turn) -> bool:
+        """Return whether this node may send to an endpoint with a limit."""
+        return self.next_turn(endpoint, turn) <= turn.now.total_seconds()
+
     def take(self, endpoint: str, turn: Turn) -> bool:
         """Use a sending time of this node; return whether there was one.
 
@@ -88,7 +91,7 @@
         """
         if endpoint not in self.rates:
             return True
-        sending_time = self._sending_time(endpoint, turn)
+        sending_time = self.next_turn(endpoint, turn)
         if sending_time > turn.now.total_seconds():
             return False
         self.used[endpoint] = sending_time
@@ -99,8 +102,11 @@
         self.rates.pop(endpoint, None)
         self.used.pop(endpoint, None)
 
-    def _sending_time(self, endpoint: str, turn: Turn) -> float:
-        """Return the first sending time that is not used or expired."""
+    def next_turn(self, endpoint: str, turn: Turn) -> float:
+        """Return the first sending time that is not used or expired.
+
+        In seconds of the common clock; one that is past may still be used.
+        """
         rate = max(self.settings.min_rate, self.rates[endpoint])
         now = turn.now.total_seconds()
         expired = now - self.settings.lifetime.total_seconds()
--- a/bronzeglade/forwarding/attempt.py
+++ b/bronzeglade/forwarding/attempt.py
@@ -138,6 +138,11 @@
     acquired = attempt.endpoint.pool.acquire(connect_timeout, max_idle)
     if isinstance(acquired, Err):
         connection_failure = acquired.err_value
+        if connection_failure.refused:
+            # Its process has ended; the next one begins cold.
+            router.mark_cold(
+                attempt.endpoint.entry.incarnation, None, 'connection'
+            )
         return Err(
             FailedAttempt(
                 Failure.NOT_CONNECTED,
--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -18,12 +18,11 @@
 from bronzeglade.clock import BootClock
 from bronzeglade.coordination.rollout_plan import Order, Plan
 from bronzeglade.coordination.table_mirror import TableMirror
-from bronzeglade.decisions import crashing_segments, rate_limit
+from bronzeglade.decisions import crashing_segments, pause, rate_limit
 from bronzeglade.decisions.latency import Latencies, LatencySettings
-from bronzeglade.decisions.pause import Pauses, PauseSettings
 from bronzeglade.decisions.placement import Placement, PlacementSettings
 from bronzeglade.decisions.shutdown import LongestDurations
-from bronzeglade.forwarding import request_handler
+from bronzeglade.forwarding import cold_endpoints, request_handler
 from bronzeglade.forwarding.caller import Caller, CallerConnection
 from bronzeglade.forwarding.endpoint import EndpointEntry, Registry
 from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
@@ -59,6 +58,7 @@
 SERVICE = 'workers'
 SECOND = dt.timedelta(seconds=1)
 MILLISECOND = dt.timedelta(milliseconds=1)
+NO_TIME = dt.timedelta()
 THREE_SECONDS = dt.timedelta(seconds=3)
 
 
@@ -140,6 +140,7 @@
         endpoint_table='endpoints',
         configuration_key='orders/configuration',
         order_prefix='orders/rollout/',
+        evacuation_prefix='orders/evacuation/',
         read_configuration=unsupported,
         read_endpoint=unsupported,
         read_order=order,
@@ -194,6 +195,7 @@
     draining: bool = False,
     started: int = 0,
     sequence: int = 0,
+    cold_for: dt.timedelta = NO_TIME,
 ) -> EndpointEntry:
     """Return the registration of an endpoint on loopback."""
     return EndpointEntry(
@@ -206,6 +208,7 @@
         draining=draining,
         started=started,
         sequence=sequence,
+        cold_for=cold_for,
     )
 
 
@@ -215,22 +218,24 @@
     """Return the router of a node with one service and no endpoints."""
     clock = clock or BootClock()
     rng = random.Random(1)
+    metrics = Metrics(CollectorRegistry())
     built = Router(
         settings=settings(),
         clock=clock,
         rng=rng,
         dialect=PlainDialect(),
         log=log(),
-        metrics=Metrics(CollectorRegistry()),
+        metrics=metrics,
         placement=Placement(PlacementSettings(), 'a', clock, rng),
         registry=Registry(clock),
         rollouts=rollouts(clock),
         latencies=Latencies(LatencySettings(), clock),
         roster=roster('node-1'),
-        pauses=Pauses(PauseSettings(), clock),
+        pauses=pause.Pauses(pause.PauseSettings(), clock),
         rate_limits=rate_limit.RateLimits(rate_limit.RateLimitSettings()),
         durations=LongestDurations(clock),
         crashes=crashing_segments.new(clock),
+        cold=cold_endpoints.new('node-1', clock, log(), metrics),
     )
     if routes:
         built.activate(table(*routes))
--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -214,6 +214,7 @@
             confidence=facts.confidence,
             load=None if facts.load is None else facts.load.running,
             waiting=None if facts.load is None else facts.load.waiting,
+            slowdown=None if facts.load is None else facts.load.slowdown,
             after_ms=_milliseconds(attempt.time_to_head),
         )
         if self.request.route.kind is RouteKind.STREAM and facts.succeeded:
@@ -520,7 +521,9 @@
         model = self.model
         placed = _placed_request(request, model)
         eligible = self._eligible_endpoints()
-        choice = self.router.placement.choose(eligible, placed)
+        choice = self.router.placement.choose(
+            eligible, placed, cold=self.router.cold.starts.fractions()
+        )
         if choice is None:
             self.detail = f'none of {len(eligible)} endpoints is available'
             return None
--- a/bronzeglade/forwarding/endpoint.py
+++ b/bronzeglade/forwarding/endpoint.py
@@ -1,6 +1,7 @@
 """Registered endpoints and their connection pools."""
 
 import dataclasses
+import datetime as dt
 from collections.abc import Iterable
 
 from bronzeglade.clock import Clock
@@ -19,6 +20,7 @@
 
     `started` is the start time of its process; a restart under the same name
     has a different one. `sequence` increases with each write of the process.
+    The endpoint stays cold for `cold_for` after this write.
     """
 
     name: str
@@ -30,6 +32,7 @@
     draining: bool
     started: int = 0
     sequence: int = 0
+    cold_for: dt.timedelta = dt.timedelta()
 
     @property
     def incarnation(self) -> Incarnation:
@@ -77,6 +80,8 @@
         self.departures = Departures()
         self.endpoints: dict[str, Endpoint] = {}
         self.limits: dict[str, int] = {}
+        # Failure domains whose endpoints get no work.
+        self.evacuated: frozenset[str] = frozenset()
 
     def update(self, entries: Iterable[EndpointEntry]) -> list[str]:
         """Replace the entries of all endpoints.
@@ -137,6 +142,7 @@
             self.endpoints.get(entry.name) is endpoint
             and not entry.draining
             and not endpoint.address_reused
+            and entry.failure_domain not in self.evacuated
             and not self.departures.includes(entry.incarnation)
         )
 
--- a/bronzeglade/forwarding/endpoint_connection.py
+++ b/bronzeglade/forwarding/endpoint_connection.py
@@ -35,13 +35,15 @@
 
     `sent` is false only when no byte of the request left this process.
     `local` is set when the endpoint is not the cause, `timed_out` when the read
-    may be repeated with a later deadline.
+    may be repeated with a later deadline, and `refused` when nothing listens at
+    the address.
     """
 
     sent: bool
     detail: str
     local: bool = False
     timed_out: bool = False
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -414,7 +416,8 @@
             sock = tcp.connect(self.address, connect_timeout)
         except OSError as error:
             self.open -= 1
-            return Err(ConnectionFailure(sent=False, detail=repr(error)))
+            refused = isinstance(error, ConnectionRefusedError)
+            return Err(ConnectionFailure(False, repr(error), refused=refused))
         except BaseException:
             self.open -= 1
             raise
--- a/bronzeglade/forwarding/exchange_message.py
+++ b/bronzeglade/forwarding/exchange_message.py
@@ -26,6 +26,7 @@
     DEPARTURE = 3  # an endpoint that is leaving
     PRESENCE = 4  # the sender runs; the nodes that it lists are silent
     CRASHES = 5  # evidence that endpoints end on prompt segments
+    COLD = 6  # an endpoint that is cold, or will be when it is back
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +46,15 @@
     incarnation: Incarnation
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdStart:
+    """A datagram that says how long an endpoint stays cold."""
+
+    sender: str
+    incarnation: Incarnation
+    remaining: dt.timedelta
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PresenceMessage:
     """A datagram that says that its sender runs.
@@ -65,7 +75,7 @@
     segments: Sequence[SegmentEvidence]
 
 
-Message = LoadMessage | Departure | PresenceMessage | CrashMessage
+Message = LoadMessage | Departure | ColdStart | PresenceMessage | CrashMessage
 
 _DATAGRAM = pd.TypeAdapter(tuple[MessageKind, str, dict[str, Any] | None])
 # Sums of the counts of thousands of nodes stay within 64 bits.
@@ -76,6 +86,15 @@
 _INCARNATION = pd.TypeAdapter(Incarnation)
 # In milliseconds, within the range of timedelta arithmetic.
 _Duration = Annotated[int, Field(ge=0, le=_MAX_COUNT)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ColdStartPayload:
+    incarnation: Incarnation
+    remaining: _Duration
+
+
+_COLD_START = pd.TypeAdapter(_ColdStartPayload)
 _SILENT = pd.TypeAdapter(dict[str, _Duration])
 # For each service and segment: the age of the newest beginning of an answer,
 # and the ages of the crashes by process.
@@ -91,6 +110,8 @@
         return _encode_presence(message)
     if isinstance(message, CrashMessage):
         return _encode_crashes(message)
+    if isinstance(message, ColdStart):
+        return _encode_cold_start(message)
     if isinstance(message, Departure):
         incarnation = dataclasses.asdict(message.incarnation)
         departure: bytes = msgpack.packb(
@@ -105,6 +126,17 @@
     return packed
 
 
+def _encode_cold_start(message: ColdStart) -> bytes:
+    payload = {
+        'incarnation': dataclasses.asdict(message.incarnation),
+        'remaining': message.remaining // _MILLISECOND,
+    }
+    packed: bytes = msgpack.packb(
+        [MessageKind.COLD.value, message.sender, payload]
+    )
+    return packed
+
+
 def _encode_presence(message: PresenceMessage) -> bytes:
     silent = message.silent
     payload = None
@@ -164,6 +196,10 @@
         )
         if kind is MessageKind.DEPARTURE:
             return Ok(Departure(sender, _INCARNATION.validate_python(payload)))
+        if kind is MessageKind.COLD:
+            cold = _COLD_START.validate_python(payload)
+            remaining = cold.remaining * _MILLISECOND
+            return Ok(ColdStart(sender, cold.incarnation, remaining))
         if kind is MessageKind.PRESENCE:
             return Ok(PresenceMessage(sender, _decode_silent(payload)))
         if kind is MessageKind.CRASHES:
--- a/bronzeglade/forwarding/load_exchange.py
+++ b/bronzeglade/forwarding/load_exchange.py
@@ -10,9 +10,9 @@
 Messages of presence are sent between nodes that send each other no other ones,
 and list the nodes that are silent, if there are any.
 
-The departure of an endpoint is announced once, through the same aggregators. A
-lost announcement costs little: each node also learns of the departure from the
-endpoint and the store.
+The departure of an endpoint is announced once, through the same aggregators,
+and so is a cold one. A lost announcement costs little: each node also learns of
+it from the endpoint and the store.
 """
 
 import datetime as dt
@@ -35,6 +35,7 @@
 from bronzeglade.forwarding import exchange_message
 from bronzeglade.forwarding.departures import Incarnation
 from bronzeglade.forwarding.exchange_message import (
+    ColdStart,
     CrashMessage,
     Departure,
     LoadMessage,
@@ -146,6 +147,10 @@
         self.on_load_message: Callable[[MessageKind, str], None] | None = None
         # Called with a departure and its source; returns whether it is new.
         self.on_departure: Callable[[Incarnation, str], bool] | None = None
+        # Called with a cold endpoint, how long it stays so, and the source.
+        self.on_cold: (
+            Callable[[Incarnation, dt.timedelta, str], bool] | None
+        ) = None
 
     def open(self) -> None:
         """Bind the socket to the exchange address of this node."""
@@ -174,6 +179,8 @@
         message = decoded.ok_value
         if isinstance(message, Departure):
             self._apply_departure(message)
+        elif isinstance(message, ColdStart):
+            self._apply_cold_start(message)
         elif isinstance(message, PresenceMessage):
             self._apply_presence(message)
         elif isinstance(message, CrashMessage):
@@ -279,6 +286,15 @@
             if node.name != local_node.name:
                 self._send(node, Departure(local_node.name, incarnation))
 
+    def announce_cold(
+        self, incarnation: Incarnation, remaining: dt.timedelta
+    ) -> None:
+        """Announce a cold endpoint to the other nodes."""
+        local_name = self.roster.local_node.name
+        for node in self._news_receivers():
+            if node.name != local_name:
+                self._send(node, ColdStart(local_name, incarnation, remaining))
+
     def _news_receivers(self) -> list[RouterNode]:
         """Return the nodes that learn of news from this one."""
         if not self._is_aggregator():
@@ -295,6 +311,15 @@
         if is_new and self._is_aggregator():
             self.announce_departure(message.incarnation)
 
+    def _apply_cold_start(self, message: ColdStart) -> None:
+        if self.on_cold is None:
+            return
+        is_new = self.on_cold(
+            message.incarnation, message.remaining, message.sender
+        )
+        if is_new and self._is_aggregator():
+            self.announce_cold(message.incarnation, message.remaining)
+
     def _send_totals(self) -> None:
         """Send each node of this failure domain the load of all others."""
         local_node = self.roster.local_node
--- a/bronzeglade/forwarding/malformed_messages_test.py
+++ b/bronzeglade/forwarding/malformed_messages_test.py
@@ -1,5 +1,6 @@
 """Guards that no message of another node ends in an exception."""
 
+import dataclasses
 import datetime as dt
 import io
 import json
@@ -27,10 +28,23 @@
 from bronzeglade.forwarding.copies import CopySource, TableCopies
 from bronzeglade.forwarding.exchange_message import LoadMessage, MessageKind
 from bronzeglade.forwarding.load_exchange import LoadExchange
+from bronzeglade.forwarding.settings import ColdBounds
 
 LOAD = [0, 'a-2', {'e': [3, 400]}]
 DEPARTURE = [3, 'a-2', {'name': 'e', 'started': 1, 'address': ['10.0.0.1', 1]}]
 PRESENCE = [4, 'b-1', {'b-1': 900, 'a-3': 1200}]
+COLD = [
+    6,
+    'a-2',
+    {
+        'incarnation': {
+            'name': 'e',
+            'started': 0,
+            'address': ['127.0.0.1', 1],
+        },
+        'remaining': 900,
+    },
+]
 CRASHES = [5, 'a-2', {'s': {'part': [900, {'e/1': 400}]}}]
 NESTED = b'\x91' * 100_000 + b'\xc0'
 BYTES = (
@@ -63,6 +77,10 @@
 def exchange(content: bytes) -> None:
     """Receive a datagram, choose an endpoint and send the sums."""
     router = builders.router(builders.route())
+    router.settings = dataclasses.replace(
+        router.settings, cold=ColdBounds(1.5, 5)
+    )
+    router.update_cold_limits()
     router.update_endpoints([builders.entry('e')])
     known = builders.roster('a-1', 'a-2', 'a-3', 'b-1')
     clock = ManualClock()
@@ -70,6 +88,7 @@
         known, router.placement, clock, builders.log(), random.Random(1)
     )
     subject.on_departure = router.mark_leaving
+    subject.on_cold = router.mark_cold
     subject.crashes = router.crashes
     subject.sock = Socket(content)
     subject.receive_next()
@@ -94,7 +113,7 @@
     assert known.presence.is_present('a-1')
 
 
-@pytest.mark.parametrize('message', [LOAD, DEPARTURE, PRESENCE, CRASHES])
+@pytest.mark.parametrize('message', [LOAD, DEPARTURE, PRESENCE, CRASHES, COLD])
 def test_message_with_one_malformed_value(message: Any) -> None:
     """A count of 64 bits stopped the reports to all nodes."""
     for variant in malformed.packed_variants(message):
--- a/bronzeglade/forwarding/message.py
+++ b/bronzeglade/forwarding/message.py
@@ -75,11 +75,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load that an endpoint reports with an answer, in requests."""
+    """Load that an endpoint reports with an answer, in requests.
+
+    `slowdown` is how much longer work takes there now than usual, or None if
+    the endpoint does not say so.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,7 +99,8 @@
     100. `leaving` is set when the endpoint accepts no new requests any more;
     `no_work_for` is how long it wants none. `rate_limit` is the number of
     requests per second that it accepts from all nodes together; infinite if it
-    names no limit, None if the limit could not be parsed. `unreadable` names
+    names no limit, None if the limit could not be parsed. `cold_for` is how
+    long the endpoint stays cold, None if it does not say so. `unreadable` names
     headers that were ignored because they could not be parsed.
     """
 
@@ -111,6 +117,7 @@
     leaving: bool = False
     no_work_for: dt.timedelta | None = None
     rate_limit: float | None = math.inf
+    cold_for: dt.timedelta | None = None
     unreadable: tuple[str, ...] = ()
 
     @property
--- a/bronzeglade/forwarding/metrics.py
+++ b/bronzeglade/forwarding/metrics.py
@@ -85,6 +85,22 @@
             'Version of the active configuration.',
             registry=registry,
         )
+        self.cold_endpoints = Gauge(
+            'bronzeglade_cold_endpoints',
+            'Endpoints that get few requests since they have just started.',
+            registry=registry,
+        )
+        self.cold_attempts = Counter(
+            'bronzeglade_cold_attempts',
+            'Attempts at cold endpoints: sent, or without a turn.',
+            ('outcome',),
+            registry=registry,
+        )
+        self.evacuated_domains = Gauge(
+            'bronzeglade_evacuated_domains',
+            'Failure domains whose endpoints get no requests.',
+            registry=registry,
+        )
         self.dropped_lines = Counter(
             'bronzeglade_log_lines_dropped',
             'Log lines dropped, above the rate limit or for a slow reader.',
--- a/bronzeglade/forwarding/plain_dialect.py
+++ b/bronzeglade/forwarding/plain_dialect.py
@@ -74,6 +74,7 @@
         fields = _fields(headers)
         confidence = fields.get('confidence')
         pause = fields.get('no-work-for')
+        cold = fields.get('cold-for')
         return AnswerFacts(
             status=status,
             headers=[
@@ -89,6 +90,7 @@
             confidence=None if confidence is None else float(confidence),
             leaving='leaving' in fields,
             no_work_for=None if pause is None else float(pause) * SECOND,
+            cold_for=None if cold is None else float(cold) * SECOND,
             rate_limit=float(fields.get('rate-limit', 'inf')),
         )
 
--- a/bronzeglade/forwarding/platform_interface.py
+++ b/bronzeglade/forwarding/platform_interface.py
@@ -27,13 +27,15 @@
     """Location and decoding of the rows of operators and endpoints.
 
     Keys have the form `TABLE/KEY`. Decoders return the reason as an error when
-    a row cannot be decoded.
+    a row cannot be decoded. A row whose key is the evacuation prefix and a
+    failure domain keeps work from the endpoints there, whatever its content.
     """
 
     operator_table: str
     endpoint_table: str
     configuration_key: str
     order_prefix: str
+    evacuation_prefix: str
     read_configuration: Callable[[Row], Result[RouteTable, str]]
     read_endpoint: Callable[[Row], Result[EndpointEntry, str]]
     read_order: Callable[[Row], Result[Order, str]]
--- a/bronzeglade/forwarding/route.py
+++ b/bronzeglade/forwarding/route.py
@@ -95,11 +95,15 @@
     """A service that a group of endpoints provides.
 
     `max_connections` is the number of connections that one endpoint accepts
-    from all nodes together.
+    from all nodes together. After a start, an endpoint is cold for
+    `cold_start`, and bears `cold_rate` requests per second meanwhile; 0 means
+    as many as later.
     """
 
     name: str
     max_connections: int
+    cold_start: dt.timedelta = dt.timedelta()
+    cold_rate: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bronzeglade/forwarding/router.py
+++ b/bronzeglade/forwarding/router.py
@@ -21,6 +21,7 @@
     plan_shutdown,
 )
 from bronzeglade.forwarding.accepted_request import AcceptedRequest
+from bronzeglade.forwarding.cold_endpoints import ColdEndpoints
 from bronzeglade.forwarding.departures import Departures, Incarnation
 from bronzeglade.forwarding.endpoint import (
     Endpoint,
@@ -48,6 +49,8 @@
 # Retry-After of callers that wait for a paused endpoint is extended by a random
 # fraction of the pause, at most this, so that they don't all return at once.
 PAUSE_JITTER = 0.25
+# From where this node itself learns that an endpoint may be cold.
+LOCAL_SOURCES = frozenset(('answer', 'connection'))
 
 
 class RunningRequest(Protocol):
@@ -86,6 +89,7 @@
     rate_limits: RateLimits
     durations: LongestDurations
     crashes: CrashingSegments
+    cold: ColdEndpoints
     escalation: EscalationSettings = EscalationSettings()
     table: RouteTable | None = None
     budgets: dict[str, WindowBudget] = dataclasses.field(default_factory=dict)
@@ -98,6 +102,8 @@
     ended_processes: Departures = dataclasses.field(default_factory=Departures)
     # Called when an endpoint reports in an answer that it is shutting down.
     on_departure: Callable[[Incarnation], None] | None = None
+    # Called when this node finds that an endpoint is cold, or will be.
+    on_cold: Callable[[Incarnation, dt.timedelta], None] | None = None
 
     @property
     def version(self) -> int:
@@ -151,8 +157,32 @@
             keys=0 if table.teams is None else len(table.teams),
         )
         self.update_connection_limits()
+        self.update_cold_limits()
         return True
 
+    def update_cold_limits(self) -> None:
+        """Apply the limits on requests to cold endpoints."""
+        services = {} if self.table is None else self.table.services
+        self.cold.configure(self.settings.cold, services)
+
+    def evacuate(self, domains: frozenset[str]) -> None:
+        """Keep new work from the endpoints of some failure domains.
+
+        Requests that run there end in their own time.
+
+        Args:
+          domains: all failure domains that are to get no work.
+        """
+        before = self.registry.evacuated
+        if domains == before:
+            return
+        self.registry.evacuated = domains
+        for domain in before - domains:
+            # Without requests, the endpoints may have become cold.
+            self.cold.presume_domain(domain, 'evacuation')
+        self.metrics.evacuated_domains.set(len(domains))
+        self.log.event('evacuation', domains=sorted(domains))
+
     def update_connection_limits(self) -> None:
         """Set this node's share of the connections to each endpoint."""
         if self.table is None:
@@ -176,6 +206,7 @@
             self.placement.forget(name)
             self.pauses.forget(name)
             self.rate_limits.forget(name)
+        self.cold.update(entries)
         after = self._entries()
         for name in before.keys() | after.keys():
             old, new = before.get(name), after.get(name)
@@ -208,6 +239,11 @@
         exhausted: Collection[str] = ()
         if self.rate_limits.rates:
             exhausted = self.rate_limits.exhausted(self._turn())
+        if self.cold.starts.cold_until:
+            exhausted = {
+                *exhausted,
+                *self.cold.starts.exhausted(self._cold_turn()),
+            }
         available = [
             endpoint
             for endpoint in self._allowed_endpoints(request)
@@ -225,12 +261,29 @@
     def take_turn(self, endpoint: Endpoint) -> bool:
         """Use a turn of this node at an endpoint; return whether it has one.
 
-        Every request that is sent to an endpoint with a rate limit needs one.
+        Every request that is sent to an endpoint with a rate limit needs one,
+        as does each to a cold endpoint.
         """
+        if not self._take_cold_turn(endpoint):
+            return False
         if endpoint.name not in self.rate_limits.rates:
             return True
         return self.rate_limits.take(endpoint.name, self._turn())
 
+    def _take_cold_turn(self, endpoint: Endpoint) -> bool:
+        if not self.cold.starts.remaining(endpoint.name):
+            return True
+        taken = self.cold.starts.take(endpoint.name, self._cold_turn())
+        outcome = 'sent' if taken else 'no_turn'
+        self.metrics.cold_attempts.labels(outcome).inc()
+        return taken
+
+    def _cold_turn(self) -> Turn | None:
+        rows = self.rollouts.operator_rows
+        return self.cold.membership.turn(
+            self.rollouts.router_rows.store_time(), rows.confirmed_at
+        )
+
     def _turn(self) -> Turn:
         return Turn(
             self.rollouts.router_rows.store_time(),
@@ -261,6 +314,8 @@
             return
         if facts.leaving:
             self.mark_leaving(endpoint.entry.incarnation, 'answer')
+        if facts.cold_for:
+            self.mark_cold(endpoint.entry.incarnation, facts.cold_for, 'answer')
         self._set_rate_limit(endpoint, facts)
         if facts.no_work_for is not None:
             granted = self.pauses.request_pause(
@@ -307,6 +362,33 @@
             self.on_departure(incarnation)
         return True
 
+    def mark_cold(
+        self,
+        incarnation: Incarnation,
+        remaining: dt.timedelta | None,
+        source: str,
+    ) -> bool:
+        """Record that an endpoint may be cold.
+
+        Args:
+          incarnation: its process.
+          remaining: how long; None for as long as after a start.
+          source: `answer` or `connection` if this node has found it, otherwise
+            the name of the peer that did.
+
+        Returns:
+          Whether this was not known before.
+        """
+        if not self.cold.is_current(incarnation):
+            return False
+        if not self.cold.presume(incarnation.name, source, remaining):
+            return False
+        if source in LOCAL_SOURCES and self.on_cold is not None:
+            self.on_cold(
+                incarnation, self.cold.starts.remaining(incarnation.name)
+            )
+        return True
+
     def _allowed_endpoints(self, request: AcceptedRequest) -> list[Endpoint]:
         endpoints = self.registry.serving(request.service)
         return self.rollouts.select(request, endpoints)
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -22,12 +22,12 @@
     FailureDetector,
     FailureDetectorSettings,
 )
-from bronzeglade.decisions import crashing_segments, rate_limit
+from bronzeglade.decisions import crashing_segments, pause, rate_limit
 from bronzeglade.decisions.latency import Latencies, LatencySettings
-from bronzeglade.decisions.pause import Pauses, PauseSettings
 from bronzeglade.decisions.placement import Placement, PlacementSettings
 from bronzeglade.decisions.shutdown import LongestDurations, Shutdown
 from bronzeglade.forwarding import (
+    cold_endpoints,
     copies,
     node_registration,
     request_handler,
@@ -148,10 +148,13 @@
             rollouts=self.rollouts,
             latencies=Latencies(LatencySettings(), self.clock),
             roster=self.roster,
-            pauses=Pauses(PauseSettings(), self.clock),
+            pauses=pause.Pauses(pause.PauseSettings(), self.clock),
             rate_limits=rate_limit.RateLimits(rate_limit.RateLimitSettings()),
             durations=LongestDurations(self.clock),
             crashes=crashing_segments.new(self.clock),
+            cold=cold_endpoints.new(
+                settings.name, self.clock, self.log, metrics
+            ),
         )
         self.exchange = LoadExchange(
             self.roster,
@@ -173,6 +176,8 @@
         self.exchange.crashes = self.router.crashes
         self.router.on_departure = self.exchange.announce_departure
         self.exchange.on_departure = self.router.mark_leaving
+        self.router.on_cold = self.exchange.announce_cold
+        self.exchange.on_cold = self.router.mark_cold
         self.listener: Any = None
         self.accept_thread: Any = None
         self.page_servers: list[serving.Server] = []
@@ -311,11 +316,20 @@
         row = self.tables.operator.rows.get(
             self.platform.documents.configuration_key
         )
+        self.router.evacuate(self._evacuated_domains())
         rows = () if row is None else (row,)
         for table in self.configuration_decoder.read(rows):
             self.router.activate(table)
         self.rollouts.refresh()
 
+    def _evacuated_domains(self) -> frozenset[str]:
+        prefix = self.platform.documents.evacuation_prefix
+        return frozenset(
+            key.removeprefix(prefix)
+            for key in self.tables.operator.current()
+            if key.startswith(prefix)
+        )
+
     def _endpoint_rows_changed(self) -> None:
         rows = self.tables.endpoints.current().values()
         self.router.update_endpoints(self.entry_decoder.read(rows))
@@ -335,6 +349,7 @@
                 left=sorted(previous - nodes.keys()),
             )
         self.roster.update(nodes)
+        self.router.cold.membership.update(nodes)
         self.router.update_connection_limits()
         self.router.update_retry_limits()
         self.rollouts.refresh()
@@ -444,6 +459,7 @@
         if outcome.ok_value != self.router.settings:
             self.router.settings = outcome.ok_value
             self.rollouts.bounds = outcome.ok_value.rollout
+            self.router.update_cold_limits()
             self.roster.seeds = outcome.ok_value.peers
             self.log.event('reload')
 
--- a/bronzeglade/forwarding/settings.py
+++ b/bronzeglade/forwarding/settings.py
@@ -31,6 +31,18 @@
     slack: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdBounds:
+    """Bounds on the requests to a cold endpoint.
+
+    In any second it may get `ratio` times the rate that its service bears while
+    cold, plus `slack` requests, from all nodes together.
+    """
+
+    ratio: float
+    slack: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopBounds:
     """Times for a graceful shutdown, counted from the signal.
@@ -50,7 +62,8 @@
     `callers`, `readiness`, `directory`, `control` and `exchange` are the
     addresses to listen on; `exchange` is for datagrams. `peers` lists the
     control addresses of other nodes and may be stale. `failure_domains` maps
-    each failure domain to its region.
+    each failure domain to its region. Without `cold`, cold endpoints get as
+    many requests as others.
     """
 
     name: str
@@ -67,3 +80,4 @@
     retry: RetryBounds
     rollout: RolloutBounds
     stop: StopBounds
+    cold: ColdBounds | None = None
--- a/bronzeglade/platform/documents.py
+++ b/bronzeglade/platform/documents.py
@@ -33,6 +33,7 @@
 ENDPOINT_TABLE = 'servers'
 CONFIGURATION_KEY = 'op/config'
 ORDER_PREFIX = 'op/rollout/'
+EVACUATION_PREFIX = 'op/evacuate/'
 STATUS_PREFIX = 'status/rollout/'
 
 _KINDS = {
@@ -94,6 +95,10 @@
 class _Service(PlatformDocument):
     name: str
     max_connections: int = Field(64, alias='max-connections', le=_MAX_ID)
+    cold_start_s: float = Field(
+        0, alias='cold-start-s', ge=0, le=_MAX_DURATION_MS / 1000
+    )
+    cold_per_s: float = Field(0, alias='cold-per-s', ge=0, le=_MAX_COUNT)
 
 
 class _Limits(PlatformDocument):
@@ -132,6 +137,7 @@
     state: str
     born: int = Field(0, ge=0, le=_MAX_ID)
     sequence: int = Field(0, ge=0, le=_MAX_ID)
+    cold_remaining_ms: _Milliseconds = Field(0, alias='cold-remaining-ms')
 
 
 class _Order(PlatformDocument):
@@ -170,7 +176,12 @@
             version=document.version,
             routes=index_routes(routes),
             services={
-                service.name: Service(service.name, service.max_connections)
+                service.name: Service(
+                    service.name,
+                    service.max_connections,
+                    dt.timedelta(seconds=service.cold_start_s),
+                    service.cold_per_s,
+                )
                 for service in document.services
             },
             limits=Limits(
@@ -209,6 +220,7 @@
             draining=entry.state == 'draining',
             started=entry.born,
             sequence=entry.sequence,
+            cold_for=entry.cold_remaining_ms * _MILLISECOND,
         )
     )
 
--- a/bronzeglade/platform/documents_test.py
+++ b/bronzeglade/platform/documents_test.py
@@ -36,6 +36,7 @@
     entry = outcome.ok_value
     assert (entry.name, entry.address) == ('i-1', ('10.0.0.9', 8080))
     assert entry.started == 17
+    assert entry.cold_for == dt.timedelta(milliseconds=250)
     assert not entry.draining
 
 
@@ -47,6 +48,8 @@
         {'address': 'nowhere'},
         {'service': None},
         {'born': 1.5},
+        {'cold-remaining-ms': 'long'},
+        {'cold-remaining-ms': -1},
     ],
 )
 def test_unreadable_entry_gives_no_endpoint(changed: dict[str, object]) -> None:
--- a/bronzeglade/platform/headers.py
+++ b/bronzeglade/platform/headers.py
@@ -4,11 +4,12 @@
 instance or a worker.
 """
 
+import dataclasses
 import datetime as dt
 import functools
 import math
 from collections.abc import Callable, Mapping
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from result import Err, Ok, Result
 
@@ -38,6 +39,7 @@
 _MAX_COUNT = 2**31 - 1
 _MAX_RATE = 1e6  # requests per second; a higher limit never takes effect
 _MAX_LOGGED_CHARS = 40  # of the value of an unreadable header
+_SLOWDOWN_INDEX = 3  # among the figures of Server-Load
 
 # Hop-by-hop headers, which are not forwarded, and headers that the router sets
 # for each connection itself.
@@ -176,12 +178,13 @@
             not_run=refused or status == _HTTP_MISDIRECTED,
             misdirected=status == _HTTP_MISDIRECTED,
             encoded=fields.get(b'content-encoding', 'identity') != 'identity',
-            load=read(b'server-load', _parse_load),
+            load=_read_load(read),
             confidence=read(b'confidence', _parse_confidence),
             idle_limit=read(b'keep-alive', _parse_idle_limit),
             leaving=bool(leaving),
             no_work_for=no_work_for,
             rate_limit=rate_limit,
+            cold_for=read(b'cold-ms', _parse_milliseconds),
             unreadable=tuple(unreadable),
         )
 
@@ -321,13 +324,44 @@
     return confidence
 
 
+def _read_load(
+    read: Callable[[bytes, Callable[[str], Any]], Any],
+) -> LoadReport | None:
+    """Read Server-Load, which some endpoints extend by a fourth figure.
+
+    An unreadable fourth figure does not affect the others, and further figures
+    are ignored.
+    """
+    load: LoadReport | None = read(b'server-load', _parse_load)
+    if load is None:
+        return None
+    return dataclasses.replace(
+        load, slowdown=read(b'server-load', _parse_slowdown)
+    )
+
+
 def _parse_load(text: str) -> LoadReport:
-    running, waiting, slots = text.split(',')
+    running, waiting, slots, *_others = text.split(',')
     return LoadReport(
         _parse_count(running), _parse_count(waiting), _parse_count(slots)
     )
 
 
+def _parse_slowdown(text: str) -> float | None:
+    """Parse how long work takes, in hundredths of the usual time."""
+    figures = text.split(',')
+    if len(figures) <= _SLOWDOWN_INDEX:
+        return None
+    percentage = float(figures[_SLOWDOWN_INDEX])
+    if not 0 < percentage <= _MAX_COUNT:
+        raise ValueError('not a speed')
+    return percentage / 100
+
+
+def _parse_milliseconds(text: str) -> dt.timedelta:
+    return _parse_seconds(text) / 1000
+
+
 def _parse_idle_limit(text: str) -> dt.timedelta:
     for entry in text.split(','):
         name, _, seconds = entry.strip().partition('=')
--- a/bronzeglade/platform/headers_test.py
+++ b/bronzeglade/platform/headers_test.py
@@ -6,7 +6,12 @@
 import pytest
 from result import Err, Ok
 
-from bronzeglade.forwarding.message import Dispatch, PromptSegment, RequestHead
+from bronzeglade.forwarding.message import (
+    LoadReport,
+    Dispatch,
+    PromptSegment,
+    RequestHead,
+)
 from bronzeglade.outcome import Refusal
 from bronzeglade.platform.headers import PlatformHeaders
 
@@ -190,6 +195,53 @@
     assert HEADERS.read_answer(200, []).rate_limit == math.inf
 
 
+# An answer with four figures was taken for one without load.
+@pytest.mark.parametrize(
+    ('text', 'slowdown', 'unreadable'),
+    [
+        (b'3,0,8', None, False),
+        (b'3,0,8,100', 1, False),
+        (b'3,0,8, 250', 2.5, False),
+        (b'3,0,8,62.5', 0.625, False),
+        (b'3,0,8,120,7,new', 1.2, False),
+        (b'3,0,8,', None, True),
+        (b'3,0,8,0', None, True),
+        (b'3,0,8,-50', None, True),
+        (b'3,0,8,nan', None, True),
+        (b'3,0,8,inf', None, True),
+        (b'3,0,8,slow', None, True),
+    ],
+)
+def test_load_with_further_figures(
+    text: bytes, slowdown: float | None, unreadable: bool
+) -> None:
+    """A figure that cannot be read does not hide the others."""
+    facts = HEADERS.read_answer(200, ((b'Server-Load', text),))
+    assert facts.load == LoadReport(3, 0, 8, slowdown)
+    assert bool(facts.unreadable) == unreadable
+
+
+@pytest.mark.parametrize('text', [b'3,0', b'3,0,x', b'3,0,-1,100', b''])
+def test_load_without_its_three_figures(text: bytes) -> None:
+    """Such a report is ignored, and logged once."""
+    facts = HEADERS.read_answer(200, ((b'Server-Load', text),))
+    assert facts.load is None
+    assert len(facts.unreadable) == 1
+
+
+@pytest.mark.parametrize(
+    ('text', 'cold_ms'), [(b'1500', 1500), (b'0', 0), (b'long', None)]
+)
+def test_endpoint_says_how_long_it_is_cold(
+    text: bytes, cold_ms: int | None
+) -> None:
+    """A time that cannot be read is ignored."""
+    facts = HEADERS.read_answer(200, ((b'Cold-Ms', text),))
+    expected = None if cold_ms is None else dt.timedelta(milliseconds=cold_ms)
+    assert facts.cold_for == expected
+    assert bool(facts.unreadable) == (cold_ms is None)
+
+
 @pytest.mark.parametrize('status', [200, 204, 302, 500, 502, 504])
 def test_answer_of_a_run_is_no_refusal(status: int) -> None:
     """A request that may have run would be sent to another endpoint."""
--- a/bronzeglade/platform/program.py
+++ b/bronzeglade/platform/program.py
@@ -48,6 +48,7 @@
             endpoint_table=documents.ENDPOINT_TABLE,
             configuration_key=documents.CONFIGURATION_KEY,
             order_prefix=documents.ORDER_PREFIX,
+            evacuation_prefix=documents.EVACUATION_PREFIX,
             read_configuration=documents.read_configuration,
             read_endpoint=documents.read_endpoint,
             read_order=documents.read_order,
--- a/bronzeglade/platform/settings.py
+++ b/bronzeglade/platform/settings.py
@@ -11,6 +11,7 @@
 from bronzeglade.forwarding import address
 from bronzeglade.forwarding.settings import (
     Address,
+    ColdBounds,
     RetryBounds,
     RolloutBounds,
     RouterSettings,
@@ -54,6 +55,8 @@
     budget_slack: _Number = Field(10, alias='budget-slack')
     expose_share: _Number = Field(0.1, alias='expose-share')
     expose_slack: _Number = Field(0, alias='expose-slack')
+    cold_over: _Number | None = Field(None, alias='cold-over')
+    cold_slack: _Number = Field(0, alias='cold-slack')
 
 
 class _Store(PlatformDocument):
@@ -124,6 +127,11 @@
             dt.timedelta(seconds=bounds.grace_s),
             dt.timedelta(seconds=DIRECTORY_TTL_S * _MAX_AGE_FACTOR),
         ),
+        cold=(
+            None
+            if bounds.cold_over is None
+            else ColdBounds(bounds.cold_over, bounds.cold_slack)
+        ),
     )
 
 
--- a/bronzeglade/platform/settings_test.py
+++ b/bronzeglade/platform/settings_test.py
@@ -9,7 +9,7 @@
 from result import Ok, Result
 
 from bronzeglade import malformed
-from bronzeglade.forwarding.settings import RouterSettings
+from bronzeglade.forwarding.settings import ColdBounds, RouterSettings
 from bronzeglade.platform.settings import read_settings
 
 FILE: dict[str, Any] = {
@@ -81,3 +81,12 @@
     listen = {**FILE['listen'], 'ready': text}
     path.write_text(json.dumps({**FILE, 'listen': listen}))
     assert 'listen.ready' in read_settings(str(path)).unwrap_err()
+
+
+def test_bounds_for_cold_endpoints_are_optional(tmp_path: Path) -> None:
+    """Deployments without them are served as before."""
+    assert read(tmp_path).unwrap().cold is None
+    bounds = {**FILE['bounds'], 'cold-over': 1.5, 'cold-slack': 5}
+    path = tmp_path / 'settings.json'
+    path.write_text(json.dumps({**FILE, 'bounds': bounds}))
+    assert read_settings(str(path)).unwrap().cold == ColdBounds(1.5, 5)
