Bound the memory and the connections that callers can make a node hold

Cause: each body was kept whole until its request was answered, with a limit for each body and none for all of them, and a second copy was made for sending it. An announced length over the limit was read up to the limit first. Nothing bounded the connections of callers below the limit of descriptors.

Change: decisions/memory_account.py shares the memory beyond that of the start among all bodies and held answers: stalled bodies give way first, then those of the address that holds most; small ones are not counted. 413 at the head, 503 no_room (not run, Retry-After), and the refusal reaches a caller that goes on sending. forwarding/caller_connections.py bounds open connections; one that waits for a request gives way. caller_listener.py is what router_process.py did for callers. Counters, one log line a second.

--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -18,8 +18,13 @@
 from bronzeglade.clock import BootClock
 from bronzeglade.coordination.rollout_plan import Order, Plan
 from bronzeglade.coordination.table_mirror import TableMirror
-from bronzeglade.decisions import crashing_segments, pause, rate_limit
-from bronzeglade.decisions.latency import Latencies, LatencySettings
+from bronzeglade.decisions import (
+    crashing_segments,
+    latency,
+    memory_account,
+    pause,
+    rate_limit,
+)
 from bronzeglade.decisions.placement import Placement, PlacementSettings
 from bronzeglade.decisions.shutdown import LongestDurations
 from bronzeglade.forwarding import cold_endpoints, request_handler
@@ -89,13 +94,15 @@
     )
 
 
-def table(*routes: Route, version: int = 1) -> RouteTable:
+def table(
+    *routes: Route, version: int = 1, body_bytes: int = 65536
+) -> RouteTable:
     """Return a configuration with one service and one key."""
     return RouteTable(
         version=version,
         routes=index_routes(routes),
         services={SERVICE: Service(SERVICE, 64)},
-        limits=Limits(4096, 65536, SECOND, 5 * SECOND),
+        limits=Limits(4096, body_bytes, SECOND, 5 * SECOND),
         teams={KEY: Team(TEAM)},
     )
 
@@ -229,13 +236,16 @@
         placement=Placement(PlacementSettings(), 'a', clock, rng),
         registry=Registry(clock),
         rollouts=rollouts(clock),
-        latencies=Latencies(LatencySettings(), clock),
+        latencies=latency.Latencies(latency.LatencySettings(), clock),
         roster=roster('node-1'),
         pauses=pause.Pauses(pause.PauseSettings(), clock),
         rate_limits=rate_limit.RateLimits(rate_limit.RateLimitSettings()),
         durations=LongestDurations(clock),
         crashes=crashing_segments.new(clock),
         cold=cold_endpoints.new('node-1', clock, log(), metrics),
+        memory=memory_account.MemoryAccount(
+            memory_account.MemorySettings(), clock
+        ),
     )
     if routes:
         built.activate(table(*routes))
@@ -258,7 +268,9 @@
     def accept() -> None:
         while True:
             sock, _peer = listener.accept()
-            reader = RequestReader(sock, built.clock, limits, is_stopping)
+            reader = RequestReader(
+                sock, built.clock, limits, is_stopping, built.memory
+            )
             eventlet.spawn(CallerConnection(reader, handle).run)
 
     eventlet.spawn(accept)
--- a/bronzeglade/forwarding/caller.py
+++ b/bronzeglade/forwarding/caller.py
@@ -17,6 +17,10 @@
 
 # Maximum time to write one block of an answer.
 WRITE_TIMEOUT = dt.timedelta(seconds=10)
+# How long, and for how many bytes, the rest of a refused request is discarded,
+# so that the caller gets the refusal.
+DISCARD_TIME = dt.timedelta(seconds=1)
+MAX_DISCARD_BYTES = 256 * 1024
 # Parser states in which no answer has been started.
 _UNANSWERED = frozenset((h11.IDLE, h11.SEND_RESPONSE))
 
@@ -85,16 +89,27 @@
 Handler = Callable[[IncomingRequest, Caller], None]
 
 
+def _ignore(_cause: str) -> None:
+    """Do nothing about a refusal."""
+
+
 class CallerConnection:
     """One connection from a caller."""
 
-    def __init__(self, reader: RequestReader, handler: Handler) -> None:
+    def __init__(
+        self,
+        reader: RequestReader,
+        handler: Handler,
+        on_refusal: Callable[[str], None] = _ignore,
+    ) -> None:
         """Create a connection around a request reader.
 
         Args:
           reader: reads requests from the accepted socket.
           handler: answers one request.
+          on_refusal: called with the cause when a request is not read.
         """
+        self.on_refusal = on_refusal
         self.reader = reader
         self.sock = reader.sock
         self.handler = handler
@@ -109,6 +124,7 @@
             # The caller disconnected; the watcher cancels a running request.
             self.broken = True
         finally:
+            self.reader.release()
             if self.broken:
                 tcp.abort(self.sock)
             tcp.close(self.sock)
@@ -148,17 +164,27 @@
             self.broken = True
         finally:
             caller.stop_watching()
+            self.reader.release()
 
     def _refuse(self, refusal: Refusal | None) -> None:
         if refusal is None or self.reader.parser.our_state not in _UNANSWERED:
             self.broken = True
             return
+        self.on_refusal(refusal.code)
+        # What was received of the request is needed no more.
+        self.reader.discard()
         body = refusal.message.encode()
         headers = [
             (b'Content-Type', b'text/plain'),
             (b'Content-Length', str(len(body)).encode()),
             (b'Connection', b'close'),
         ]
+        if refusal.retry_after is not None:
+            seconds = refusal.retry_after.total_seconds()
+            headers.append((b'Retry-After', f'{seconds:.3f}'.encode()))
         self.send(h11.Response(status_code=refusal.status, headers=headers))
         self.send(h11.Data(data=body))
         self.send(h11.EndOfMessage())
+        clock = self.reader.clock
+        deadline = clock.monotonic() + DISCARD_TIME
+        tcp.discard_input(self.sock, clock, deadline, MAX_DISCARD_BYTES)
--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -17,6 +17,7 @@
     keeps_answer,
 )
 from bronzeglade.decisions.evidence import Observation
+from bronzeglade.decisions.memory_account import Holding
 from bronzeglade.decisions.placement import (
     EndpointChoice,
     PlacedRequest,
@@ -29,7 +30,11 @@
 from bronzeglade.forwarding.attempt import Attempt, FailedAttempt
 from bronzeglade.forwarding.caller import Caller
 from bronzeglade.forwarding.endpoint import Endpoint
-from bronzeglade.forwarding.endpoint_connection import EndpointConnection
+from bronzeglade.forwarding.endpoint_connection import (
+    BodyPrefix,
+    ConnectionFailure,
+    EndpointConnection,
+)
 from bronzeglade.forwarding.event import (
     MAX_BATCH_EVENTS,
     EventSplitter,
@@ -299,11 +304,42 @@
 
     def _deliver_body(
         self, attempt: Attempt, facts: AnswerFacts
+    ) -> tuple[FailedAttempt | None, bool]:
+        memory = self.router.memory
+        holding = memory.open('', _keep_answer)
+        memory.keep(holding)
+        try:
+            return self._deliver_held_body(attempt, facts, holding)
+        finally:
+            memory.close(holding)
+
+    def _read_prefix(
+        self, connection: EndpointConnection, holding: Holding
+    ) -> Result[BodyPrefix, ConnectionFailure]:
+        """Read a whole body, or its beginning if it is long.
+
+        Without room to hold it, a body of medium length counts as long.
+        """
+        deadline = self.request.deadline
+        small = self.router.memory.settings.small
+        first = connection.read_prefix(deadline, small)
+        if isinstance(first, Err) or first.ok_value.complete:
+            return first
+        if not self.router.memory.grow(holding, MAX_BUFFERED_BYTES):
+            return first
+        begun = first.ok_value.content
+        rest = connection.read_prefix(deadline, MAX_BUFFERED_BYTES - len(begun))
+        return rest.map(
+            lambda prefix: BodyPrefix(begun + prefix.content, prefix.complete)
+        )
+
+    def _deliver_held_body(
+        self, attempt: Attempt, facts: AnswerFacts, holding: Holding
     ) -> tuple[FailedAttempt | None, bool]:
         connection = attempt.connection
         if connection is None:
             return FailedAttempt(Failure.NOT_CONNECTED, 'no connection'), False
-        body = connection.read_prefix(self.request.deadline, MAX_BUFFERED_BYTES)
+        body = self._read_prefix(connection, holding)
         attempts.mark_prompt_read(self.router, attempt)
         if isinstance(body, Err):
             return FailedAttempt(Failure.LOST, body.err_value.detail), False
@@ -800,6 +836,10 @@
     caller.respond(refusal.status, headers, refusal.message.encode())
 
 
+def _keep_answer() -> None:
+    """Do nothing: an answer that is being delivered is not given up."""
+
+
 def _interruption(run_state: RunState) -> Refusal:
     """Return the answer to a request that the end of the process ends."""
     if run_state is RunState.NOT_RUN:
--- a/bronzeglade/forwarding/endpoint_connection.py
+++ b/bronzeglade/forwarding/endpoint_connection.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime as dt
 import math
+from collections.abc import Sequence
 from typing import Any
 
 import eventlet
@@ -109,13 +110,14 @@
           deadline: monotonic time at which sending times out.
         """
         self.request = request
-        serialized = self._serialize(request)
+        parts = self._serialize(request)
         tcp.set_deadline(self.sock, self.clock, deadline)
-        if len(serialized) > MAX_BLOCKING_SEND_BYTES:
-            self.sender = eventlet.spawn(self._send_in_background, serialized)
+        if sum(map(len, parts)) > MAX_BLOCKING_SEND_BYTES:
+            # Joined parts would be a second copy of the body.
+            self.sender = eventlet.spawn(self._send_in_background, parts)
             return Ok(None)
         try:
-            self.sock.sendall(serialized)
+            self.sock.sendall(b''.join(parts))
         except OSError as error:
             return Err(ConnectionFailure(sent=True, detail=repr(error)))
         return Ok(None)
@@ -297,7 +299,7 @@
         tcp.abort(self.sock)
         tcp.close(self.sock)
 
-    def _serialize(self, request: OutgoingRequest) -> bytes:
+    def _serialize(self, request: OutgoingRequest) -> list[bytes]:
         head = h11.Request(
             method=request.method,
             target=request.target,
@@ -307,11 +309,12 @@
         if request.body:
             parts.append(self.parser.send(h11.Data(data=request.body)))
         parts.append(self.parser.send(h11.EndOfMessage()))
-        return b''.join(part for part in parts if part)
+        return [part for part in parts if part]
 
-    def _send_in_background(self, serialized: bytes) -> None:
+    def _send_in_background(self, parts: Sequence[bytes]) -> None:
         try:
-            self.sock.sendall(serialized)
+            for part in parts:
+                self.sock.sendall(part)
         except OSError:
             # Reading the answer encounters the same failure and reports it.
             self.closing = True
--- a/bronzeglade/forwarding/inbound.py
+++ b/bronzeglade/forwarding/inbound.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from bronzeglade.clock import Clock
+from bronzeglade.decisions.memory_account import Holding, MemoryAccount
 from bronzeglade.forwarding import tcp
 from bronzeglade.forwarding.message import RequestHead
 from bronzeglade.forwarding.route import Limits
@@ -29,6 +30,17 @@
 IDLE_GRACE = dt.timedelta(milliseconds=500)
 # How long a new connection may wait for its first request during shutdown.
 FIRST_REQUEST_TIMEOUT = dt.timedelta(seconds=1)
+# Bytes that are received at a time before the head is known, and while a
+# request is being answered: they are held without being counted.
+HEAD_READ_BYTES = 16 * 1024
+EARLY_READ_BYTES = 4096
+NO_ROOM = Refusal(
+    503,
+    'no_room',
+    'the node has no room for the request body',
+    RunState.NOT_RUN,
+    dt.timedelta(seconds=1),
+)
 # How often an idle connection checks whether the process is shutting down.
 STOP_CHECK_INTERVAL = dt.timedelta(milliseconds=500)
 
@@ -59,6 +71,8 @@
         clock: Clock,
         limits: Callable[[], Limits | None],
         is_stopping: Callable[[], bool],
+        memory: MemoryAccount,
+        client: str = '',
     ) -> None:
         """Create a reader for an accepted socket.
 
@@ -67,6 +81,8 @@
           clock: source of monotonic time.
           limits: returns the limits of the active configuration, or None.
           is_stopping: returns whether idle connections should be closed.
+          memory: account of the bodies of all connections.
+          client: address of the caller.
         """
         self.sock = sock
         self.clock = clock
@@ -76,6 +92,10 @@
         self.opened_at = clock.monotonic()
         self.has_read_request = False
         self.time_slice = TimeSlice()
+        self.memory = memory
+        self.client = client
+        self.body = bytearray()
+        self.holding: Holding | None = None
         self.parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits().header_bytes
         )
@@ -94,7 +114,7 @@
             return Ok(None)
         received_at = self.clock.monotonic()
         self.has_read_request = True
-        refusal = check_head(raw, self._limits().header_bytes)
+        refusal = check_head(raw, self._limits())
         if refusal is not None:
             return Err(refusal)
         if self.parser.they_are_waiting_for_100_continue:
@@ -114,7 +134,7 @@
           False if the caller has closed the connection.
         """
         try:
-            received: bytes = self.sock.fd.recv(tcp.READ_BYTES)
+            received: bytes = self.sock.fd.recv(EARLY_READ_BYTES)
         except BlockingIOError:
             return True
         except OSError:
@@ -122,6 +142,17 @@
         self.early_data += received
         return bool(received)
 
+    def release(self) -> None:
+        """Release the memory of a request that has been answered."""
+        if self.holding is not None:
+            self.memory.close(self.holding)
+            self.holding = None
+
+    def discard(self) -> None:
+        """Free what was received of a request that is refused."""
+        self.body = bytearray()
+        self.release()
+
     def next_cycle(self) -> bool:
         """Reset the parser; return whether another request may follow."""
         states = {self.parser.our_state, self.parser.their_state}
@@ -154,7 +185,8 @@
             elif now >= deadline:
                 return Err(_receive_timeout('head'))
             next_check = min(idle_until, now + STOP_CHECK_INTERVAL)
-            if self._receive(deadline or next_check) and deadline is None:
+            received = self._receive(deadline or next_check, HEAD_READ_BYTES)
+            if received and deadline is None:
                 deadline = self.clock.monotonic() + limits.header_timeout
 
     def _should_close_idle(self) -> bool:
@@ -167,23 +199,43 @@
     def _read_body(self) -> Result[bytes, Refusal | None]:
         limit = self._limits().body_bytes
         deadline = self.clock.monotonic() + BODY_TIMEOUT
-        body = bytearray()
-        while len(body) <= limit:
+        holding = self.memory.open(self.client, self._give_way)
+        self.holding = holding
+        while len(self.body) <= limit:
             event = self._next_event()
+            if holding.ended:
+                return Err(None)
             if isinstance(event, Err):
                 return event
             if isinstance(event.ok_value, h11.EndOfMessage):
-                return Ok(bytes(body))
+                return self._take_body(holding)
             if isinstance(event.ok_value, h11.Data):
-                body += event.ok_value.data
+                if not self.memory.grow(holding, len(event.ok_value.data)):
+                    return Err(NO_ROOM)
+                self.body += event.ok_value.data
             elif event.ok_value is h11.NEED_DATA:
                 if self.clock.monotonic() >= deadline:
                     return Err(_receive_timeout('body'))
                 self._receive(deadline)
             else:
                 return Err(None)
-        message = f'request body exceeds {limit} bytes'
-        return Err(Refusal(413, 'body_too_large', message))
+        return Err(_body_too_large(limit))
+
+    def _take_body(self, holding: Holding) -> Result[bytes, Refusal | None]:
+        """Return a complete body, which is kept until it is released."""
+        # What follows the request stays in the parser until it is answered.
+        following, _closed = self.parser.trailing_data
+        if not self.memory.grow(holding, len(following)):
+            return Err(NO_ROOM)
+        self.memory.keep(holding)
+        body = bytes(self.body)
+        self.body = bytearray()
+        return Ok(body)
+
+    def _give_way(self) -> None:
+        """Free an incomplete body, and end its connection."""
+        self.body = bytearray()
+        tcp.abort(self.sock)
 
     def _next_event(self) -> Result[Any, Refusal | None]:
         if self.early_data:
@@ -197,10 +249,12 @@
             status = error.error_status_hint
             return Err(Refusal(status, 'malformed_request', str(error)))
 
-    def _receive(self, deadline: dt.timedelta) -> bool:
+    def _receive(
+        self, deadline: dt.timedelta, limit: int = tcp.READ_BYTES
+    ) -> bool:
         """Read bytes or the end of input; return False on a timeout."""
         try:
-            received = tcp.receive(self.sock, self.clock, deadline)
+            received = tcp.receive(self.sock, self.clock, deadline, limit)
         except TimeoutError:
             return False
         self.parser.receive_data(received)
@@ -212,28 +266,38 @@
         self.sock.sendall(self.parser.send(interim))
 
 
-def check_head(head: h11.Request, limit: int) -> Refusal | None:
-    """Return a refusal if a request head is too large or ambiguous.
+def check_head(head: h11.Request, limits: Limits) -> Refusal | None:
+    """Return a refusal if a request is too large, or its head ambiguous.
 
     If the body length is ambiguous, this node and the endpoint may disagree on
     where the body ends, which allows request smuggling.
 
     Args:
       head: the parsed head.
-      limit: maximum total size of header names and values, in bytes.
+      limits: bounds of the head, as the total size of header names and values,
+        and of the length that it announces.
     """
     size = sum(len(name) + len(content) for name, content in head.headers)
-    if size > limit:
-        message = f'request headers exceed {limit} bytes'
+    if size > limits.header_bytes:
+        message = f'request headers exceed {limits.header_bytes} bytes'
         return Refusal(431, 'headers_too_large', message)
     names = [name for name, _content in head.headers]
     has_both = b'content-length' in names and b'transfer-encoding' in names
     if has_both or names.count(b'content-length') > 1:
         message = 'the length of the request body is ambiguous'
         return Refusal(400, 'ambiguous_length', message)
+    for name, content in head.headers:
+        # The parser has checked that it is a number.
+        if name == b'content-length' and int(content) > limits.body_bytes:
+            return _body_too_large(limits.body_bytes)
     return None
 
 
+def _body_too_large(limit: int) -> Refusal:
+    message = f'request body exceeds {limit} bytes'
+    return Refusal(413, 'body_too_large', message)
+
+
 def _receive_timeout(part: str) -> Refusal:
     message = f'request {part} was not received in time'
     return Refusal(408, 'receive_timeout', message, RunState.NOT_RUN)
--- a/bronzeglade/forwarding/metrics.py
+++ b/bronzeglade/forwarding/metrics.py
@@ -101,6 +101,22 @@
             'Failure domains whose endpoints get no requests.',
             registry=registry,
         )
+        self.held_bytes = Gauge(
+            'bronzeglade_held_bytes',
+            'Bodies of requests, and answers, that are held in memory.',
+            registry=registry,
+        )
+        self.caller_connections = Gauge(
+            'bronzeglade_caller_connections',
+            'Open connections of callers.',
+            registry=registry,
+        )
+        self.turned_away = Counter(
+            'bronzeglade_turned_away',
+            'Requests not read, and connections closed, to bound resources.',
+            ('cause',),
+            registry=registry,
+        )
         self.dropped_lines = Counter(
             'bronzeglade_log_lines_dropped',
             'Log lines dropped, above the rate limit or for a slow reader.',
--- a/bronzeglade/forwarding/router.py
+++ b/bronzeglade/forwarding/router.py
@@ -11,6 +11,7 @@
 from bronzeglade.decisions.crashing_segments import CrashingSegments
 from bronzeglade.decisions.escalation import EscalationSettings
 from bronzeglade.decisions.latency import Latencies
+from bronzeglade.decisions.memory_account import MemoryAccount
 from bronzeglade.decisions.pause import Pauses
 from bronzeglade.decisions.placement import Placement
 from bronzeglade.decisions.rate_limit import RateLimits, Turn
@@ -90,6 +91,7 @@
     durations: LongestDurations
     crashes: CrashingSegments
     cold: ColdEndpoints
+    memory: MemoryAccount
     escalation: EscalationSettings = EscalationSettings()
     table: RouteTable | None = None
     budgets: dict[str, WindowBudget] = dataclasses.field(default_factory=dict)
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 import eventlet
-from eliot import write_traceback
 from prometheus_client import CollectorRegistry, generate_latest
 from result import Err, Ok
 
@@ -22,7 +21,12 @@
     FailureDetector,
     FailureDetectorSettings,
 )
-from bronzeglade.decisions import crashing_segments, pause, rate_limit
+from bronzeglade.decisions import (
+    crashing_segments,
+    memory_account,
+    pause,
+    rate_limit,
+)
 from bronzeglade.decisions.latency import Latencies, LatencySettings
 from bronzeglade.decisions.placement import Placement, PlacementSettings
 from bronzeglade.decisions.shutdown import LongestDurations, Shutdown
@@ -31,18 +35,17 @@
     copies,
     node_registration,
     request_handler,
+    resources,
     roster,
-    tcp,
 )
-from bronzeglade.forwarding.caller import Caller, CallerConnection
 from bronzeglade.forwarding.caller_directory import (
     CallerDirectory,
     LocalState,
 )
+from bronzeglade.forwarding.caller_listener import CallerListener
 from bronzeglade.forwarding.decoding import RowDecoder
 from bronzeglade.forwarding.endpoint import Registry
 from bronzeglade.forwarding.follower import FollowerContext
-from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
 from bronzeglade.forwarding.load_exchange import LoadExchange
 from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.metrics import Metrics
@@ -51,14 +54,13 @@
     Application,
     PlatformAdapter,
 )
-from bronzeglade.forwarding.route import Limits
 from bronzeglade.forwarding.router import Router
 from bronzeglade.forwarding.service_rollouts import TICK, ServiceRollouts
 from bronzeglade.forwarding.settings import Address, RouterSettings
 from bronzeglade.forwarding.tables import Handlers, Tables
 from bronzeglade.loops import spawn_loop
 
-BACKLOG = 512
+PAGE_BACKLOG = 512
 # Delay between attempts to register or to unregister this node.
 REGISTER_RETRY_DELAY = dt.timedelta(milliseconds=300)
 HOUSEKEEPING_INTERVAL = dt.timedelta(seconds=1)
@@ -131,6 +133,7 @@
             self.log,
         )
         self.rollouts.bounds = settings.rollout
+        resident = resources.resident_bytes()
         self.router = Router(
             settings=settings,
             clock=self.clock,
@@ -155,6 +158,10 @@
             cold=cold_endpoints.new(
                 settings.name, self.clock, self.log, metrics
             ),
+            memory=memory_account.MemoryAccount(
+                resources.memory_settings(settings.machine, resident),
+                self.clock,
+            ),
         )
         self.exchange = LoadExchange(
             self.roster,
@@ -178,10 +185,10 @@
         self.exchange.on_departure = self.router.mark_leaving
         self.router.on_cold = self.exchange.announce_cold
         self.exchange.on_cold = self.router.mark_cold
-        self.listener: Any = None
-        self.accept_thread: Any = None
         self.page_servers: list[serving.Server] = []
-        self.connections = 0  # open caller connections
+        self.callers = CallerListener(
+            self.router, resources.max_connections(settings.machine, resident)
+        )
         self.stopped = eventlet.event.Event()
 
     def run(self) -> int:
@@ -197,7 +204,7 @@
             callers=settings.callers,
             store=settings.store,
         )
-        self._serve_callers(settings.callers)
+        self.callers.start(settings.callers)
         self._serve(settings.readiness, self.platform.readiness(self.is_ready))
         self._serve(settings.directory, self.platform.directory(self.addresses))
         self._serve(settings.control, self.tables.copy_source.application)
@@ -261,11 +268,7 @@
         spawn_loop(self.exchange.receive_next)
         spawn_loop(self.exchange.send_next)
         spawn_loop(self._periodic_step(TICK, self.rollouts.tick))
-        spawn_loop(
-            self._periodic_step(
-                HOUSEKEEPING_INTERVAL, self._close_idle_connections
-            )
-        )
+        spawn_loop(self._periodic_step(HOUSEKEEPING_INTERVAL, self._keep_house))
         spawn_loop(
             self._periodic_step(
                 node_registration.CHECK_INTERVAL, self._check_nodes
@@ -309,8 +312,9 @@
         )
         return isinstance(outcome, Ok)
 
-    def _close_idle_connections(self) -> None:
+    def _keep_house(self) -> None:
         self.router.registry.close_idle()
+        self.callers.log_turned_away()
 
     def _operator_rows_changed(self) -> None:
         row = self.tables.operator.rows.get(
@@ -367,71 +371,9 @@
                 return
             eventlet.sleep(REGISTER_RETRY_DELAY.total_seconds())
 
-    def _serve_callers(self, address: Address) -> None:
-        self.listener = listeners.listen(address, BACKLOG)
-        self.accept_thread = eventlet.spawn(self._accept)
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _peer = self.listener.accept()
-            except OSError as error:
-                self.log.event('accept_failed', detail=repr(error))
-                eventlet.sleep(STOP_POLL_INTERVAL.total_seconds())
-            else:
-                self._serve_accepted(sock)
-
-    def _accept_pending(self) -> None:
-        """Accept the connections in the backlog, and close the listener.
-
-        Closing the listener resets connections that are not accepted, though
-        their requests may have arrived already.
-        """
-        dropping = listeners.drop_connection_attempts(self.listener)
-        if dropping:
-            eventlet.sleep(listeners.HANDSHAKE_TIME.total_seconds())
-        self.accept_thread.kill()
-        accepted = 0
-        try:
-            for sock in listeners.accept_pending(self.listener):
-                self._serve_accepted(sock)
-                accepted += 1
-        except OSError as error:
-            # Such as too many open files; the shutdown has to go on.
-            self.log.event('accept_failed', detail=repr(error))
-        self.listener.close()
-        self.log.event(
-            'listener_closed', attempts_dropped=dropping, accepted=accepted
-        )
-
-    def _serve_accepted(self, sock: Any) -> None:
-        self.connections += 1
-        eventlet.spawn(self._serve_connection, sock)
-
-    def _serve_connection(self, sock: Any) -> None:
-        try:
-            tcp.set_options(sock)
-            reader = RequestReader(
-                sock, self.clock, self._limits, lambda: self.router.draining
-            )
-            CallerConnection(reader, self._handle).run()
-        except Exception:
-            # A failure on one connection must not affect the others.
-            write_traceback()
-            tcp.close(sock)
-        finally:
-            self.connections -= 1
-
-    def _handle(self, incoming: IncomingRequest, caller: Caller) -> None:
-        request_handler.handle(self.router, incoming, caller)
-
-    def _limits(self) -> Limits | None:
-        table = self.router.table
-        return None if table is None else table.limits
-
     def _serve(self, address: Address, application: Application) -> None:
         server = serving.Server(
-            listeners.listen(address, BACKLOG),
+            listeners.listen(address, PAGE_BACKLOG),
             application,
             self.clock,
             socket_timeout=PAGE_TIMEOUT_S,
@@ -479,7 +421,7 @@
         self.log.event('stopping', in_flight=len(self.router.running))
         eventlet.spawn(self._unregister)
         self._wait_until(shutdown.listed_until)
-        self._accept_pending()
+        self.callers.stop()
         # Connections without a request in progress close themselves.
         self._wait_until(shutdown.abandon_at, self._has_no_connections)
         request_handler.interrupt_running(self.router)
@@ -488,7 +430,7 @@
         self.log.event(
             'stopped',
             in_flight=len(self.router.running),
-            connections=self.connections,
+            connections=self.callers.open_count(),
             after_ms=duration // MILLISECOND,
         )
         if self.clock.monotonic() + PAGE_STOP_TIME < shutdown.exit_at:
@@ -507,7 +449,7 @@
             eventlet.sleep(STOP_POLL_INTERVAL.total_seconds())
 
     def _has_no_connections(self) -> bool:
-        return not self.connections
+        return not self.callers.open_count()
 
 
 def run(platform: PlatformAdapter, metrics_port: int) -> int:
--- a/bronzeglade/forwarding/settings.py
+++ b/bronzeglade/forwarding/settings.py
@@ -55,6 +55,17 @@
     listing: dt.timedelta
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MachineLimits:
+    """What the machine grants the process; None where that is not stated.
+
+    `memory` is in bytes, `sockets` a number of descriptors.
+    """
+
+    memory: int | None = None
+    sockets: int | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouterSettings:
     """Settings that a process reads at its start and on each reload.
@@ -81,3 +92,4 @@
     rollout: RolloutBounds
     stop: StopBounds
     cold: ColdBounds | None = None
+    machine: MachineLimits = MachineLimits()
--- a/bronzeglade/forwarding/tcp.py
+++ b/bronzeglade/forwarding/tcp.py
@@ -51,7 +51,9 @@
     sock.settimeout(max(MIN_TIMEOUT_S, remaining_s))
 
 
-def receive(sock: Any, clock: Clock, deadline: dt.timedelta) -> bytes:
+def receive(
+    sock: Any, clock: Clock, deadline: dt.timedelta, limit: int = READ_BYTES
+) -> bytes:
     """Receive bytes; an empty result means that the peer has closed.
 
     eventlet's `recv` reports a reset as a regular close, so that a truncated
@@ -62,6 +64,7 @@
       sock: a connected socket.
       clock: clock of the deadline.
       deadline: monotonic time at which the wait ends.
+      limit: most bytes to receive.
 
     Raises:
       TimeoutError: Nothing was received before the deadline.
@@ -69,7 +72,7 @@
     """
     while True:
         try:
-            received: bytes = sock.fd.recv(READ_BYTES)
+            received: bytes = sock.fd.recv(limit)
         except BlockingIOError:
             remaining_s = (deadline - clock.monotonic()).total_seconds()
             hubs.trampoline(
@@ -101,6 +104,40 @@
         return
 
 
+def peer_host(sock: Any) -> str:
+    """Return the IP address of the peer; empty if it has disconnected."""
+    try:
+        host: str = sock.getpeername()[0]
+    except OSError:
+        return ''
+    return host
+
+
+def discard_input(
+    sock: Any, clock: Clock, deadline: dt.timedelta, limit: int
+) -> None:
+    """Send the end of the output, and discard input until its end.
+
+    Closing a socket with unread input resets the connection, by which the peer
+    may lose what was sent last.
+
+    Args:
+      sock: a connected socket.
+      clock: clock of the deadline.
+      deadline: monotonic time at which to stop.
+      limit: bytes after which to stop.
+    """
+    try:
+        sock.shutdown(sockets.SHUT_WR)
+        while limit > 0:
+            received = receive(sock, clock, deadline)
+            if not received:
+                return
+            limit -= len(received)
+    except OSError:
+        return
+
+
 def abort(sock: Any) -> None:
     """Shut down both directions; a green thread that reads wakes up."""
     try:
--- a/bronzeglade/platform/settings.py
+++ b/bronzeglade/platform/settings.py
@@ -12,6 +12,7 @@
 from bronzeglade.forwarding.settings import (
     Address,
     ColdBounds,
+    MachineLimits,
     RetryBounds,
     RolloutBounds,
     RouterSettings,
@@ -27,6 +28,9 @@
 
 # Keeps durations within the range of timedelta arithmetic.
 _MAX_NUMBER = 1e9
+_MEGABYTE = 1024 * 1024
+# Descriptors that the platform reserves for files.
+_FILE_DESCRIPTORS = 200
 _Number = Annotated[float, Field(ge=0, le=_MAX_NUMBER)]
 
 
@@ -59,6 +63,11 @@
     cold_slack: _Number = Field(0, alias='cold-slack')
 
 
+class _MachineLimits(PlatformDocument):
+    memory_mb: _Number | None = Field(None, alias='memory-mb')
+    max_fds: int | None = Field(None, alias='max-fds', ge=0)
+
+
 class _Store(PlatformDocument):
     address: _Address
 
@@ -74,6 +83,7 @@
         None, alias='internal-ports'
     )
     seeds: tuple[_Address, ...] = ()
+    limits: _MachineLimits = _MachineLimits.model_construct()
     bounds: _Bounds
     # The section `platform` holds the address of the metadata store only.
     platform: _Store
@@ -132,6 +142,16 @@
             if bounds.cold_over is None
             else ColdBounds(bounds.cold_over, bounds.cold_slack)
         ),
+        machine=_decode_machine(document.limits),
+    )
+
+
+def _decode_machine(limits: _MachineLimits) -> MachineLimits:
+    memory = limits.memory_mb
+    sockets = limits.max_fds
+    return MachineLimits(
+        None if memory is None else int(memory * _MEGABYTE),
+        None if sockets is None else max(1, sockets - _FILE_DESCRIPTORS),
     )
 
 
--- a/bronzeglade/platform/settings_test.py
+++ b/bronzeglade/platform/settings_test.py
@@ -9,7 +9,11 @@
 from result import Ok, Result
 
 from bronzeglade import malformed
-from bronzeglade.forwarding.settings import ColdBounds, RouterSettings
+from bronzeglade.forwarding.settings import (
+    ColdBounds,
+    MachineLimits,
+    RouterSettings,
+)
 from bronzeglade.platform.settings import read_settings
 
 FILE: dict[str, Any] = {
@@ -90,3 +94,13 @@
     path = tmp_path / 'settings.json'
     path.write_text(json.dumps({**FILE, 'bounds': bounds}))
     assert read_settings(str(path)).unwrap().cold == ColdBounds(1.5, 5)
+
+
+def test_limits_of_the_machine_are_optional(tmp_path: Path) -> None:
+    """The platform reserves 200 descriptors for files."""
+    assert read(tmp_path).unwrap().machine == MachineLimits()
+    limits = {'memory-mb': 160, 'max-fds': 1638, 'cpu-share': 0.4}
+    path = tmp_path / 'settings.json'
+    path.write_text(json.dumps({**FILE, 'limits': limits}))
+    machine = read_settings(str(path)).unwrap().machine
+    assert machine == MachineLimits(160 * 1024 * 1024, 1438)
