Do not take the part of an early answer for a whole one

Cause: a long request is sent in the background while the answer is read. The system reports a reset to one call only; when that is a send, the read after it sees an orderly end, which marks the end of an answer without a length.

Change: the sender keeps its failure, and an answer that ends with its connection is not complete if sending on it has failed.

--- a/bronzeglade/forwarding/endpoint_connection.py
+++ b/bronzeglade/forwarding/endpoint_connection.py
@@ -93,6 +93,9 @@
         self.idle_limit = DEFAULT_IDLE_LIMIT
         self.closing = False
         self.aborted = False
+        # The failure of the background sender. The system reports a reset to
+        # one side only: reading then sees an orderly end.
+        self.send_failure: OSError | None = None
         # Whether only the end of the connection marks that of the answer.
         self.ends_by_closing = False
         self.reused = False
@@ -166,9 +169,12 @@
         event = outcome.ok_value
         if isinstance(event, h11.Data):
             return Ok(self._join_received(event.data))
-        if isinstance(event, h11.EndOfMessage):
-            return Ok(None)
-        return Err(ConnectionFailure(sent=True, detail='answer truncated'))
+        if not isinstance(event, h11.EndOfMessage):
+            return Err(ConnectionFailure(sent=True, detail='answer truncated'))
+        if self.ends_by_closing and self.send_failure is not None:
+            detail = f'connection failed in sending: {self.send_failure!r}'
+            return Err(ConnectionFailure(sent=True, detail=detail))
+        return Ok(None)
 
     def _join_received(self, chunk: bytes) -> bytes:
         """Return a chunk of the body and those that were received with it."""
@@ -315,8 +321,9 @@
         try:
             for part in parts:
                 self.sock.sendall(part)
-        except OSError:
-            # Reading the answer encounters the same failure and reports it.
+        except OSError as error:
+            # Reading the answer reports the failure, or finds it here.
+            self.send_failure = error
             self.closing = True
 
     def _parse(self) -> Result[Any, ConnectionFailure]:
