--- a/bronzeglade/forwarding/early_answer_test.py
+++ b/bronzeglade/forwarding/early_answer_test.py
@@ -62,9 +62,10 @@
     """A part must not look complete, whichever side sees the reset."""
     script = early('', 'id: 1\ndata: part\n\n', delay_s)
     answers = [upload(kind, script) for _ in range(UPLOADS)]
-    assert not [
+    complete = [
         answer for answer in answers if answer.status == 200 and answer.complete
     ]
+    assert not complete
 
 
 @pytest.mark.parametrize(
