Follow the store to another address in the settings

Change: a reload with another address moves the client, and waiting calls are made again there at once. The line reload names the store.

--- a/bronzeglade/forwarding/follower.py
+++ b/bronzeglade/forwarding/follower.py
@@ -179,6 +179,10 @@
         """Cancel the waiting call, because the store does not answer."""
         self._end_call(self.waiting_call, _CallCancelledError)
 
+    def restart_call(self) -> None:
+        """Make the waiting call again, since the store has moved."""
+        self._end_call(self.waiting_call, _AnswerLostError)
+
     def check_version(self, position: Position) -> None:
         """Check soon that no answer was lost.
 
--- a/bronzeglade/forwarding/follower_test.py
+++ b/bronzeglade/forwarding/follower_test.py
@@ -89,6 +89,23 @@
     subject.cancel_call()
 
 
+def test_waiting_call_is_made_again_when_the_store_has_moved() -> None:
+    """A call at the old address could wait there for seconds, or for ever."""
+    feed = ScriptedFeed()
+    subject, seen = follower_of(feed)
+    subject.follow_next()
+    waiting = eventlet.spawn(subject.follow_next)
+    eventlet.sleep(0.05)
+    subject.restart_call()
+    with eventlet.Timeout(5):
+        waiting.wait()
+    assert subject.mirror.failing_since is None
+    feed.answer = lambda: Ok(Changes(7, {'t/a': Row('t/a', 7, b'')}))
+    subject.follow_next()
+    assert seen == [1, 7]
+    subject.restart_call()
+
+
 def test_cancelling_does_not_affect_a_call_that_has_returned() -> None:
     """The code that runs after an answered call must not be interrupted."""
     feed = ScriptedFeed()
--- a/bronzeglade/forwarding/platform_interface.py
+++ b/bronzeglade/forwarding/platform_interface.py
@@ -21,6 +21,9 @@
 class Store(Table, TableFeed, Protocol):
     """A transactional table service with a feed of changes."""
 
+    def move(self, address: Address) -> None:
+        """Make further calls at another address of the same store."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Documents:
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -399,11 +399,15 @@
             self.log.event('unreadable_settings', reason=outcome.err_value)
             return
         if outcome.ok_value != self.router.settings:
+            has_moved = outcome.ok_value.store != self.router.settings.store
             self.router.settings = outcome.ok_value
+            if has_moved:
+                self.store.move(outcome.ok_value.store)
+                self.tables.restart_calls()
             self.rollouts.bounds = outcome.ok_value.rollout
             self.router.update_cold_limits()
             self.roster.seeds = outcome.ok_value.peers
-            self.log.event('reload')
+            self.log.event('reload', store=outcome.ok_value.store)
 
     def _on_reload(self, _signal: int, _frame: Any) -> None:
         eventlet.spawn(self.reload)
--- a/bronzeglade/forwarding/tables.py
+++ b/bronzeglade/forwarding/tables.py
@@ -41,6 +41,7 @@
         self.copy_source = CopySource(
             (self.operator, self.endpoints, self.router)
         )
+        self.followers: tuple[Follower, ...] = ()
 
     def positions(self) -> dict[str, Position]:
         """Return the state of the store that each copy has."""
@@ -86,7 +87,13 @@
             *(other.cancel_call for other in others),
         ]
         operator.on_version = [other.check_version for other in others]
-        self._start(context, (operator, *others), directory, fetch)
+        self.followers = (operator, *others)
+        self._start(context, self.followers, directory, fetch)
+
+    def restart_calls(self) -> None:
+        """Make the waiting calls of the store again, since it has moved."""
+        for follower_of_table in self.followers:
+            follower_of_table.restart_call()
 
     def _start(
         self,
--- a/bronzeglade/platform/store.py
+++ b/bronzeglade/platform/store.py
@@ -72,11 +72,16 @@
           pool: connections to use.
           count: called with the kind and the outcome of each call.
         """
-        self.url = f'http://{address[0]}:{address[1]}'
+        self.url = ''
+        self.move(address)
         self.pool = pool
         self.count = count
         self.era = 0  # of the newest answer; 0 while none was named
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Make further calls at another address of the same store."""
+        self.url = f'http://{address[0]}:{address[1]}'
+
     def read(
         self, keys: Sequence[str]
     ) -> Result[Mapping[str, Row], StoreError]:
--- a/bronzeglade/platform/store_test.py
+++ b/bronzeglade/platform/store_test.py
@@ -25,6 +25,7 @@
 from bronzeglade.platform.store import PlatformStore
 from standins.rows import Rows
 
+LOOPBACK = '127.0.0.1'
 CREATE = Transaction(checks=(Check('t/a', ABSENT),), puts=(Put('t/a', b'1'),))
 
 
@@ -90,11 +91,11 @@
     StoreHandler.status = 0
     StoreHandler.lose = False
     StoreHandler.era = None
-    http = server.ThreadingHTTPServer(('127.0.0.1', 0), StoreHandler)
+    http = server.ThreadingHTTPServer((LOOPBACK, 0), StoreHandler)
     threading.Thread(target=http.serve_forever, daemon=True).start()
     counted: list[tuple[str, str]] = []
     yield PlatformStore(
-        ('127.0.0.1', http.server_port),
+        (LOOPBACK, http.server_port),
         urllib3.PoolManager(retries=False),
         lambda kind, outcome: counted.append((kind, outcome)),
     )
@@ -200,3 +201,13 @@
 
     monkeypatch.setattr(StoreHandler.rows, 'get', read_and_restore)
     assert 'restored' in store.snapshot('t').unwrap_err().detail
+
+
+def test_store_at_another_address(store: PlatformStore) -> None:
+    """All further calls go to the new address."""
+    store.commit(CREATE)
+    address = urlparse(store.url)
+    store.move((LOOPBACK, 1))
+    assert store.snapshot('t').is_err()
+    store.move((LOOPBACK, address.port or 0))
+    assert list(store.snapshot('t').unwrap().rows) == ['t/a']
