--- a/bronzeglade/coordination/membership_view.py
+++ b/bronzeglade/coordination/membership_view.py
@@ -49,12 +49,14 @@
         self.settings = settings
         self.clock = clock
         self.names: frozenset[str] = frozenset()
+        self.rank = 0  # of this node among all by name
         self.changed_at = clock.monotonic()
 
     def update(self, names: Collection[str]) -> None:
         """Replace the names of the registered nodes."""
         if self.names != frozenset(names):
             self.names = frozenset(names)
+            self.rank = sum(name < self.local_name for name in names)
             self.changed_at = self.clock.monotonic()
 
     def is_certain(self, confirmed_at: dt.timedelta | None) -> bool:
@@ -82,5 +84,4 @@
         """
         if not self.is_certain(confirmed_at):
             return None
-        rank = sorted(self.names).index(self.local_name)
-        return Turn(now, rank, len(self.names))
+        return Turn(now, self.rank, len(self.names))
--- a/bronzeglade/forwarding/follower.py
+++ b/bronzeglade/forwarding/follower.py
@@ -375,14 +375,8 @@
             if not self.mirror.loaded or not self._may_be_lost_answer(error):
                 self._record_failure(error)
             return
-        snapshot = outcome.ok_value
-        if snapshot.position < self.mirror.position:
-            # The copy would never be current again, and be read in a loop.
-            detail = f'version {snapshot.as_of} after {self.mirror.as_of}'
-            self._record_failure(StoreError(detail))
-            return
         self.needs_snapshot = False
-        self._replace(snapshot, None)
+        self._replace(outcome.ok_value, None)
         self._record_success()
         self._handle_change()
 
