Do not take the end of a process for the end of an answer it survived

Cause: an answer without a length or chunks ends with its connection, as does the process of an endpoint that ends.

Change: such an end is no evidence of survival; if nothing listens at the address any more, it is a crash.

--- a/bronzeglade/forwarding/attempt.py
+++ b/bronzeglade/forwarding/attempt.py
@@ -66,7 +66,9 @@
     the head of the answer. `last_progress_at` is the monotonic time of the last
     event that the caller did not have yet. `first_event_at` is the monotonic
     time of the first event, and `survived` whether the endpoint has outlived it
-    for a while, or answered whole. `timing` is set while a roll-out
+    for a while, or answered whole. `ended_by_closing` is set when only the end
+    of the connection marked that of the answer, which the end of the process
+    does, too. `timing` is set while a roll-out
     compares versions. `cancelled` is set when its answer is not wanted any
     more.
     """
@@ -83,6 +85,7 @@
     last_progress_at: dt.timedelta | None = None
     first_event_at: dt.timedelta | None = None
     survived: bool = False
+    ended_by_closing: bool = False
     timing: TimedAttempt | None = None
     reading_prompt: bool = True
     cancelled: bool = False
--- a/bronzeglade/forwarding/crash_detection.py
+++ b/bronzeglade/forwarding/crash_detection.py
@@ -34,9 +34,9 @@
       attempt: the attempt, which has ended.
       failed: how it failed, or None if it did not.
     """
-    if failed is None or attempt.survived or not request.shared_segments:
+    if attempt.survived or not request.shared_segments:
         return
-    if failed.failure is Failure.LOST and not failed.timed_out:
+    if _may_have_ended(attempt, failed):
         eventlet.spawn(
             _record_if_ended,
             router,
@@ -45,6 +45,27 @@
         )
 
 
+def _may_have_ended(attempt: Attempt, failed: FailedAttempt | None) -> bool:
+    """Return whether the process of an endpoint may have ended."""
+    if failed is None:
+        return attempt.ended_by_closing
+    return failed.failure is Failure.LOST and not failed.timed_out
+
+
+def record_answer(
+    router: Router, request: AcceptedRequest, attempt: Attempt
+) -> None:
+    """Record that an endpoint has answered to the end.
+
+    It has survived the prompt, unless the end of its process looks the same.
+    """
+    connection = attempt.connection
+    if connection is not None and connection.ends_by_closing:
+        attempt.ended_by_closing = True
+    else:
+        record_survival(router, request, attempt)
+
+
 def record_event(
     router: Router, request: AcceptedRequest, attempt: Attempt
 ) -> None:
--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -349,7 +349,7 @@
             return FailedAttempt(Failure.LOST, detail, facts.status), False
         self.run_state = RunState.RAN
         if facts.succeeded:
-            crash_detection.record_survival(self.router, self.request, attempt)
+            crash_detection.record_answer(self.router, self.request, attempt)
         if not body.ok_value.complete:
             return self._stream_long_body(
                 connection, facts, body.ok_value.content
@@ -412,7 +412,7 @@
     ) -> tuple[FailedAttempt | None, bool]:
         end, detail = self._read_stream(attempt, facts)
         if end is StreamEnd.COMPLETE:
-            crash_detection.record_survival(self.router, self.request, attempt)
+            crash_detection.record_answer(self.router, self.request, attempt)
             if not self.response_started:
                 self._start_response(facts)
             self.caller.finish()
