--- a/fleet/evacuation_test.py
+++ b/fleet/evacuation_test.py
@@ -6,24 +6,20 @@
 
 import pytest
 
-from fleet.platform import API_KEY, PlatformFleet, configuration
-from fleet.restored_store_test import NODES, status, wait_for_status
+from fleet.platform import API_KEY, PlatformFleet
+from fleet.restored_store_test import (
+    NODES,
+    running_fleet,
+    status,
+    wait_for_status,
+)
 
 
 @pytest.fixture
 def fleet(tmp_path: Path) -> Iterator[PlatformFleet]:
     """Return routers that serve requests."""
-    started = PlatformFleet(tmp_path)
-    try:
-        started.put(configuration(1))
-        started.start_worker('worker-1')
-        for name in NODES:
-            started.start_router(name)
-        for name in NODES:
-            started.wait_until_ready(name)
+    with running_fleet(tmp_path, API_KEY) as started:
         yield started
-    finally:
-        started.close()
 
 
 def test_evacuation_outlasts_outages_and_kills(fleet: PlatformFleet) -> None:
--- a/fleet/restored_store_test.py
+++ b/fleet/restored_store_test.py
@@ -1,5 +1,6 @@
 """Tests of router processes whose store is restored from a backup."""
 
+import contextlib
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -13,12 +14,12 @@
 LOST_KEY = 'key-2'
 
 
-@pytest.fixture
-def fleet(tmp_path: Path) -> Iterator[PlatformFleet]:
-    """Return routers that serve requests."""
-    started = PlatformFleet(tmp_path)
+@contextlib.contextmanager
+def running_fleet(folder: Path, *keys: str) -> Iterator[PlatformFleet]:
+    """Return a fleet with a worker and routers that serve some keys."""
+    started = PlatformFleet(folder)
     try:
-        started.put(configuration(1, atlas=[API_KEY, LOST_KEY]))
+        started.put(configuration(1, atlas=list(keys)))
         started.start_worker('worker-1')
         for name in NODES:
             started.start_router(name)
@@ -29,6 +30,13 @@
         started.close()
 
 
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[PlatformFleet]:
+    """Return routers that serve requests."""
+    with running_fleet(tmp_path, API_KEY, LOST_KEY) as started:
+        yield started
+
+
 def status(fleet: PlatformFleet, name: str, key: str) -> int:
     """Return the status of a request with a key."""
     request_id = f'{name}-{time.monotonic_ns()}'
