--- a/fleet/soak.py
+++ b/fleet/soak.py
@@ -38,6 +38,9 @@
 DRAIN_S = 2.0  # from the report that a worker is draining to its removal
 SHUTDOWN_S = 10.0  # a graceful stop takes up to the grace period
 STORE_DELAY_S = 0.4
+# What a restored store has lost, and when its writers repeat it.
+LOST_S = 3.0
+REPEAT_S = 0.5
 LINK_DELAY_S = 0.15
 FAULT_FRACTION = 0.3  # of a stand-in's calls, for faults of single calls
 TIMEOUTS_MS = (2000, 5000)
@@ -290,6 +293,9 @@
         if fault.kind == 'compact':
             self.fleet.post(port, '/admin/compact', {})
             return
+        if fault.kind == 'restore':
+            self._restore_store(until)
+            return
         settings = {
             'slow': ('slow_s', STORE_DELAY_S),
             'lost_replies': ('lost_replies', FAULT_FRACTION),
@@ -298,6 +304,18 @@
         self.fleet.set_faults(port, **{name: value})
         self._schedule(until, lambda: self.fleet.set_faults(port, **{name: 0}))
 
+    def _restore_store(self, until: float) -> None:
+        """Take the store away, and bring it back without its last writes."""
+        port = self.fleet.store_port
+        self.fleet.set_faults(port, outage=1)
+
+        def come_back() -> None:
+            self.fleet.restore_store(LOST_S)
+            self.fleet.set_faults(port, outage=0)
+
+        self._schedule(until, come_back)
+        self._schedule(until + REPEAT_S, self.fleet.repeat_writes)
+
     def _inject_link_fault(self, fault: Fault, until: float) -> None:
         if fault.kind == 'delay':
             self.fleet.set_link_fault(fault.target, 'open', LINK_DELAY_S)
--- a/fleet/soak_plan.py
+++ b/fleet/soak_plan.py
@@ -16,7 +16,10 @@
     *('kill', 'freeze', 'leave'),
     *('refuse', 'fail', 'lose', 'cut', 'limit'),
 )
-STORE_FAULTS = ('outage', 'silent', 'lost_replies', 'slow', 'compact')
+STORE_FAULTS = (
+    *('outage', 'silent', 'lost_replies', 'slow', 'compact'),
+    'restore',
+)
 LINK_FAULTS = ('delay', 'reset', 'silent', 'hold_up', 'hold_down')
 OPERATOR_FAULTS = ('revoke', 'grant', 'timeout')
 
