--- a/bronzeglade/forwarding/delivery.py
+++ b/bronzeglade/forwarding/delivery.py
@@ -113,6 +113,7 @@
     `first_byte_at` and `last_byte_at` are monotonic times. `interrupted` is set
     when the process is about to exit, `verdict` when the prompt crashes
     endpoints. `survived` tells whether the last endpoint outlived the prompt.
+    `holding` is the memory of an answer that is held, if it is counted.
     """
 
     router: Router
@@ -136,6 +137,7 @@
     interrupted: bool = False
     survived: bool = False
     verdict: Verdict | None = None
+    holding: Holding | None = None
 
     @property
     def response_started(self) -> bool:
@@ -305,16 +307,15 @@
     def _deliver_body(
         self, attempt: Attempt, facts: AnswerFacts
     ) -> tuple[FailedAttempt | None, bool]:
-        memory = self.router.memory
-        holding = memory.open('', _keep_answer)
-        memory.keep(holding)
         try:
-            return self._deliver_held_body(attempt, facts, holding)
+            return self._deliver_held_body(attempt, facts)
         finally:
-            memory.close(holding)
+            if self.holding is not None:
+                self.router.memory.close(self.holding)
+                self.holding = None
 
     def _read_prefix(
-        self, connection: EndpointConnection, holding: Holding
+        self, connection: EndpointConnection
     ) -> Result[BodyPrefix, ConnectionFailure]:
         """Read a whole body, or its beginning if it is long.
 
@@ -325,7 +326,9 @@
         first = connection.read_prefix(deadline, small)
         if isinstance(first, Err) or first.ok_value.complete:
             return first
-        if not self.router.memory.grow(holding, MAX_BUFFERED_BYTES):
+        self.holding = self.router.memory.open('', _keep_answer)
+        self.router.memory.keep(self.holding)
+        if not self.router.memory.grow(self.holding, MAX_BUFFERED_BYTES):
             return first
         begun = first.ok_value.content
         rest = connection.read_prefix(deadline, MAX_BUFFERED_BYTES - len(begun))
@@ -334,12 +337,12 @@
         )
 
     def _deliver_held_body(
-        self, attempt: Attempt, facts: AnswerFacts, holding: Holding
+        self, attempt: Attempt, facts: AnswerFacts
     ) -> tuple[FailedAttempt | None, bool]:
         connection = attempt.connection
         if connection is None:
             return FailedAttempt(Failure.NOT_CONNECTED, 'no connection'), False
-        body = self._read_prefix(connection, holding)
+        body = self._read_prefix(connection)
         attempts.mark_prompt_read(self.router, attempt)
         if isinstance(body, Err):
             return FailedAttempt(Failure.LOST, body.err_value.detail), False
--- a/bronzeglade/forwarding/inbound.py
+++ b/bronzeglade/forwarding/inbound.py
@@ -225,7 +225,7 @@
         """Return a complete body, which is kept until it is released."""
         # What follows the request stays in the parser until it is answered.
         following, _closed = self.parser.trailing_data
-        if not self.memory.grow(holding, len(following)):
+        if following and not self.memory.grow(holding, len(following)):
             return Err(NO_ROOM)
         self.memory.keep(holding)
         body = bytes(self.body)
