--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime as dt
 import functools
+import gc
 import random
 import secrets
 import signal
@@ -470,7 +471,12 @@
     if isinstance(settings, Err):
         sys.stderr.write(f'error: settings: {settings.err_value}\n')
         return EXIT_INVALID_SETTINGS
-    return RouterProcess(platform, settings.ok_value, metrics_port).run()
+    process = RouterProcess(platform, settings.ok_value, metrics_port)
+    # Modules and models live as long as the process. Without this, each full
+    # collection of garbage, in the middle of requests, looks at all of them.
+    gc.collect()
+    gc.freeze()
+    return process.run()
 
 
 def _local_node(settings: RouterSettings) -> roster.RouterNode:
