Decode the evidence of other nodes anew when the store was restored

Cause: evidence rows are decoded once for each version, and a restored store gives versions out again (found when the change was read once more).

Measured: restored_rollout_test.py checks that nothing decoded is kept; the check fails without the change.

--- a/bronzeglade/forwarding/restored_rollout_test.py
+++ b/bronzeglade/forwarding/restored_rollout_test.py
@@ -194,6 +194,8 @@
     fleet.run(8)
     written = [key for key in fleet.memory.rows if EVIDENCE_TABLE in key]
     assert written
+    rollouts = [other.running[SERVICE] for other in fleet.nodes]
+    assert any(rollout.decoded for rollout in rollouts)
     fleet.restore(
         {
             key: row
@@ -201,5 +203,6 @@
             if key not in written
         }
     )
+    assert not any(rollout.decoded for rollout in rollouts)
     fleet.run(8)
     assert set(written) <= fleet.memory.rows.keys()
--- a/bronzeglade/forwarding/service_rollouts.py
+++ b/bronzeglade/forwarding/service_rollouts.py
@@ -296,6 +296,8 @@
         self.era = self.router_rows.era
         for rollout in self.running.values():
             rollout.written = EvidenceRecord()
+            # Rows of other nodes may have the same versions and other content.
+            rollout.decoded = {}
 
     def _adopt_numbers(self) -> None:
         """Number each order as its plan does, the same on all nodes."""
