--- a/review/standins-2/platform2.py
+++ b/review/standins-2/platform2.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -556,25 +557,33 @@
 
 def run_case(case, folder):
     """Run a case and exit with its result: 1 broken, 0 held, 2 not run."""
-    # The routers are ended also if this process is.
-    signal.signal(signal.SIGTERM, lambda *_args: sys.exit(2))
     trouble = os.environ.get('TROUBLE', '1') != '0'
     record = Record(folder)
     routers = []
-    code = 2
-    with tempfile.TemporaryDirectory() as scratch:
+    scratch = tempfile.mkdtemp()
+
+    def finish(code):
+        for router in routers:
+            router.stop()
+        record.say('result', code)
+        record.write()
+        shutil.rmtree(scratch, ignore_errors=True)
+        sys.stdout.flush()
+        # Without waiting for the open connections of the stand-ins.
+        os._exit(code)
+
+    async def run():
+        # The routers are ended also if this process is.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, finish, 2)
+        code = 2
         try:
-            broken = asyncio.run(
-                asyncio.wait_for(
-                    case(record, trouble, scratch, routers), 110
-                )
+            broken = await asyncio.wait_for(
+                case(record, trouble, scratch, routers), 105
             )
             code = 1 if broken else 0
         except Exception as error:
             record.say('the case could not run:', repr(error))
-        finally:
-            for router in routers:
-                router.stop()
-            record.say('result', code)
-            record.write()
-    sys.exit(code)
+        finish(code)
+
+    asyncio.run(run())
