Count the memory of request heads

What callers saw: 300 connections that each sent a head of 15 KB in fields of five bytes, and no body, took a router on a machine of 100 MB to 190 MB. The platform ends a process that exceeds its memory; its callers are cut.

Heads were not in the memory account at all, and a request that gave way kept its head until its green thread ran, by which time the others of the same turn of the loop had parsed theirs.

Change: the account counts the objects and bytes of a head beyond 4 KB with its body. A request that gives way frees its head at once.

Evidence: fleet/memory_limit_test.py, the crowd and the bound (the machine's memory) were set on. Requests beside the crowd and afterwards are answered. Why it works: the memory of a head is charged before its body is read, and the account refuses or frees at once what does not fit. A request that is alone is never refused, so that many fields are served in calm (test).

fleet/crowds.py: heads without an end were never sent, because their piece was 0 bytes. They are now, which makes test_crowd_of_connections stricter.

--- a/bronzeglade/decisions/memory_account.py
+++ b/bronzeglade/decisions/memory_account.py
@@ -1,8 +1,8 @@
 """Shares the memory that callers can make a node hold among all of them.
 
-Counted are bodies of requests, from their first byte until their request has
-been answered, and answers that are held whole. A body that is small is not
-counted, so ordinary requests always find room. When there is no room for more,
+Counted are requests, from the end of their heads until they have been answered,
+and answers that are held whole. A request that is small is not counted, so
+ordinary requests always find room. When there is no room for more,
 bodies that have stalled give way, then the largest bodies of the client that
 holds most, if the one that asks would hold less. Otherwise the request is
 refused. What an endpoint may be working on never gives way.
@@ -23,7 +23,7 @@
 
     Attributes:
       capacity: bytes for all that is counted.
-      small: a body or an answer of up to this many bytes is not counted.
+      small: a request or an answer of up to this many bytes is not counted.
       stalled: a body that has not grown for this long gives way first.
     """
 
--- a/bronzeglade/forwarding/inbound.py
+++ b/bronzeglade/forwarding/inbound.py
@@ -34,6 +34,11 @@
 # request is being answered: they are held without being counted.
 HEAD_READ_BYTES = 16 * 1024
 EARLY_READ_BYTES = 4096
+# Memory of a header field beyond its bytes; short fields take many times
+# their own size.
+FIELD_OBJECT_BYTES = 320
+# Memory of a parsed head that is not counted.
+SMALL_HEAD_BYTES = 4 * 1024
 NO_ROOM = Refusal(
     503,
     'no_room',
@@ -94,6 +99,8 @@
         self.time_slice = TimeSlice()
         self.memory = memory
         self.client = client
+        # Those of the request that is being received.
+        self.head: h11.Request | None = None
         self.body = bytearray()
         self.holding: Holding | None = None
         self.parser = h11.Connection(
@@ -106,26 +113,27 @@
         Raises:
           OSError: The connection failed.
         """
-        head = self._read_head()
-        if isinstance(head, Err):
-            return head
-        raw = head.ok_value
-        if raw is None:
+        outcome = self._read_head()
+        if isinstance(outcome, Err):
+            return outcome
+        if self.head is None:
             return Ok(None)
         received_at = self.clock.monotonic()
         self.has_read_request = True
-        refusal = check_head(raw, self._limits())
+        refusal = check_head(self.head, self._limits())
         if refusal is not None:
             return Err(refusal)
         if self.parser.they_are_waiting_for_100_continue:
             self._send_continue()
-        body = self._read_body()
+        self.holding = self.memory.open(self.client, self._give_way)
+        if not self.memory.grow(self.holding, _head_bytes(self.head)):
+            return Err(NO_ROOM)
+        body = self._read_body(self.holding)
         if isinstance(body, Err):
             return body
-        request = RequestHead(
-            bytes(raw.method), bytes(raw.target), raw.headers.raw_items()
+        return Ok(
+            IncomingRequest(self._take_head(), body.ok_value, received_at)
         )
-        return Ok(IncomingRequest(request, body.ok_value, received_at))
 
     def receive_early_data(self) -> bool:
         """Buffer bytes that arrive while a request is being answered.
@@ -150,7 +158,7 @@
 
     def discard(self) -> None:
         """Free what was received of a request that is refused."""
-        self.body = bytearray()
+        self._clear()
         self.release()
 
     def next_cycle(self) -> bool:
@@ -164,7 +172,8 @@
     def _limits(self) -> Limits:
         return self.active_limits() or DEFAULT_LIMITS
 
-    def _read_head(self) -> Result[h11.Request | None, Refusal | None]:
+    def _read_head(self) -> Result[None, Refusal | None]:
+        """Read a head into `head`, which is None if the input has ended."""
         limits = self._limits()
         idle_until = self.clock.monotonic() + limits.idle_timeout + IDLE_GRACE
         deadline: dt.timedelta | None = None
@@ -175,7 +184,8 @@
             if isinstance(event, Err):
                 return event
             if isinstance(event.ok_value, h11.Request):
-                return Ok(event.ok_value)
+                self.head = event.ok_value
+                return Ok(None)
             if event.ok_value is not h11.NEED_DATA:
                 return Ok(None)
             now = self.clock.monotonic()
@@ -196,11 +206,9 @@
         is_new = not self.has_read_request and age < FIRST_REQUEST_TIMEOUT
         return self.is_stopping() and not is_new and tcp.is_quiet(self.sock)
 
-    def _read_body(self) -> Result[bytes, Refusal | None]:
+    def _read_body(self, holding: Holding) -> Result[bytes, Refusal | None]:
         limit = self._limits().body_bytes
         deadline = self.clock.monotonic() + BODY_TIMEOUT
-        holding = self.memory.open(self.client, self._give_way)
-        self.holding = holding
         while len(self.body) <= limit:
             event = self._next_event()
             if holding.ended:
@@ -221,6 +229,15 @@
                 return Err(None)
         return Err(_body_too_large(limit))
 
+    def _take_head(self) -> RequestHead:
+        """Return the head of a complete request."""
+        head = self.head
+        assert head is not None
+        self.head = None
+        return RequestHead(
+            bytes(head.method), bytes(head.target), head.headers.raw_items()
+        )
+
     def _take_body(self, holding: Holding) -> Result[bytes, Refusal | None]:
         """Return a complete body, which is kept until it is released."""
         # What follows the request stays in the parser until it is answered.
@@ -233,10 +250,16 @@
         return Ok(body)
 
     def _give_way(self) -> None:
-        """Free an incomplete body, and end its connection."""
-        self.body = bytearray()
+        """Free an incomplete request, and end its connection."""
+        self._clear()
         tcp.abort(self.sock)
 
+    def _clear(self) -> None:
+        # Not left to the thread of the connection, which runs only after those
+        # whose requests need the memory.
+        self.head = None
+        self.body = bytearray()
+
     def _next_event(self) -> Result[Any, Refusal | None]:
         if self.early_data:
             early_data = self.early_data
@@ -293,6 +316,15 @@
     return None
 
 
+def _head_bytes(head: h11.Request) -> int:
+    """Return the memory of a head that is counted, in bytes."""
+    size = sum(
+        len(name) + len(content) + FIELD_OBJECT_BYTES
+        for name, content in head.headers
+    )
+    return max(0, size - SMALL_HEAD_BYTES)
+
+
 def _body_too_large(limit: int) -> Refusal:
     message = f'request body exceeds {limit} bytes'
     return Refusal(413, 'body_too_large', message)
--- a/fleet/crowds.py
+++ b/fleet/crowds.py
@@ -28,13 +28,15 @@
     """What a caller sends: headers, and a block that repeats.
 
     `size` is how many bytes it sends after the head at most, and `piece` how
-    many at a time.
+    many at a time. Without anything after it, the head has an end only if
+    `ends_head` is set.
     """
 
     header: str
     block: bytes
     size: int
     piece: int
+    ends_head: bool = False
 
 
 def whole(limit: int, piece: int = UNLIMITED) -> Sending:
@@ -57,15 +59,28 @@
 
 def unfinished_head() -> Sending:
     """Return a head without its end."""
-    return Sending('X-Unfinished: yes', b'', 0, 0)
+    return Sending('X-Unfinished: yes', b'', 0, UNLIMITED)
+
+
+def many_fields(header_bytes: int) -> Sending:
+    """Return a head with very short fields, and a body that never comes."""
+    field = 'ab:cd\r\n'
+    fields = field * (header_bytes // len(field) - 1)
+    return Sending(
+        f'{fields}Content-Length: 1', b'', 0, UNLIMITED, ends_head=True
+    )
 
 
 class _Caller:
     """One connection, and what of its request is still to be sent."""
 
-    def __init__(self, port: int, number: int, sending: Sending) -> None:
+    def __init__(
+        self, port: int, number: int, sending: Sending, client: str
+    ) -> None:
         self.sending = sending
-        self.sock = socket.create_connection((HOST, port), CONNECT_TIMEOUT_S)
+        self.sock = socket.create_connection(
+            (HOST, port), CONNECT_TIMEOUT_S, (client, 0)
+        )
         self.sock.setblocking(False)
         lines = (
             'POST /read/x HTTP/1.1',
@@ -75,7 +90,8 @@
             'Deadline-Ms: 30000',
             sending.header,
         )
-        end = '\r\n\r\n' if sending.size else '\r\n'
+        has_end = sending.size or sending.ends_head
+        end = '\r\n\r\n' if has_end else '\r\n'
         self.pending = memoryview(('\r\n'.join(lines) + end).encode())
         self.unsent = sending.size
         self.blocks = sending.block * max(
@@ -119,20 +135,26 @@
     """Callers that stay open after they have sent what they have."""
 
     def __init__(
-        self, port: int, sendings: Sequence[Sending], count: int
+        self,
+        port: int,
+        sendings: Sequence[Sending],
+        count: int,
+        clients: Sequence[str] = (HOST,),
     ) -> None:
         """Connect the callers; those that are refused are left out.
 
         Args:
-          port: port of the router for callers.
+          port: port of the router.
           sendings: what the callers send, by turns.
           count: number of callers.
+          clients: addresses of the callers, by turns.
         """
         self.callers: list[_Caller] = []
         for number in range(count):
             sending = sendings[number % len(sendings)]
+            client = clients[number % len(clients)]
             try:
-                self.callers.append(_Caller(port, number, sending))
+                self.callers.append(_Caller(port, number, sending, client))
             except OSError:
                 continue
 
--- /dev/null
+++ b/fleet/memory_limit_test.py
@@ -0,0 +1,114 @@
+"""Tests that crowds keep a router process within the memory of its machine.
+
+Bytes that were received and not read count as memory of the process. Nothing
+that depends on the speed of the machine is checked.
+"""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from fleet.crowd_test import BODY_BYTES, ROUTER, CrowdedFleet
+from fleet.crowds import (
+    Crowd,
+    Sending,
+    many_fields,
+)
+from fleet.memory_meter import MemoryMeter
+from fleet.platform import Document, RouterPorts
+
+MEMORY_MB = 100
+SOCKETS = 1000
+FILE_DESCRIPTORS = 200  # the platform keeps these for files
+CALLERS = 300
+CLIENTS = tuple(f'127.0.0.{number}' for number in range(2, 32))
+HEADER_BYTES = 15 * 1024
+ORDINARY_REQUESTS = 5
+PAGES = ('directory', 'ready', 'control', 'metrics')
+
+BODIES: dict[str, tuple[Sending, ...]] = {
+    'many-fields': (many_fields(HEADER_BYTES),),
+}
+
+
+class SmallMachine(CrowdedFleet):
+    """A router on a machine with little memory, and a worker."""
+
+    sockets = SOCKETS
+
+    def port_of(self, door: str) -> int:
+        """Return a port of the router by its name."""
+        port: int = getattr(self.routers[ROUTER], door)
+        return port
+
+    def meter(self) -> MemoryMeter:
+        """Return a meter of the router's memory."""
+        ports = [self.port_of(door) for door in ('callers', *PAGES)]
+        return MemoryMeter(self.processes[ROUTER].pid, ports)
+
+    def serves(self) -> bool:
+        """Return whether the pages and ordinary requests are answered."""
+        statuses = {self.answer() for _ in range(ORDINARY_REQUESTS)}
+        return (
+            statuses == {200}
+            and self.is_ready(ROUTER)
+            and bool(self.listed_addresses(ROUTER))
+        )
+
+    def is_alive(self) -> bool:
+        """Return whether the router process runs."""
+        return self.processes[ROUTER].poll() is None
+
+    def _settings(self, ports: RouterPorts) -> Document:
+        max_fds = FILE_DESCRIPTORS + self.sockets
+        return {
+            **super()._settings(ports),
+            'limits': {'memory-mb': MEMORY_MB, 'max-fds': max_fds},
+        }
+
+
+@pytest.fixture
+def machine(tmp_path: Path) -> Iterator[SmallMachine]:
+    """Return a machine that serves requests."""
+    fleet = SmallMachine(tmp_path)
+    try:
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def check_crowds(machine: SmallMachine, *crowds: Crowd) -> None:
+    """Let crowds send; check memory, and the answers beside and afterwards."""
+    try:
+        with machine.meter() as meter:
+            for crowd in crowds:
+                crowd.send()
+            beside = machine.serves()
+    finally:
+        for crowd in crowds:
+            crowd.close()
+    assert machine.is_alive()
+    assert meter.peak_mb <= MEMORY_MB
+    assert beside
+    assert machine.serves()
+
+
+@pytest.mark.parametrize('kind', BODIES)
+def test_crowd_of_callers(machine: SmallMachine, kind: str) -> None:
+    """Bodies and heads that do not end, from many addresses."""
+    port = machine.port_of('callers')
+    check_crowds(machine, Crowd(port, BODIES[kind], CALLERS, CLIENTS))
+
+
+def test_single_request_within_the_limits_is_served(
+    machine: SmallMachine,
+) -> None:
+    """Neither a long body nor many fields are refused in calm."""
+    body = 'x' * (BODY_BYTES - 1)
+    fields = {f'X_{number}': '' for number in range(90)}
+    with machine.meter() as meter:
+        assert {machine.answer(body) for _ in range(3)} == {200}
+        reply = machine.send_request(ROUTER, '/read/x', 'fields', **fields)
+    assert reply.status == 200
+    assert meter.peak_mb <= MEMORY_MB
