Bound the unread bytes of callers' connections

What callers saw: 300 connections with chunked bodies that did not end took a router on a machine of 100 MB to 118 MB; small chunks, large chunks and a mix. The platform ends a process that exceeds its memory, and bytes that were received and not read count.

Cause: the kernel kept up to 128 KB for each connection (FIONREAD on this machine), and its buffers may grow; no code bounded them. Each connection also held a block of up to 64 KB in its parser before the account was asked. The limits for connections (32 KB each) and for bodies were fractions that took neither into account.

Change: the listening socket has a receive buffer of 16 KB, which accepted connections inherit; the kernel uses up to twice as much. A head or a small body is read 8 KB at a time, a counted one 16 KB. resources.py adds up what a connection may hold uncounted (70 KB), from which the number of connections follows. On a machine of 160 MB that is about 545 connections (864 before), of 300 MB 1,240 (1,950); a third of the memory left after the start is for bodies and answers (two fifths before).

Tried and dropped: a larger receive buffer for long bodies, set back after the answer. The next body on that connection stalled with a window of zero, 3 of 3. Reading 16 KB at a time instead of 8 was not faster.

--- a/bronzeglade/forwarding/caller_listener.py
+++ b/bronzeglade/forwarding/caller_listener.py
@@ -9,7 +9,7 @@
 from eliot import write_traceback
 
 from bronzeglade import listeners
-from bronzeglade.forwarding import request_handler, tcp
+from bronzeglade.forwarding import request_handler, resources, tcp
 from bronzeglade.forwarding.caller import Caller, CallerConnection
 from bronzeglade.forwarding.caller_connections import (
     CallerConnections,
@@ -50,7 +50,9 @@
 
     def start(self, address: Address) -> None:
         """Listen and accept connections."""
-        self.sock = listeners.listen(address, BACKLOG)
+        self.sock = listeners.listen(
+            address, BACKLOG, resources.CALLER_RECEIVE_BUFFER
+        )
         self.accept_thread = eventlet.spawn(self._accept)
 
     def stop(self) -> None:
--- a/bronzeglade/forwarding/inbound.py
+++ b/bronzeglade/forwarding/inbound.py
@@ -10,7 +10,7 @@
 
 from bronzeglade.clock import Clock
 from bronzeglade.decisions.memory_account import Holding, MemoryAccount
-from bronzeglade.forwarding import tcp
+from bronzeglade.forwarding import resources, tcp
 from bronzeglade.forwarding.message import RequestHead
 from bronzeglade.forwarding.route import Limits
 from bronzeglade.outcome import Refusal, RunState
@@ -30,15 +30,14 @@
 IDLE_GRACE = dt.timedelta(milliseconds=500)
 # How long a new connection may wait for its first request during shutdown.
 FIRST_REQUEST_TIMEOUT = dt.timedelta(seconds=1)
-# Bytes that are received at a time before the head is known, and while a
-# request is being answered: they are held without being counted.
-HEAD_READ_BYTES = 16 * 1024
+# Bytes that are received at a time: of a head or a small body, of a body that
+# is counted, and while a request is being answered.
+READ_BYTES = resources.CALLER_READ_BYTES
+BODY_READ_BYTES = 2 * READ_BYTES
 EARLY_READ_BYTES = 4096
 # Memory of a header field beyond its bytes; short fields take many times
 # their own size.
 FIELD_OBJECT_BYTES = 320
-# Memory of a parsed head that is not counted.
-SMALL_HEAD_BYTES = 4 * 1024
 NO_ROOM = Refusal(
     503,
     'no_room',
@@ -195,7 +194,7 @@
             elif now >= deadline:
                 return Err(_receive_timeout('head'))
             next_check = min(idle_until, now + STOP_CHECK_INTERVAL)
-            received = self._receive(deadline or next_check, HEAD_READ_BYTES)
+            received = self._receive(deadline or next_check)
             if received and deadline is None:
                 deadline = self.clock.monotonic() + limits.header_timeout
 
@@ -272,10 +271,10 @@
             status = error.error_status_hint
             return Err(Refusal(status, 'malformed_request', str(error)))
 
-    def _receive(
-        self, deadline: dt.timedelta, limit: int = tcp.READ_BYTES
-    ) -> bool:
+    def _receive(self, deadline: dt.timedelta) -> bool:
         """Read bytes or the end of input; return False on a timeout."""
+        is_counted = len(self.body) > self.memory.settings.small
+        limit = BODY_READ_BYTES if is_counted else READ_BYTES
         try:
             received = tcp.receive(self.sock, self.clock, deadline, limit)
         except TimeoutError:
@@ -322,7 +321,7 @@
         len(name) + len(content) + FIELD_OBJECT_BYTES
         for name, content in head.headers
     )
-    return max(0, size - SMALL_HEAD_BYTES)
+    return max(0, size - resources.SMALL_HEAD_BYTES)
 
 
 def _body_too_large(limit: int) -> Refusal:
--- a/bronzeglade/forwarding/resources.py
+++ b/bronzeglade/forwarding/resources.py
@@ -1,23 +1,60 @@
-"""How much of its machine a router process grants to callers."""
+"""How much of its machine a router process grants to callers.
 
+The memory that is left after the start is divided among bodies and answers that
+are held, and the connections of each port. What remains is for tables, streams,
+messages between nodes and what the allocator does not return.
+"""
+
+import dataclasses
 import resource
 
 from bronzeglade.decisions.memory_account import MemorySettings
 from bronzeglade.forwarding.settings import MachineLimits
 
-# Fractions of the memory that is left after the start: for bodies and answers
-# that are held, and for connections. The rest is for tables, streams, messages
-# between nodes and what the allocator does not return.
-HELD_FRACTION = 0.4
-CONNECTIONS_FRACTION = 0.25
-# Memory of a connection whose caller sends as much as is not counted.
-CONNECTION_BYTES = 32 * 1024
-# Fraction of the sockets for callers. Each request may need another one to an
-# endpoint.
-CALLER_SOCKETS_FRACTION = 0.5
+HELD_FRACTION = 1 / 3
+# What may wait unread on a connection is up to twice its receive buffer.
+CALLER_RECEIVE_BUFFER = 16 * 1024
+# Objects of a connection: green thread, socket, parser, buffered file.
+_OBJECT_BYTES = 10 * 1024
+# Bytes that are received at a time before they are counted.
+CALLER_READ_BYTES = 8 * 1024
+# Memory of a parsed head that is not counted.
+SMALL_HEAD_BYTES = 4 * 1024
 MIN_CONNECTIONS = 8
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PortShare:
+    """What the connections of a port may use.
+
+    Attributes:
+      memory: fraction of the memory that is left after the start.
+      sockets: fraction of the sockets of the process.
+      connection_bytes: memory of a connection whose caller sends as much as is
+        not counted by the memory account.
+    """
+
+    memory: float
+    sockets: float
+    connection_bytes: int
+
+
+# A head and a body that are not counted, and the block that is being parsed.
+CALLERS = PortShare(
+    memory=0.35,
+    # Each request may need another socket to an endpoint.
+    sockets=0.5,
+    connection_bytes=(
+        2 * CALLER_RECEIVE_BUFFER
+        + SMALL_HEAD_BYTES
+        + MemorySettings().small
+        + CALLER_READ_BYTES
+        + _OBJECT_BYTES
+    ),
+)
+PORTS = (CALLERS,)
+
+
 def memory_settings(machine: MachineLimits, resident: int) -> MemorySettings:
     """Return the limits of the memory that callers can make a node hold.
 
@@ -31,20 +68,23 @@
     return MemorySettings(capacity=int(left * HELD_FRACTION))
 
 
-def max_connections(machine: MachineLimits, resident: int) -> int:
-    """Return how many connections callers may have open.
+def max_connections(
+    machine: MachineLimits, resident: int, share: PortShare
+) -> int:
+    """Return how many connections a port may have open.
 
     Args:
       machine: limits of the process.
       resident: memory that the process uses without callers, in bytes.
+      share: what the connections of the port may use.
     """
     sockets = machine.sockets
     if sockets is None:
         sockets, _hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    limit = int(sockets * CALLER_SOCKETS_FRACTION)
+    limit = int(sockets * share.sockets)
     if machine.memory is not None:
         left = max(0, machine.memory - resident)
-        limit = min(limit, int(left * CONNECTIONS_FRACTION / CONNECTION_BYTES))
+        limit = min(limit, int(left * share.memory / share.connection_bytes))
     return max(MIN_CONNECTIONS, limit)
 
 
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -188,7 +188,10 @@
         self.exchange.on_cold = self.router.mark_cold
         self.page_servers: list[serving.Server] = []
         self.callers = CallerListener(
-            self.router, resources.max_connections(settings.machine, resident)
+            self.router,
+            resources.max_connections(
+                settings.machine, resident, resources.CALLERS
+            ),
         )
         self.stopped = eventlet.event.Event()
 
--- a/bronzeglade/listeners.py
+++ b/bronzeglade/listeners.py
@@ -26,14 +26,27 @@
 )
 
 
-def listen(address: tuple[str, int], backlog: int) -> Any:
+def listen(
+    address: tuple[str, int], backlog: int, receive_buffer: int | None = None
+) -> Any:
     """Return a listening socket.
 
     A second process that listens on the address fails: unlike with
     `eventlet.listen`, it does not share the port (SO_REUSEPORT).
+
+    Args:
+      address: IP address and port.
+      backlog: most connections that wait to be accepted.
+      receive_buffer: size of the receive buffer of each accepted connection, in
+        bytes, of which the kernel uses up to twice as much. By default the
+        kernel chooses the size and lets it grow.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if receive_buffer is not None:
+        # Accepted sockets inherit it; set later, it would not bound the window
+        # that the handshake has announced.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
     sock.bind(address)
     sock.listen(backlog)
     return sock
--- a/fleet/memory_limit_test.py
+++ b/fleet/memory_limit_test.py
@@ -13,7 +13,10 @@
 from fleet.crowds import (
     Crowd,
     Sending,
+    announced,
+    chunks,
     many_fields,
+    whole,
 )
 from fleet.memory_meter import MemoryMeter
 from fleet.platform import Document, RouterPorts
@@ -28,7 +31,20 @@
 PAGES = ('directory', 'ready', 'control', 'metrics')
 
 BODIES: dict[str, tuple[Sending, ...]] = {
+    'small-chunks': (chunks(3 * BODY_BYTES // 4, 512),),
+    'one-byte-chunks': (chunks(BODY_BYTES // 8, 1),),
+    'large-chunks': (chunks(BODY_BYTES - 1, 256 * 1024),),
+    'whole-bodies': (whole(BODY_BYTES),),
+    'announced-over-the-limit': (announced(2 * BODY_BYTES),),
+    'sent-over-the-limit': (chunks(2 * BODY_BYTES, 64 * 1024),),
     'many-fields': (many_fields(HEADER_BYTES),),
+    'all-kinds': (
+        chunks(3 * BODY_BYTES // 4, 512),
+        chunks(BODY_BYTES - 1, 256 * 1024),
+        chunks(2 * BODY_BYTES, 64 * 1024),
+        announced(2 * BODY_BYTES),
+        many_fields(HEADER_BYTES),
+    ),
 }
 
 
