Don't read bodies that are sent to pages

What callers saw: eight connections to the directory that sent a chunked request, and then the line of a chunk's length without an end, took a router to 307 MB, as much as they sent (32 MB each). The readiness, control and metrics ports do the same. One such client ends any process.

Cause: the pages need no bodies and left them unread. eventlet's server then reads the rest before the next request, and reads the line of a chunk with `readline()`, without a limit.

Change: the connection ends after the answer to a request with a body. Up to 1 MB of what follows is discarded for at most 1 s, so that closing does not reset the connection and lose the answer, as `bronzeglade entry` did already.

Requests and pages beside the crowd and afterwards are answered. Why it works: no code that reads a body runs any more. serving_test.py has the same without processes.

--- a/bronzeglade/entry/protocol.py
+++ b/bronzeglade/entry/protocol.py
@@ -4,15 +4,11 @@
 from typing import Any
 
 import eventlet
-from eventlet.green import socket
 
 from bronzeglade.serving import LoggedProtocol
 
 # Key of the protocol object in the WSGI environment of a request.
 ENVIRON_KEY = 'bronzeglade.protocol'
-# How long, and for how many bytes, unread input is read before closing.
-LINGER_TIMEOUT = dt.timedelta(seconds=1)
-MAX_LINGER_BYTES = 1_048_576
 REQUEST_TIMEOUT_RESPONSE = (
     b'HTTP/1.1 408 Request Timeout\r\n'
     b'Connection: close\r\nContent-Length: 0\r\n\r\n'
@@ -72,31 +68,10 @@
         self.close_connection = True
 
     def finish(self) -> None:
-        """Close the connection after reading a limited amount of input.
-
-        Closing a socket that has unread input resets the connection, and the
-        caller might then lose the response.
-        """
-        with eventlet.Timeout(LINGER_TIMEOUT.total_seconds(), False):
-            self._discard_unread_input()
+        """Close the connection after reading a limited amount of input."""
+        self.discard_unread_input()
         super().finish()
 
-    def _discard_unread_input(self) -> None:
-        try:
-            self.wfile.flush()
-            self.connection.shutdown(socket.SHUT_WR)
-        except (OSError, ValueError):
-            return
-        discarded_bytes = 0
-        while discarded_bytes < MAX_LINGER_BYTES:
-            try:
-                block = self.connection.recv(65536)
-            except OSError:
-                return
-            if not block:
-                return
-            discarded_bytes += len(block)
-
     def _stop_timer(self) -> None:
         if self.head_timer is not None:
             self.head_timer.cancel()
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -380,6 +380,7 @@
             listeners.listen(address, PAGE_BACKLOG),
             application,
             self.clock,
+            protocol=serving.PageProtocol,
             socket_timeout=PAGE_TIMEOUT_S,
         )
         server.start()
--- a/bronzeglade/serving.py
+++ b/bronzeglade/serving.py
@@ -8,6 +8,7 @@
 import eliot
 import eventlet
 from eventlet import greenio, semaphore, wsgi
+from eventlet.green import socket
 
 from bronzeglade import listeners
 from bronzeglade.clock import Clock, SystemClock
@@ -18,6 +19,10 @@
 STOP_POLL_INTERVAL = dt.timedelta(milliseconds=50)
 # How long a new connection may wait for its first request during a stop.
 FIRST_REQUEST_TIMEOUT = dt.timedelta(seconds=1)
+# How long, and for how many bytes, unread input is read before closing.
+LINGER_TIMEOUT = dt.timedelta(seconds=1)
+MAX_LINGER_BYTES = 1_048_576
+_LINGER_READ_BYTES = 65536
 _MAX_DETAIL_CHARS = 200
 
 
@@ -47,6 +52,32 @@
         """Record that the first byte of a request has arrived."""
         self.conn_state[2] = wsgi.STATE_REQUEST
 
+    def discard_unread_input(self) -> None:
+        """Read a limited amount of input, and nothing else after that.
+
+        Closing a socket that has unread input resets the connection, and the
+        caller might then lose the response.
+        """
+        with eventlet.Timeout(LINGER_TIMEOUT.total_seconds(), False):
+            self._discard_unread_input()
+
+    def _discard_unread_input(self) -> None:
+        try:
+            self.wfile.flush()
+            self.connection.shutdown(socket.SHUT_WR)
+        except (OSError, ValueError):
+            return
+        discarded_bytes = 0
+        while discarded_bytes < MAX_LINGER_BYTES:
+            try:
+                block = self.connection.recv(_LINGER_READ_BYTES)
+            except OSError:
+                return
+            if not block:
+                return
+            discarded_bytes += len(block)
+            self.time_slice.spend_bytes(len(block))
+
     def _read_request_line(self) -> Any:
         try:
             first = self.rfile.peek(1)
@@ -60,6 +91,33 @@
         return super()._read_request_line()
 
 
+class PageProtocol(LoggedProtocol):
+    """Protocol of pages: requests whose bodies are not read.
+
+    eventlet would read the body of a request that the application has left
+    unread, and its lines of any length, before the next request.
+    """
+
+    def __init__(self, *arguments: Any) -> None:
+        """Serve a connection; see the base class."""
+        self.has_body = False
+        super().__init__(*arguments)
+
+    def handle_one_response(self) -> None:
+        """Answer a request; close the connection if a body follows."""
+        body = self.environ['eventlet.input']
+        if body.chunked_input or body.content_length:
+            self.has_body = True
+            self.close_connection = True
+        super().handle_one_response()
+
+    def finish(self) -> None:
+        """Close the connection."""
+        if self.has_body:
+            self.discard_unread_input()
+        super().finish()
+
+
 class Connection:
     """An open connection.
 
--- a/bronzeglade/serving_test.py
+++ b/bronzeglade/serving_test.py
@@ -11,7 +11,7 @@
 from bronzeglade import listeners, serving, time_slice
 from bronzeglade.builders import largest_step
 from bronzeglade.clock import SystemClock
-from bronzeglade.serving import Server
+from bronzeglade.serving import LoggedProtocol, PageProtocol, Server
 
 LOOPBACK = '127.0.0.1'
 BACKLOG = 16
@@ -44,12 +44,17 @@
         yield
 
 
-def start_server(application: Any, max_connections: int = 99) -> Server:
+def start_server(
+    application: Any,
+    max_connections: int = 99,
+    protocol: type[LoggedProtocol] = LoggedProtocol,
+) -> Server:
     """Return a server that accepts connections."""
     server = Server(
         listeners.listen((LOOPBACK, 0), BACKLOG),
         application,
         SystemClock(),
+        protocol,
         max_connections=max_connections,
     )
     server.start()
@@ -153,3 +158,19 @@
     largest = largest_step(lambda: handled, 500)
     assert largest <= 2 * time_slice.MAX_PIECES
     sock.close()
+
+
+# eventlet read the lines of a chunked body, of any length, into memory.
+@pytest.mark.parametrize(
+    'field', ['Transfer-Encoding: chunked', 'Content-Length: 99999999']
+)
+def test_page_does_not_read_bodies(field: str) -> None:
+    """The caller gets the answer, and the connection ends."""
+    server = start_server(answer, protocol=PageProtocol)
+    head = f'POST / HTTP/1.1\r\nHost: a\r\n{field}\r\n\r\n'
+    sock = connect(server, head.encode() + b'x' * 50_000)
+    received = read_all(sock)
+    assert received.startswith(b'HTTP/1.1 200')
+    assert b'Connection: close' in received
+    sock.close()
+    wait_until(lambda: not server.connections)
--- a/fleet/crowds.py
+++ b/fleet/crowds.py
@@ -71,6 +71,11 @@
     )
 
 
+def endless_chunk_line(size: int) -> Sending:
+    """Return the line of a chunk's length, which does not end."""
+    return Sending(CHUNKED, b';x', size, UNLIMITED)
+
+
 class _Caller:
     """One connection, and what of its request is still to be sent."""
 
--- a/fleet/memory_limit_test.py
+++ b/fleet/memory_limit_test.py
@@ -15,6 +15,7 @@
     Sending,
     announced,
     chunks,
+    endless_chunk_line,
     many_fields,
     whole,
 )
@@ -25,8 +26,10 @@
 SOCKETS = 1000
 FILE_DESCRIPTORS = 200  # the platform keeps these for files
 CALLERS = 300
+FEW_CALLERS = 8
 CLIENTS = tuple(f'127.0.0.{number}' for number in range(2, 32))
 HEADER_BYTES = 15 * 1024
+LINE_BYTES = 32 * 1024 * 1024
 ORDINARY_REQUESTS = 5
 PAGES = ('directory', 'ready', 'control', 'metrics')
 
@@ -117,6 +120,16 @@
     check_crowds(machine, Crowd(port, BODIES[kind], CALLERS, CLIENTS))
 
 
+@pytest.mark.parametrize('page', PAGES)
+def test_chunk_line_without_end_at_a_page(
+    machine: SmallMachine, page: str
+) -> None:
+    """The pages need no bodies."""
+    line = endless_chunk_line(LINE_BYTES)
+    port = machine.port_of(page)
+    check_crowds(machine, Crowd(port, (line,), FEW_CALLERS, CLIENTS))
+
+
 def test_single_request_within_the_limits_is_served(
     machine: SmallMachine,
 ) -> None:
