Bound the connections and heads of pages

What callers saw: 900 connections to the directory that sent heads of 60 KB without their ends took a router on a machine of 100 MB to 131 MB; so did they at the readiness, control and metrics ports, and together with bodies at the callers' port. With 96 sockets granted, 192 connections to one of these ports took 203 sockets. At 1,024 connections the port answered nobody else.

Cause: each of the four servers accepted 1,024 connections, whatever the machine has, with heads of up to 64 KB and receive buffers that grow. None of it was in the division of the machine's memory. A full server waited until a connection ended, which silent callers decide.

Change: resources.py divides memory and sockets among all ports; each server's number of connections follows. When it is reached, the connection that has waited longest for a request, of the address that has most, gives way, as at the callers' port; one with a request in progress never does. Header fields of a page's request take 20 KB at most (the platform's clients send up to 16 KB), and receive buffers are 4 KB.

At both kinds of ports a full listener lets connections whose requests have arrived read them, and those that gave way close, before it closes another.

Why it works: every connection that a port may have is paid for by the division, and a new caller always finds room.

--- a/bronzeglade/forwarding/caller_connections.py
+++ b/bronzeglade/decisions/caller_connections.py
@@ -1,4 +1,4 @@
-"""Bounds the open connections of callers.
+"""Bounds the open connections of the callers of one port.
 
 Each takes a descriptor and some memory, which endpoints, the store and other
 nodes need as well. When there are too many, a connection that waits for a
@@ -27,7 +27,7 @@
 
 
 class CallerConnections:
-    """The open connections of the callers of one node."""
+    """The open connections of the callers of one port."""
 
     def __init__(self, limit: int, clock: Clock) -> None:
         """Start without connections.
@@ -51,13 +51,26 @@
           client: address of the caller.
           close: ends the connection.
         """
-        if len(self.open) >= self.limit and not self._close_one():
+        if self.is_full() and not self.close_one():
             self.refused += 1
             return None
+        return self.add(client, close)
+
+    def add(self, client: str, close: Callable[[], None]) -> OpenConnection:
+        """Add a connection, also where there is no room for it.
+
+        Args:
+          client: address of the caller.
+          close: ends the connection.
+        """
         connection = OpenConnection(client, close, self.clock.monotonic())
         self.open[connection] = None
         return connection
 
+    def is_full(self) -> bool:
+        """Return whether another connection needs the room of an open one."""
+        return len(self.open) >= self.limit
+
     def remove(self, connection: OpenConnection) -> None:
         """Remove a connection that has ended."""
         self.open.pop(connection, None)
@@ -82,7 +95,8 @@
         self.refused = 0
         return count
 
-    def _close_one(self) -> bool:
+    def close_one(self) -> bool:
+        """Close a connection that waits; return False if none does."""
         counts = collections.Counter(
             connection.client for connection in self.open
         )
--- a/bronzeglade/forwarding/caller_connections_test.py
+++ b/bronzeglade/decisions/caller_connections_test.py
@@ -4,7 +4,7 @@
 import functools
 
 from bronzeglade.builders import ManualClock
-from bronzeglade.forwarding.caller_connections import (
+from bronzeglade.decisions.caller_connections import (
     CallerConnections,
     OpenConnection,
 )
--- a/bronzeglade/forwarding/caller_listener.py
+++ b/bronzeglade/forwarding/caller_listener.py
@@ -9,12 +9,12 @@
 from eliot import write_traceback
 
 from bronzeglade import listeners
-from bronzeglade.forwarding import request_handler, resources, tcp
-from bronzeglade.forwarding.caller import Caller, CallerConnection
-from bronzeglade.forwarding.caller_connections import (
+from bronzeglade.decisions.caller_connections import (
     CallerConnections,
     OpenConnection,
 )
+from bronzeglade.forwarding import request_handler, resources, tcp
+from bronzeglade.forwarding.caller import Caller, CallerConnection
 from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
 from bronzeglade.forwarding.route import Limits
 from bronzeglade.forwarding.router import Router
@@ -111,6 +111,11 @@
 
     def _serve_accepted(self, sock: Any) -> None:
         close: Callable[[], None] = functools.partial(tcp.abort, sock)
+        if self.connections.is_full():
+            # Accepting does not yield while connections wait in the queue. Lets
+            # those whose requests have arrived read them, and those that have
+            # given way close their sockets.
+            eventlet.sleep(0)
         opened = self.connections.admit(tcp.peer_host(sock), close)
         if opened is None:
             tcp.close(sock)
--- a/bronzeglade/forwarding/resources.py
+++ b/bronzeglade/forwarding/resources.py
@@ -8,14 +8,18 @@
 import dataclasses
 import resource
 
+from bronzeglade import serving
 from bronzeglade.decisions.memory_account import MemorySettings
 from bronzeglade.forwarding.settings import MachineLimits
 
 HELD_FRACTION = 1 / 3
 # What may wait unread on a connection is up to twice its receive buffer.
 CALLER_RECEIVE_BUFFER = 16 * 1024
+PAGE_RECEIVE_BUFFER = 4 * 1024
+PAGE_HEAD_BYTES = serving.MAX_PAGE_HEADER_BYTES
 # Objects of a connection: green thread, socket, parser, buffered file.
 _OBJECT_BYTES = 10 * 1024
+_PAGE_OBJECT_BYTES = 24 * 1024
 # Bytes that are received at a time before they are counted.
 CALLER_READ_BYTES = 8 * 1024
 # Memory of a parsed head that is not counted.
@@ -52,7 +56,12 @@
         + _OBJECT_BYTES
     ),
 )
-PORTS = (CALLERS,)
+_PAGE_BYTES = 2 * PAGE_RECEIVE_BUFFER + PAGE_HEAD_BYTES + _PAGE_OBJECT_BYTES
+DIRECTORY = PortShare(0.05, 0.1, _PAGE_BYTES)
+CONTROL = PortShare(0.07, 0.1, _PAGE_BYTES)
+READINESS = PortShare(0.01, 0.025, _PAGE_BYTES)
+METRICS = PortShare(0.01, 0.025, _PAGE_BYTES)
+PORTS = (CALLERS, DIRECTORY, CONTROL, READINESS, METRICS)
 
 
 def memory_settings(machine: MachineLimits, resident: int) -> MemorySettings:
--- a/bronzeglade/forwarding/router_process.py
+++ b/bronzeglade/forwarding/router_process.py
@@ -134,7 +134,7 @@
             self.log,
         )
         self.rollouts.bounds = settings.rollout
-        resident = resources.resident_bytes()
+        self.resident = resources.resident_bytes()
         self.router = Router(
             settings=settings,
             clock=self.clock,
@@ -160,7 +160,7 @@
                 settings.name, self.clock, self.log, metrics
             ),
             memory=memory_account.MemoryAccount(
-                resources.memory_settings(settings.machine, resident),
+                resources.memory_settings(settings.machine, self.resident),
                 self.clock,
             ),
         )
@@ -190,7 +190,7 @@
         self.callers = CallerListener(
             self.router,
             resources.max_connections(
-                settings.machine, resident, resources.CALLERS
+                settings.machine, self.resident, resources.CALLERS
             ),
         )
         self.stopped = eventlet.event.Event()
@@ -209,11 +209,25 @@
             store=settings.store,
         )
         self.callers.start(settings.callers)
-        self._serve(settings.readiness, self.platform.readiness(self.is_ready))
-        self._serve(settings.directory, self.platform.directory(self.addresses))
-        self._serve(settings.control, self.tables.copy_source.application)
         self._serve(
-            (settings.callers[0], self.metrics_port), self._metrics_page
+            settings.readiness,
+            self.platform.readiness(self.is_ready),
+            resources.READINESS,
+        )
+        self._serve(
+            settings.directory,
+            self.platform.directory(self.addresses),
+            resources.DIRECTORY,
+        )
+        self._serve(
+            settings.control,
+            self.tables.copy_source.application,
+            resources.CONTROL,
+        )
+        self._serve(
+            (settings.callers[0], self.metrics_port),
+            self._metrics_page,
+            resources.METRICS,
         )
         self.exchange.open()
         self._start_loops()
@@ -375,12 +389,22 @@
                 return
             eventlet.sleep(REGISTER_RETRY_DELAY.total_seconds())
 
-    def _serve(self, address: Address, application: Application) -> None:
+    def _serve(
+        self,
+        address: Address,
+        application: Application,
+        share: resources.PortShare,
+    ) -> None:
         server = serving.Server(
-            listeners.listen(address, PAGE_BACKLOG),
+            listeners.listen(
+                address, PAGE_BACKLOG, resources.PAGE_RECEIVE_BUFFER
+            ),
             application,
             self.clock,
             protocol=serving.PageProtocol,
+            max_connections=resources.max_connections(
+                self.router.settings.machine, self.resident, share
+            ),
             socket_timeout=PAGE_TIMEOUT_S,
         )
         server.start()
--- a/bronzeglade/serving.py
+++ b/bronzeglade/serving.py
@@ -2,20 +2,24 @@
 
 import dataclasses
 import datetime as dt
+import functools
 from collections.abc import Callable, Sequence
 from typing import Any
 
 import eliot
 import eventlet
-from eventlet import greenio, semaphore, wsgi
+from eventlet import greenio, hubs, wsgi
 from eventlet.green import socket
 
 from bronzeglade import listeners
 from bronzeglade.clock import Clock, SystemClock
+from bronzeglade.decisions.caller_connections import CallerConnections
 from bronzeglade.time_slice import TimeSlice
 
 MAX_CONNECTIONS = 1024
 ACCEPT_RETRY_DELAY = dt.timedelta(milliseconds=50)
+# How often a server whose connections are all in use looks for one that is not.
+ROOM_CHECK_INTERVAL = dt.timedelta(milliseconds=20)
 STOP_POLL_INTERVAL = dt.timedelta(milliseconds=50)
 # How long a new connection may wait for its first request during a stop.
 FIRST_REQUEST_TIMEOUT = dt.timedelta(seconds=1)
@@ -23,7 +27,11 @@
 LINGER_TIMEOUT = dt.timedelta(seconds=1)
 MAX_LINGER_BYTES = 1_048_576
 _LINGER_READ_BYTES = 65536
+# Header fields of a request to a page, with their line ends.
+MAX_PAGE_HEADER_BYTES = 20 * 1024
 _MAX_DETAIL_CHARS = 200
+# Index in the state that eventlet passes to a protocol.
+_ADMISSION = 3
 
 
 class LoggedProtocol(wsgi.HttpProtocol):
@@ -52,6 +60,15 @@
         """Record that the first byte of a request has arrived."""
         self.conn_state[2] = wsgi.STATE_REQUEST
 
+    def handle_one_response(self) -> None:
+        """Answer a request whose head has been read."""
+        callers, opened = self.conn_state[_ADMISSION]
+        callers.begin_request(opened)
+        try:
+            super().handle_one_response()
+        finally:
+            callers.end_request(opened)
+
     def discard_unread_input(self) -> None:
         """Read a limited amount of input, and nothing else after that.
 
@@ -92,7 +109,7 @@
 
 
 class PageProtocol(LoggedProtocol):
-    """Protocol of pages: requests whose bodies are not read.
+    """Protocol of pages: requests with short heads, whose bodies are not read.
 
     eventlet would read the body of a request that the application has left
     unread, and its lines of any length, before the next request.
@@ -103,6 +120,14 @@
         self.has_body = False
         super().__init__(*arguments)
 
+    def parse_request(self) -> bool:
+        """Parse the head of a request."""
+        # The server counts the bytes of the fields up to its own maximum.
+        self.rfile.total_header_size += (
+            wsgi.MAX_TOTAL_HEADER_SIZE - MAX_PAGE_HEADER_BYTES
+        )
+        return bool(super().parse_request())
+
     def handle_one_response(self) -> None:
         """Answer a request; close the connection if a body follows."""
         body = self.environ['eventlet.input']
@@ -124,14 +149,27 @@
     Attributes:
       sock: its socket.
       accepted_at: monotonic time.
-      state: address, socket and state as eventlet's protocol class expects.
+      opened: the connection among the open ones of the server.
+      state: address, socket and state as eventlet's protocol class expects, and
+        the open connections of the server with this one.
     """
 
-    def __init__(self, sock: Any, accepted_at: dt.timedelta) -> None:
+    def __init__(
+        self, sock: Any, accepted_at: dt.timedelta, callers: CallerConnections
+    ) -> None:
         """Create the record of a connection that has just been accepted."""
         self.sock = sock
         self.accepted_at = accepted_at
-        self.state: list[Any] = [_peer(sock), sock, wsgi.STATE_IDLE]
+        peer = _peer(sock)
+        self.opened = callers.add(
+            peer[0], functools.partial(greenio.shutdown_safe, sock)
+        )
+        self.state: list[Any] = [
+            peer,
+            sock,
+            wsgi.STATE_IDLE,
+            (callers, self.opened),
+        ]
 
     def is_in_use(self, now: dt.timedelta) -> bool:
         """Return whether a request is in progress or probably in transit."""
@@ -166,7 +204,9 @@
           application: WSGI application.
           clock: monotonic time.
           protocol: protocol class that parses the requests of a connection.
-          max_connections: maximum number of open connections.
+          max_connections: maximum number of open connections. When there are
+            as many, a connection without a request in progress is closed for a
+            new one; if all have one, the new one waits in the accept queue.
           limits: further options of `eventlet.wsgi.Server`.
         """
         self.listener = listener
@@ -181,7 +221,7 @@
             **limits,
         )
         self.connections: set[Connection] = set()
-        self.free = semaphore.Semaphore(max_connections)
+        self.callers = CallerConnections(max_connections, clock)
         self.accept_thread: Any = None
 
     def start(self) -> None:
@@ -191,11 +231,11 @@
     def accept(self) -> None:
         """Accept connections; never returns."""
         while True:
-            self.free.acquire()
+            if self.callers.is_full():
+                self._make_room()
             try:
                 sock, _peer = self.listener.accept()
             except OSError as error:
-                self.free.release()
                 eliot.log_message(
                     message_type='accept_failed', detail=repr(error)
                 )
@@ -203,6 +243,14 @@
             else:
                 self._spawn(sock)
 
+    def _make_room(self) -> None:
+        """Wait for a connection in the accept queue, then for room for it."""
+        hubs.trampoline(self.listener.fd, read=True)
+        # Lets connections whose requests have arrived read them first.
+        eventlet.sleep(0)
+        while self.callers.is_full() and not self.callers.close_one():
+            eventlet.sleep(ROOM_CHECK_INTERVAL.total_seconds())
+
     def end_keepalive(self) -> None:
         """Close each connection after its next response."""
         self.wsgi.keepalive = False
@@ -229,7 +277,7 @@
 
     def _spawn(self, sock: Any) -> None:
         sock.settimeout(self.wsgi.socket_timeout)
-        connection = Connection(sock, self.clock.monotonic())
+        connection = Connection(sock, self.clock.monotonic(), self.callers)
         self.connections.add(connection)
         eventlet.spawn(self._serve, connection)
 
@@ -244,7 +292,7 @@
 
     def _end(self, connection: Connection) -> None:
         self.connections.discard(connection)
-        self.free.release()
+        self.callers.remove(connection.opened)
         greenio.shutdown_safe(connection.sock)
         connection.sock.close()
 
--- a/bronzeglade/serving_test.py
+++ b/bronzeglade/serving_test.py
@@ -174,3 +174,45 @@
     assert b'Connection: close' in received
     sock.close()
     wait_until(lambda: not server.connections)
+
+
+# Connections that stayed open kept all other callers from the server.
+def test_connection_without_a_request_gives_way() -> None:
+    """New callers are answered though all connections are taken."""
+    server = start_server(answer, max_connections=2)
+    silent = [connect(server) for _ in range(9)]
+    caller = connect(server, REQUEST)
+    assert caller.recv(65536).startswith(b'HTTP/1.1 200')
+    assert not read_all(silent[0])
+    wait_until(lambda: len(server.connections) <= 2)
+    for sock in (*silent, caller):
+        sock.close()
+    wait_until(lambda: not server.connections)
+
+
+def test_request_in_progress_does_not_give_way() -> None:
+    """A new caller waits until an answer has been sent."""
+    application = HeldApplication()
+    server = start_server(application, max_connections=1)
+    first = connect(server, REQUEST)
+    wait_until(lambda: server.connections_in_use() == 1)
+    eventlet.sleep(0.1)
+    second = connect(server, REQUEST)
+    eventlet.sleep(0.1)
+    application.released.send()
+    for sock in (first, second):
+        assert sock.recv(65536).startswith(b'HTTP/1.1 200')
+        sock.close()
+    wait_until(lambda: not server.connections)
+
+
+def test_head_of_a_page_is_bounded() -> None:
+    """A head within the limits of the platform is read, a longer one is not."""
+    server = start_server(answer, protocol=PageProtocol)
+    for count, status in ((16, b'200'), (24, b'400')):
+        fields = f'X-Long: {"x" * 1000}\r\n' * count
+        head = f'GET / HTTP/1.1\r\nHost: a\r\n{fields}\r\n'
+        sock = connect(server, head.encode())
+        assert sock.recv(65536).split()[1] == status
+        sock.close()
+    wait_until(lambda: not server.connections)
--- a/fleet/crowds.py
+++ b/fleet/crowds.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import itertools
 import selectors
 import socket
 import time
@@ -71,6 +72,13 @@
     )
 
 
+def long_head(header_bytes: int) -> Sending:
+    """Return a head of long fields without its end."""
+    field = 'X-Long: '.ljust(1000, 'x')
+    fields = '\r\n'.join(itertools.repeat(field, header_bytes // 1000))
+    return Sending(fields, b'', 0, UNLIMITED)
+
+
 def endless_chunk_line(size: int) -> Sending:
     """Return the line of a chunk's length, which does not end."""
     return Sending(CHUNKED, b';x', size, UNLIMITED)
--- a/fleet/memory_limit_test.py
+++ b/fleet/memory_limit_test.py
@@ -16,7 +16,9 @@
     announced,
     chunks,
     endless_chunk_line,
+    long_head,
     many_fields,
+    unfinished_head,
     whole,
 )
 from fleet.memory_meter import MemoryMeter
@@ -24,11 +26,15 @@
 
 MEMORY_MB = 100
 SOCKETS = 1000
+FEW_SOCKETS = 96
 FILE_DESCRIPTORS = 200  # the platform keeps these for files
 CALLERS = 300
+HEADS = 900
 FEW_CALLERS = 8
 CLIENTS = tuple(f'127.0.0.{number}' for number in range(2, 32))
 HEADER_BYTES = 15 * 1024
+# The server of the pages refuses larger heads.
+PAGE_HEADER_BYTES = 60 * 1024
 LINE_BYTES = 32 * 1024 * 1024
 ORDINARY_REQUESTS = 5
 PAGES = ('directory', 'ready', 'control', 'metrics')
@@ -87,6 +93,12 @@
         }
 
 
+class FewSockets(SmallMachine):
+    """A machine with few descriptors as well."""
+
+    sockets = FEW_SOCKETS
+
+
 @pytest.fixture
 def machine(tmp_path: Path) -> Iterator[SmallMachine]:
     """Return a machine that serves requests."""
@@ -97,6 +109,16 @@
         fleet.close()
 
 
+@pytest.fixture
+def few_sockets(tmp_path: Path) -> Iterator[FewSockets]:
+    """Return a machine with few sockets that serves requests."""
+    fleet = FewSockets(tmp_path)
+    try:
+        yield fleet
+    finally:
+        fleet.close()
+
+
 def check_crowds(machine: SmallMachine, *crowds: Crowd) -> None:
     """Let crowds send; check memory, and the answers beside and afterwards."""
     try:
@@ -120,6 +142,14 @@
     check_crowds(machine, Crowd(port, BODIES[kind], CALLERS, CLIENTS))
 
 
+@pytest.mark.parametrize('page', PAGES)
+def test_crowd_of_heads_at_a_page(machine: SmallMachine, page: str) -> None:
+    """Heads of the size that the server takes, without their ends."""
+    head = long_head(PAGE_HEADER_BYTES)
+    port = machine.port_of(page)
+    check_crowds(machine, Crowd(port, (head,), HEADS, CLIENTS))
+
+
 @pytest.mark.parametrize('page', PAGES)
 def test_chunk_line_without_end_at_a_page(
     machine: SmallMachine, page: str
@@ -130,6 +160,38 @@
     check_crowds(machine, Crowd(port, (line,), FEW_CALLERS, CLIENTS))
 
 
+def test_crowds_at_callers_port_and_directory(machine: SmallMachine) -> None:
+    """The memory of the machine is shared by all ports."""
+    heads = Crowd(
+        machine.port_of('directory'),
+        (long_head(PAGE_HEADER_BYTES),),
+        HEADS,
+        CLIENTS,
+    )
+    bodies = Crowd(
+        machine.port_of('callers'), BODIES['all-kinds'], CALLERS, CLIENTS
+    )
+    check_crowds(machine, heads, bodies)
+
+
+@pytest.mark.parametrize('page', PAGES)
+def test_crowd_of_connections_at_a_page(
+    few_sockets: FewSockets, page: str
+) -> None:
+    """Descriptors are left for all else, and other callers get the page."""
+    port = few_sockets.port_of(page)
+    crowd = Crowd(port, (unfinished_head(),), 2 * FEW_SOCKETS, CLIENTS)
+    try:
+        crowd.send()
+        open_sockets = few_sockets.open_sockets()
+        beside = few_sockets.serves()
+    finally:
+        crowd.close()
+    assert few_sockets.is_alive()
+    assert open_sockets <= FEW_SOCKETS
+    assert beside
+
+
 def test_single_request_within_the_limits_is_served(
     machine: SmallMachine,
 ) -> None:
