Measure the memory of the process, not of its parent

What callers saw: a router that a large process has started accepted 8 callers at a time and held no body, on a machine with room for hundreds.

Cause: the memory that is left is what the machine grants less `ru_maxrss`. The kernel keeps that peak across exec, so a process begins with the size of the one that forked it.

Change: resident memory is read from /proc/self/statm; `ru_maxrss` remains where that cannot be read.

Evidence: resources_test.py, started by a process of 300 MB: 372 MB before, passes since. It showed in the tests of crowds: after some tests the routers that pytest started had 8 connections a port.

--- a/bronzeglade/forwarding/resources.py
+++ b/bronzeglade/forwarding/resources.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import resource
+from pathlib import Path
 
 from bronzeglade import serving
 from bronzeglade.decisions.memory_account import MemorySettings
@@ -25,6 +26,8 @@
 # Memory of a parsed head that is not counted.
 SMALL_HEAD_BYTES = 4 * 1024
 MIN_CONNECTIONS = 8
+# Sizes in pages: virtual, resident, shared; see `proc(5)`.
+_MEMORY_SIZES = Path('/proc/self/statm')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,5 +101,10 @@
 
 
 def resident_bytes() -> int:
-    """Return the peak of the process's resident memory so far."""
-    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+    """Return the resident memory of the process."""
+    try:
+        pages = int(_MEMORY_SIZES.read_text().split()[1])
+    except (OSError, ValueError, IndexError):
+        # A process inherits this peak from the one that has started it.
+        return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+    return pages * resource.getpagesize()
--- a/bronzeglade/forwarding/resources_test.py
+++ b/bronzeglade/forwarding/resources_test.py
@@ -1,5 +1,8 @@
 """Tests that all that a node grants to callers fits its machine."""
 
+import subprocess  # noqa: S404
+import sys
+
 import pytest
 
 from bronzeglade.forwarding import resources
@@ -55,3 +58,19 @@
             resources.max_connections(tiny, 9 * MEGABYTE, share)
             == resources.MIN_CONNECTIONS
         )
+
+
+# The peak that the kernel reports is inherited across exec.
+def test_resident_memory_is_that_of_the_process_itself() -> None:
+    """A process that a large one has started is not taken for large."""
+    ballast = b'x' * (300 * MEGABYTE)
+    program = (
+        'from bronzeglade.forwarding import resources\n'
+        'print(resources.resident_bytes())'
+    )
+    output = subprocess.run(  # noqa: S603
+        [sys.executable, '-W', 'ignore', '-c', program],
+        capture_output=True,
+        check=True,
+    )
+    assert int(output.stdout) < len(ballast) / 2
