Bound how many callers are parsed in a turn of the loop

Cause: a caller that sends without a pause yields after 64 pieces, and then has its next 64 in the next turn of the loop. With 1,240 callers a turn takes seconds, and each step of another request waits for one.

Change: chunks, and blocks of more than 4 KB, are parsed by four connections at a time; the others wait in order. Short heads and bodies, answers and streams of endpoints are not delayed by that.

--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -265,11 +265,18 @@
     def handle(incoming: IncomingRequest, caller: Caller) -> None:
         request_handler.handle(built, incoming, caller)
 
+    parsing = eventlet.semaphore.Semaphore(2)
+
     def accept() -> None:
         while True:
             sock, _peer = listener.accept()
             reader = RequestReader(
-                sock, built.clock, limits, is_stopping, built.memory
+                sock,
+                built.clock,
+                limits,
+                is_stopping,
+                built.memory,
+                parsing=parsing,
             )
             eventlet.spawn(CallerConnection(reader, handle).run)
 
--- a/bronzeglade/forwarding/caller_listener.py
+++ b/bronzeglade/forwarding/caller_listener.py
@@ -15,7 +15,11 @@
 )
 from bronzeglade.forwarding import request_handler, resources, tcp
 from bronzeglade.forwarding.caller import Caller, CallerConnection
-from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
+from bronzeglade.forwarding.inbound import (
+    IncomingRequest,
+    RequestReader,
+    new_parsing,
+)
 from bronzeglade.forwarding.route import Limits
 from bronzeglade.forwarding.router import Router
 from bronzeglade.forwarding.settings import Address
@@ -37,6 +41,7 @@
         """
         self.router = router
         self.connections = CallerConnections(limit, router.clock)
+        self.parsing = new_parsing()
         self.sock: Any = None
         self.accept_thread: Any = None
         # By cause, how often callers were turned away since the last log line.
@@ -132,6 +137,7 @@
                 lambda: self.router.draining,
                 self.router.memory,
                 opened.client,
+                self.parsing,
             )
             CallerConnection(
                 reader, functools.partial(self._handle, opened), self._count
--- a/bronzeglade/forwarding/inbound.py
+++ b/bronzeglade/forwarding/inbound.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import h11
+from eventlet.semaphore import Semaphore
 from result import Err, Ok, Result
 
 from bronzeglade.clock import Clock
@@ -35,6 +36,10 @@
 READ_BYTES = resources.CALLER_READ_BYTES
 BODY_READ_BYTES = 2 * READ_BYTES
 EARLY_READ_BYTES = 4096
+# Connections whose chunks or long blocks are parsed in one turn of the loop.
+# The others wait, so that a crowd does not delay what is cheap to parse.
+MAX_PARSING = 4
+SHORT_BLOCK_BYTES = 4096
 # Memory of a header field beyond its bytes; short fields take many times
 # their own size.
 FIELD_OBJECT_BYTES = 320
@@ -77,6 +82,7 @@
         is_stopping: Callable[[], bool],
         memory: MemoryAccount,
         client: str = '',
+        parsing: Semaphore | None = None,
     ) -> None:
         """Create a reader for an accepted socket.
 
@@ -87,6 +93,8 @@
           is_stopping: returns whether idle connections should be closed.
           memory: account of the bodies of all connections.
           client: address of the caller.
+          parsing: bounds the connections that parse at the same time; shared by
+            all readers of a listener.
         """
         self.sock = sock
         self.clock = clock
@@ -98,6 +106,9 @@
         self.time_slice = TimeSlice()
         self.memory = memory
         self.client = client
+        self.parsing = parsing or new_parsing()
+        self.is_parsing = False
+        self.is_chunked = False
         # Those of the request that is being received.
         self.head: h11.Request | None = None
         self.body = bytearray()
@@ -112,6 +123,13 @@
         Raises:
           OSError: The connection failed.
         """
+        try:
+            return self._read()
+        finally:
+            self.is_chunked = False
+            self._end_parsing()
+
+    def _read(self) -> ReadOutcome:
         outcome = self._read_head()
         if isinstance(outcome, Err):
             return outcome
@@ -184,6 +202,7 @@
                 return event
             if isinstance(event.ok_value, h11.Request):
                 self.head = event.ok_value
+                self.is_chunked = _is_chunked(self.head)
                 return Ok(None)
             if event.ok_value is not h11.NEED_DATA:
                 return Ok(None)
@@ -208,6 +227,8 @@
     def _read_body(self, holding: Holding) -> Result[bytes, Refusal | None]:
         limit = self._limits().body_bytes
         deadline = self.clock.monotonic() + BODY_TIMEOUT
+        if self.is_chunked:
+            self._begin_parsing()
         while len(self.body) <= limit:
             event = self._next_event()
             if holding.ended:
@@ -275,19 +296,37 @@
         """Read bytes or the end of input; return False on a timeout."""
         is_counted = len(self.body) > self.memory.settings.small
         limit = BODY_READ_BYTES if is_counted else READ_BYTES
+        self._end_parsing()
         try:
             received = tcp.receive(self.sock, self.clock, deadline, limit)
         except TimeoutError:
             return False
+        if self.is_chunked or len(received) > SHORT_BLOCK_BYTES:
+            self._begin_parsing()
         self.parser.receive_data(received)
         self.time_slice.spend_bytes(len(received))
         return True
 
+    def _begin_parsing(self) -> None:
+        if not self.is_parsing:
+            self.parsing.acquire()
+            self.is_parsing = True
+
+    def _end_parsing(self) -> None:
+        if self.is_parsing:
+            self.is_parsing = False
+            self.parsing.release()
+
     def _send_continue(self) -> None:
         interim = h11.InformationalResponse(status_code=100, headers=[])
         self.sock.sendall(self.parser.send(interim))
 
 
+def new_parsing() -> Semaphore:
+    """Return the bound on parsing for the readers of one listener."""
+    return Semaphore(MAX_PARSING)
+
+
 def check_head(head: h11.Request, limits: Limits) -> Refusal | None:
     """Return a refusal if a request is too large, or its head ambiguous.
 
@@ -315,6 +354,10 @@
     return None
 
 
+def _is_chunked(head: h11.Request) -> bool:
+    return any(name == b'transfer-encoding' for name, _coding in head.headers)
+
+
 def _head_bytes(head: h11.Request) -> int:
     """Return the memory of a head that is counted, in bytes."""
     size = sum(
--- a/bronzeglade/forwarding/inbound_test.py
+++ b/bronzeglade/forwarding/inbound_test.py
@@ -30,6 +30,8 @@
     return router, endpoint, builders.serve(router)
 
 
+FEW_SLICES = 8
+CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n'
 HEAD = 'POST /idempotent/x HTTP/1.1\r\nHost: api.example\r\nId: r\r\nKey: key-1'
 
 
@@ -142,6 +144,25 @@
         thread.kill()
 
 
+# Each caller of a crowd had a time slice in each turn of the loop.
+def test_crowd_with_small_chunks_does_not_block_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Other green threads run after the time slices of a few callers."""
+    events = CallCounter()
+    counting = events.wrap(h11.Connection.next_event)
+    monkeypatch.setattr(h11.Connection, 'next_event', counting)
+    _router, _endpoint, port = serving()
+    crowd = [Client(port) for _ in range(60)]
+    body = b'1\r\nx\r\n' * 1000
+    for client in crowd:
+        client.sock.sendall(f'{HEAD}\r\n{CHUNKED}'.encode() + body)
+    largest = largest_step(lambda: events.count, 30 * 1000)
+    assert largest <= FEW_SLICES * time_slice.MAX_PIECES
+    for client in crowd:
+        client.sock.close()
+
+
 def read_to_the_end(client: Client) -> None:
     """Read and discard what a client gets."""
     while client.sock.recv(65536):
