Bound the bodies that bronzeglade entry holds

What callers saw: 100 connections with bodies of 2 MB that stopped one byte short took a process of `bronzeglade entry` to 259 MB, at the callers' port with an API key, and at the control port with none: a message between nodes is read before its signature can be checked. 4,096 connections may do so.

Cause: each body was read whole, and nothing summed them; docs/design named it as not done. Receive buffers were not bounded either.

Change: bodies are in a memory account, as in the other router process: when there is no room, stalled bodies give way, then the largest of the client that holds most, else the request is refused with 503 `no_room`, not run. The new setting `--held_limit` is 64 MB, as the other process has without a stated machine; a body that is alone may exceed it, bodies of up to 16 KB don't count. Accepted connections have a receive buffer of 16 KB.

Requests beside the crowd and afterwards are answered. The line of a chunk without an end held before, too (56 MB): chunked bodies are refused and not read.

--- a/bronzeglade/entry/http.py
+++ b/bronzeglade/entry/http.py
@@ -10,9 +10,10 @@
 from typing import Any, Protocol
 
 import eventlet
-from result import Err, Ok, Result
+from result import Err, Result
 
-from bronzeglade.entry import protocol
+from bronzeglade.decisions.memory_account import MemoryAccount
+from bronzeglade.entry import body_reader, protocol
 from bronzeglade.entry.trace import Trace
 from bronzeglade.outcome import Refusal
 
@@ -49,7 +50,6 @@
 _MIN_SERVER_ERROR = 500
 # A handler that sets this header ends the connection after the response.
 CONNECTION_HEADER = 'Connection'
-_READ_SIZE = 65536  # bytes
 
 
 class HttpLimits(Protocol):
@@ -113,17 +113,22 @@
 Handler = Callable[[Request], Response]
 
 
-def wsgi(handler: Handler) -> Callable[[Environ, StartResponse], Body]:
+def wsgi(
+    handler: Handler, memory: MemoryAccount | None = None
+) -> Callable[[Environ, StartResponse], Body]:
     """Wrap a handler in a WSGI application.
 
     Args:
       handler: maps a request to a response.
+      memory: account of request bodies; by default bodies are bounded only by
+        themselves.
 
     Returns:
       The application.
     """
 
     def application(environ: Environ, start_response: StartResponse) -> Body:
+        environ[body_reader.MEMORY_KEY] = memory
         request = build_request(environ)
         refusal = head_refusal(request)
         if refusal is None:
@@ -181,12 +186,14 @@
 def read_body(request: Request, limits: HttpLimits) -> Result[bytes, Refusal]:
     """Read the whole body within limits on time and memory.
 
+    Its memory is in the account until the response has been sent.
+
     Args:
       request: the request whose body is still unread.
       limits: maximum size and receive time-out.
 
     Returns:
-      The body, or a refusal with status 400, 408, 411 or 413.
+      The body, or a refusal with status 400, 408, 411, 413 or 503.
     """
     length = request.header('Content-Length') or ''
     if not length.isdecimal():
@@ -201,26 +208,10 @@
         408, 'receive_timeout', f'the request body took more than {seconds} s'
     )
     with eventlet.Timeout(seconds, False):
-        return _read_exactly(request.environ['wsgi.input'], int(length))
+        return body_reader.BodyReader(request.environ).read(int(length))
     return Err(timed_out)
 
 
-def _read_exactly(body: Any, length: int) -> Result[bytes, Refusal]:
-    blocks: list[bytes] = []
-    remaining = length
-    while remaining:
-        try:
-            block = body.read(min(remaining, _READ_SIZE))
-        except (OSError, ValueError):
-            block = b''
-        if not block:
-            message = 'the request body is shorter than its Content-Length'
-            return Err(Refusal(400, 'truncated_body', message))
-        blocks.append(block)
-        remaining -= len(block)
-    return Ok(b''.join(blocks))
-
-
 def json_response(
     document: Any,
     status: int = 200,
--- a/bronzeglade/entry/process.py
+++ b/bronzeglade/entry/process.py
@@ -12,6 +12,7 @@
 from eliot import write_traceback
 
 from bronzeglade import listeners, serving
+from bronzeglade.decisions.memory_account import MemoryAccount, MemorySettings
 from bronzeglade.entry import (
     callers,
     chat,
@@ -29,6 +30,8 @@
 
 BACKLOG = 512
 MAX_CONNECTIONS = 4096
+# What may wait unread on a connection is up to twice its receive buffer.
+RECEIVE_BUFFER = 16 * 1024
 # Limits how long a connection may be idle and how long each write may take.
 SOCKET_TIMEOUT = dt.timedelta(seconds=60)
 # Minimum time for the final flush of billing records to the table. Records that
@@ -51,11 +54,12 @@
     node = Node(settings)
     status.register(node)
     stopped = eventlet.event.Event()
-    caller_server = _new_server(node, settings.port, _tracked(node))
+    memory = MemoryAccount(MemorySettings(settings.held_limit), node.clock)
+    caller_server = _new_server(node, settings.port, _tracked(node, memory))
     control_server = _new_server(
         node,
         settings.control_port,
-        http.wsgi(lambda request: control.handle(node, request)),
+        http.wsgi(lambda request: control.handle(node, request), memory),
     )
     servers = (caller_server, control_server)
     for server in servers:
@@ -83,7 +87,7 @@
 ) -> serving.Server:
     settings = node.settings
     return serving.Server(
-        listeners.listen((settings.host, port), BACKLOG),
+        listeners.listen((settings.host, port), BACKLOG, RECEIVE_BUFFER),
         application,
         node.clock,
         protocol=protocol.with_head_timeout(settings.receive_timeout),
@@ -95,7 +99,9 @@
     )
 
 
-def _tracked(node: Node) -> Callable[[Environ, http.StartResponse], Body]:
+def _tracked(
+    node: Node, memory: MemoryAccount
+) -> Callable[[Environ, http.StartResponse], Body]:
     def handler(request: Request) -> Response:
         node.open_requests += 1
         trace.begin(node.telemetry, request.trace, request.path)
@@ -113,7 +119,7 @@
             response.headers,
         )
 
-    return http.wsgi(handler)
+    return http.wsgi(handler, memory)
 
 
 class _TrackedBody:
--- a/bronzeglade/settings.py
+++ b/bronzeglade/settings.py
@@ -108,6 +108,14 @@
         ge=1024,
         description='Maximum size of a request body, bytes.',
     )
+    held_limit: int = Field(
+        64 * 1024 * 1024,
+        ge=0,
+        description=(
+            'Maximum size of the request bodies of all callers that have not '
+            'been answered, bytes. A body that is alone may exceed it.'
+        ),
+    )
     vm_poll_interval: Duration = Field(
         dt.timedelta(seconds=2),
         description='Interval between reads of the VM list.',
--- a/fleet/crowds.py
+++ b/fleet/crowds.py
@@ -38,6 +38,7 @@
     size: int
     piece: int
     ends_head: bool = False
+    path: str = '/read/x'
 
 
 def whole(limit: int, piece: int = UNLIMITED) -> Sending:
@@ -96,7 +97,7 @@
         )
         self.sock.setblocking(False)
         lines = (
-            'POST /read/x HTTP/1.1',
+            f'POST {sending.path} HTTP/1.1',
             f'Host: {API_HOST}',
             f'Request-Id: crowd-{number}',
             f'Credential: {API_KEY}',
--- /dev/null
+++ b/fleet/entry_crowd_test.py
@@ -0,0 +1,79 @@
+"""Tests that crowds keep `bronzeglade entry` within the memory of its VM.
+
+Bytes that were received and not read count as memory of the process.
+"""
+
+import dataclasses
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from fleet import deployments
+from fleet.crowds import Crowd, Sending, endless_chunk_line, whole
+from fleet.launch import Fleet, Program
+from fleet.memory_meter import MemoryMeter
+
+MEMORY_MB = 128
+HELD_BYTES = 16 * 1024 * 1024
+BODY_BYTES = 2 * 1024 * 1024
+LINE_BYTES = 32 * 1024 * 1024
+CALLERS = 100
+CLIENTS = tuple(f'127.0.0.{number}' for number in range(2, 32))
+CHAT_PATH, PEER_PATH = '/v1/chat/completions', '/peer/x'
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    """Run the fleet of the `brolga` deployment with little room for bodies."""
+    directory: Path = tmp_path_factory.mktemp('logs')
+    options = {'held_limit': HELD_BYTES, 'body_limit': BODY_BYTES}
+    with Fleet(deployments.BROLGA, directory, options) as running:
+        yield running
+
+
+def with_key(fleet: Fleet, sending: Sending) -> Sending:
+    """Return what a caller with an API key sends."""
+    key = f'Authorization: Bearer {fleet.api_key()}'
+    return dataclasses.replace(
+        sending, header=f'{key}\r\n{sending.header}', path=CHAT_PATH
+    )
+
+
+def check_crowd(fleet: Fleet, entry: Program, crowd: Crowd) -> None:
+    """Let a crowd send; check memory, and the answers beside and afterwards."""
+    meter = MemoryMeter(entry.process.pid, (entry.port, entry.control_port))
+    try:
+        with meter:
+            crowd.send()
+            beside = fleet.serves(entry)
+    finally:
+        crowd.close()
+    assert entry.process.poll() is None
+    assert meter.peak_mb <= MEMORY_MB
+    assert beside
+    assert fleet.serves(entry)
+
+
+def test_bodies_of_callers(fleet: Fleet) -> None:
+    """Bodies of legal size that stop just short of their end."""
+    entry = fleet.entries()[0]
+    sending = with_key(fleet, whole(BODY_BYTES))
+    crowd = Crowd(entry.port, (sending,), CALLERS, CLIENTS)
+    check_crowd(fleet, entry, crowd)
+
+
+def test_bodies_at_the_control_port(fleet: Fleet) -> None:
+    """A body is read before its signature can be checked."""
+    entry = fleet.entries()[1]
+    sending = dataclasses.replace(whole(BODY_BYTES), path=PEER_PATH)
+    crowd = Crowd(entry.control_port, (sending,), CALLERS, CLIENTS)
+    check_crowd(fleet, entry, crowd)
+
+
+def test_chunk_line_without_end(fleet: Fleet) -> None:
+    """Chunked bodies are refused, and nothing of them is kept."""
+    entry = fleet.entries()[2]
+    sending = with_key(fleet, endless_chunk_line(LINE_BYTES))
+    crowd = Crowd(entry.port, (sending,), CALLERS // 10, CLIENTS)
+    check_crowd(fleet, entry, crowd)
