Bound the connections and heads of bronzeglade entry

What callers saw: 1,200 connections with heads of 60 KB without their ends took a process of `bronzeglade entry` to 164 MB, 109 MB more than before them, and 4,096 were accepted at each of its two ports.

Cause: the number of connections was a constant, and eventlet accepts header fields of 64 KB.

Header fields take 20 KB at most on all servers that are eventlet's, not only the pages.

--- a/bronzeglade/entry/process.py
+++ b/bronzeglade/entry/process.py
@@ -29,7 +29,6 @@
 from bronzeglade.settings import EntrySettings
 
 BACKLOG = 512
-MAX_CONNECTIONS = 4096
 # What may wait unread on a connection is up to twice its receive buffer.
 RECEIVE_BUFFER = 16 * 1024
 # Limits how long a connection may be idle and how long each write may take.
@@ -91,7 +90,7 @@
         application,
         node.clock,
         protocol=protocol.with_head_timeout(settings.receive_timeout),
-        max_connections=MAX_CONNECTIONS,
+        max_connections=settings.connection_limit,
         # Writes each chunk of a stream at once. The default buffers 4,096
         # bytes, which delays tokens.
         minimum_chunk_size=1,
--- a/bronzeglade/forwarding/resources.py
+++ b/bronzeglade/forwarding/resources.py
@@ -17,7 +17,7 @@
 # What may wait unread on a connection is up to twice its receive buffer.
 CALLER_RECEIVE_BUFFER = 16 * 1024
 PAGE_RECEIVE_BUFFER = 4 * 1024
-PAGE_HEAD_BYTES = serving.MAX_PAGE_HEADER_BYTES
+PAGE_HEAD_BYTES = serving.MAX_HEADER_BYTES
 # Objects of a connection: green thread, socket, parser, buffered file.
 _OBJECT_BYTES = 10 * 1024
 _PAGE_OBJECT_BYTES = 24 * 1024
--- a/bronzeglade/serving.py
+++ b/bronzeglade/serving.py
@@ -27,8 +27,8 @@
 LINGER_TIMEOUT = dt.timedelta(seconds=1)
 MAX_LINGER_BYTES = 1_048_576
 _LINGER_READ_BYTES = 65536
-# Header fields of a request to a page, with their line ends.
-MAX_PAGE_HEADER_BYTES = 20 * 1024
+# Header fields of a request, with their line ends.
+MAX_HEADER_BYTES = 20 * 1024
 _MAX_DETAIL_CHARS = 200
 # Index in the state that eventlet passes to a protocol.
 _ADMISSION = 3
@@ -60,6 +60,14 @@
         """Record that the first byte of a request has arrived."""
         self.conn_state[2] = wsgi.STATE_REQUEST
 
+    def parse_request(self) -> bool:
+        """Parse the head of a request."""
+        # The server counts the bytes of the fields up to its own maximum.
+        self.rfile.total_header_size += (
+            wsgi.MAX_TOTAL_HEADER_SIZE - MAX_HEADER_BYTES
+        )
+        return bool(super().parse_request())
+
     def handle_one_response(self) -> None:
         """Answer a request whose head has been read."""
         callers, opened = self.conn_state[_ADMISSION]
@@ -109,7 +117,7 @@
 
 
 class PageProtocol(LoggedProtocol):
-    """Protocol of pages: requests with short heads, whose bodies are not read.
+    """Protocol of pages: requests whose bodies are not read.
 
     eventlet would read the body of a request that the application has left
     unread, and its lines of any length, before the next request.
@@ -120,14 +128,6 @@
         self.has_body = False
         super().__init__(*arguments)
 
-    def parse_request(self) -> bool:
-        """Parse the head of a request."""
-        # The server counts the bytes of the fields up to its own maximum.
-        self.rfile.total_header_size += (
-            wsgi.MAX_TOTAL_HEADER_SIZE - MAX_PAGE_HEADER_BYTES
-        )
-        return bool(super().parse_request())
-
     def handle_one_response(self) -> None:
         """Answer a request; close the connection if a body follows."""
         body = self.environ['eventlet.input']
--- a/bronzeglade/settings.py
+++ b/bronzeglade/settings.py
@@ -116,6 +116,14 @@
             'been answered, bytes. A body that is alone may exceed it.'
         ),
     )
+    connection_limit: int = Field(
+        4096,
+        ge=1,
+        description=(
+            'Maximum number of open connections of callers, and of the control '
+            'port. Each may take about 90 KB.'
+        ),
+    )
     vm_poll_interval: Duration = Field(
         dt.timedelta(seconds=2),
         description='Interval between reads of the VM list.',
--- a/fleet/entry_crowd_test.py
+++ b/fleet/entry_crowd_test.py
@@ -10,7 +10,13 @@
 import pytest
 
 from fleet import deployments
-from fleet.crowds import Crowd, Sending, endless_chunk_line, whole
+from fleet.crowds import (
+    Crowd,
+    Sending,
+    endless_chunk_line,
+    long_head,
+    whole,
+)
 from fleet.launch import Fleet, Program
 from fleet.memory_meter import MemoryMeter
 
@@ -18,7 +24,11 @@
 HELD_BYTES = 16 * 1024 * 1024
 BODY_BYTES = 2 * 1024 * 1024
 LINE_BYTES = 32 * 1024 * 1024
+# The server refuses larger heads.
+HEADER_BYTES = 60 * 1024
 CALLERS = 100
+CONNECTIONS = 300
+HEADS = 1200
 CLIENTS = tuple(f'127.0.0.{number}' for number in range(2, 32))
 CHAT_PATH, PEER_PATH = '/v1/chat/completions', '/peer/x'
 
@@ -27,7 +37,11 @@
 def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
     """Run the fleet of the `brolga` deployment with little room for bodies."""
     directory: Path = tmp_path_factory.mktemp('logs')
-    options = {'held_limit': HELD_BYTES, 'body_limit': BODY_BYTES}
+    options = {
+        'held_limit': HELD_BYTES,
+        'body_limit': BODY_BYTES,
+        'connection_limit': CONNECTIONS,
+    }
     with Fleet(deployments.BROLGA, directory, options) as running:
         yield running
 
@@ -77,3 +91,11 @@
     sending = with_key(fleet, endless_chunk_line(LINE_BYTES))
     crowd = Crowd(entry.port, (sending,), CALLERS // 10, CLIENTS)
     check_crowd(fleet, entry, crowd)
+
+
+def test_heads_without_end(fleet: Fleet) -> None:
+    """Connections are bounded, and so are their heads."""
+    entry = fleet.entries()[3]
+    head = (long_head(HEADER_BYTES),)
+    check_crowd(fleet, entry, Crowd(entry.port, head, HEADS, CLIENTS))
+    check_crowd(fleet, entry, Crowd(entry.control_port, head, HEADS, CLIENTS))
