Don't hold the turn to parse while 100 Continue is sent

What callers would see: nothing was seen. Four callers that don't read could keep all others with chunks or long blocks waiting while their 100 Continue doesn't fit their send buffers (read, not run).

--- a/bronzeglade/forwarding/inbound.py
+++ b/bronzeglade/forwarding/inbound.py
@@ -318,6 +318,8 @@
             self.parsing.release()
 
     def _send_continue(self) -> None:
+        # Sending may wait for the caller to read.
+        self._end_parsing()
         interim = h11.InformationalResponse(status_code=100, headers=[])
         self.sock.sendall(self.parser.send(interim))
 
