Close the sockets of connections that gave way

What callers saw: 192 connections to the readiness port, of which 8 may be open, left the router with 98 sockets where 96 are granted; in a trial 97, 80 of which were still open after their callers had gone.

Cause: when the last response on a connection can't be written, eventlet's protocol doesn't close the file that it reads from. The socket has two owners then, and stays open until the garbage is collected. It was so before for callers that left without their answer; connections that give way with a part of a head, which end of input completes, made it frequent.

Change: the file is closed in any case.

--- a/bronzeglade/serving.py
+++ b/bronzeglade/serving.py
@@ -77,6 +77,15 @@
         finally:
             callers.end_request(opened)
 
+    def finish(self) -> None:
+        """Close the connection."""
+        try:
+            super().finish()
+        finally:
+            # Not closed if the last response could not be written. The socket
+            # would then stay open until the garbage is collected.
+            self.rfile.close()
+
     def discard_unread_input(self) -> None:
         """Read a limited amount of input, and nothing else after that.
 
--- a/bronzeglade/serving_test.py
+++ b/bronzeglade/serving_test.py
@@ -1,7 +1,9 @@
 """Tests how an HTTP server stops."""
 
 import datetime as dt
+import gc
 from collections.abc import Callable, Iterator
+from pathlib import Path
 from typing import Any
 
 import eventlet
@@ -216,3 +218,25 @@
         assert sock.recv(65536).split()[1] == status
         sock.close()
     wait_until(lambda: not server.connections)
+
+
+# They stayed open until the garbage was collected.
+def test_sockets_of_connections_that_gave_way_are_closed() -> None:
+    """Also those whose last response could not be written."""
+    server = start_server(answer, max_connections=1)
+    gc.collect()
+    gc.disable()
+    try:
+        before = _open_descriptors()
+        callers = [connect(server, REQUEST[:-2]) for _ in range(20)]
+        wait_until(lambda: len(server.connections) == 1)
+        assert _open_descriptors() - before <= len(callers) + 1
+    finally:
+        gc.enable()
+    for sock in callers:
+        sock.close()
+    wait_until(lambda: not server.connections)
+
+
+def _open_descriptors() -> int:
+    return len(list(Path('/proc/self/fd').iterdir()))
--- a/fleet/crowd_test.py
+++ b/fleet/crowd_test.py
@@ -75,7 +75,7 @@
     def open_sockets(self) -> int:
         """Return how many sockets the router has open."""
         folder = Path(f'/proc/{self.processes[ROUTER].pid}/fd')
-        targets = [str(link.readlink()) for link in folder.iterdir()]
+        targets = map(_target, folder.iterdir())
         return sum(target.startswith('socket:') for target in targets)
 
     def answer(self, body: str = 'b') -> int:
@@ -93,6 +93,14 @@
         }
 
 
+def _target(link: Path) -> str:
+    """Return what a descriptor refers to; empty if it has been closed."""
+    try:
+        return str(link.readlink())
+    except FileNotFoundError:
+        return ''
+
+
 @pytest.fixture
 def crowded(tmp_path: Path) -> Iterator[CrowdedFleet]:
     """Return a fleet that serves requests."""
