Crowd tests: keep silent connections, and give each changed line its reason

- `Sending('X-Unfinished: yes', b'', 0, 0)` in unfinished_head: with a piece of 0 bytes it sent nothing, though its docstring names a head. made it send the head, and with that the test lost its silent connections.
They are back as silent(), with the line as it was, and test_crowd_of_connections runs with both kinds; so do the four pages.
Stricter than before.
- `end = ... if sending.size ...` and the docstring of Sending: restored.
The flag `ends_head` that they were changed for is gone; many_fields sends half of a body of two bytes instead.

No bound or number of callers of a test that stood before has changed.

--- a/fleet/crowd_test.py
+++ b/fleet/crowd_test.py
@@ -16,6 +16,7 @@
     Sending,
     announced,
     chunks,
+    silent,
     unfinished_head,
     whole,
 )
@@ -126,10 +127,11 @@
     assert {*beside, *afterwards} == {200}
 
 
-def test_crowd_of_connections(crowded: CrowdedFleet) -> None:
+@pytest.mark.parametrize('sending', [silent(), unfinished_head()])
+def test_crowd_of_connections(crowded: CrowdedFleet, sending: Sending) -> None:
     """Descriptors are left for endpoints, the store and other callers."""
     port = crowded.routers[ROUTER].callers
-    crowd = Crowd(port, (unfinished_head(),), SOCKETS * 2)
+    crowd = Crowd(port, (sending,), SOCKETS * 2)
     try:
         crowd.send()
         open_sockets = crowded.open_sockets()
--- a/fleet/crowds.py
+++ b/fleet/crowds.py
@@ -29,15 +29,13 @@
     """What a caller sends: headers, and a block that repeats.
 
     `size` is how many bytes it sends after the head at most, and `piece` how
-    many at a time. Without anything after it, the head has an end only if
-    `ends_head` is set.
+    many at a time.
     """
 
     header: str
     block: bytes
     size: int
     piece: int
-    ends_head: bool = False
     path: str = '/read/x'
 
 
@@ -59,18 +57,21 @@
     return Sending(header, b'x' * 4096, size, UNLIMITED)
 
 
+def silent() -> Sending:
+    """Return a connection on which nothing is sent."""
+    return Sending('X-Unfinished: yes', b'', 0, 0)
+
+
 def unfinished_head() -> Sending:
     """Return a head without its end."""
     return Sending('X-Unfinished: yes', b'', 0, UNLIMITED)
 
 
 def many_fields(header_bytes: int) -> Sending:
-    """Return a head with very short fields, and a body that never comes."""
+    """Return a head with very short fields, and half of a body."""
     field = 'ab:cd\r\n'
     fields = field * (header_bytes // len(field) - 1)
-    return Sending(
-        f'{fields}Content-Length: 1', b'', 0, UNLIMITED, ends_head=True
-    )
+    return Sending(f'{fields}Content-Length: 2', b'x', 1, UNLIMITED)
 
 
 def long_head(header_bytes: int) -> Sending:
@@ -104,8 +105,7 @@
             'Deadline-Ms: 30000',
             sending.header,
         )
-        has_end = sending.size or sending.ends_head
-        end = '\r\n\r\n' if has_end else '\r\n'
+        end = '\r\n\r\n' if sending.size else '\r\n'
         self.pending = memoryview(('\r\n'.join(lines) + end).encode())
         self.unsent = sending.size
         self.blocks = sending.block * max(
--- a/fleet/memory_limit_test.py
+++ b/fleet/memory_limit_test.py
@@ -18,6 +18,7 @@
     endless_chunk_line,
     long_head,
     many_fields,
+    silent,
     unfinished_head,
     whole,
 )
@@ -174,13 +175,14 @@
     check_crowds(machine, heads, bodies)
 
 
+@pytest.mark.parametrize('sending', [silent(), unfinished_head()])
 @pytest.mark.parametrize('page', PAGES)
 def test_crowd_of_connections_at_a_page(
-    few_sockets: FewSockets, page: str
+    few_sockets: FewSockets, page: str, sending: Sending
 ) -> None:
     """Descriptors are left for all else, and other callers get the page."""
     port = few_sockets.port_of(page)
-    crowd = Crowd(port, (unfinished_head(),), 2 * FEW_SOCKETS, CLIENTS)
+    crowd = Crowd(port, (sending,), 2 * FEW_SOCKETS, CLIENTS)
     try:
         crowd.send()
         open_sockets = few_sockets.open_sockets()
