One refusal for lack of room; name the parse slots

No behaviour changes but one: whether a body is read in larger blocks follows from the account, which counts the head too, and no longer from the body alone.

- NO_ROOM stood in inbound.py and in body_reader.py.
It is beside the account that decides it.
- `parsing`, `new_parsing` and `is_parsing` did not say that they are slots that connections wait for. builders.py had a second number of them.

--- a/bronzeglade/decisions/memory_account.py
+++ b/bronzeglade/decisions/memory_account.py
@@ -15,6 +15,15 @@
 from collections.abc import Callable, Iterator
 
 from bronzeglade.clock import Clock
+from bronzeglade.outcome import Refusal, RunState
+
+NO_ROOM = Refusal(
+    503,
+    'no_room',
+    'the node has no room for the request body',
+    RunState.NOT_RUN,
+    dt.timedelta(seconds=1),
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,8 +120,12 @@
         self.gave_way = 0
         return count
 
+    def counts(self, holding: Holding) -> bool:
+        """Return whether a holding is too large to be left uncounted."""
+        return holding.size > self.settings.small
+
     def _counted(self, holding: Holding) -> int:
-        return holding.size if holding.size > self.settings.small else 0
+        return holding.size if self.counts(holding) else 0
 
     def _make_room(self, holding: Holding, size: int) -> bool:
         lacking = self.used + size - self.settings.capacity
--- a/bronzeglade/entry/body_reader.py
+++ b/bronzeglade/entry/body_reader.py
@@ -1,6 +1,5 @@
 """Reads request bodies while there is room for them."""
 
-import datetime as dt
 import socket
 from typing import Any
 
@@ -8,24 +7,18 @@
 
 from bronzeglade.clock import SystemClock
 from bronzeglade.decisions.memory_account import (
+    NO_ROOM,
     Holding,
     MemoryAccount,
     MemorySettings,
 )
-from bronzeglade.outcome import Refusal, RunState
+from bronzeglade.outcome import Refusal
 
 # Key of the account of all bodies in the WSGI environment.
 MEMORY_KEY = 'bronzeglade.memory'
 # Functions that the server calls after the response.
 _HOOKS_KEY = 'eventlet.posthooks'
-_READ_SIZE = 16384  # bytes
-NO_ROOM = Refusal(
-    503,
-    'no_room',
-    'the node has no room for the request body',
-    RunState.NOT_RUN,
-    dt.timedelta(seconds=1),
-)
+_READ_BYTES = 16 * 1024
 
 
 class BodyReader:
@@ -65,7 +58,7 @@
 
     def _read_block(self, remaining: int) -> bytes:
         try:
-            block: bytes = self.input.read(min(remaining, _READ_SIZE))
+            block: bytes = self.input.read(min(remaining, _READ_BYTES))
         except (OSError, ValueError):
             return b''
         return block
--- a/bronzeglade/entry/body_reader_test.py
+++ b/bronzeglade/entry/body_reader_test.py
@@ -4,7 +4,11 @@
 from typing import Any
 
 from bronzeglade.builders import ManualClock
-from bronzeglade.decisions.memory_account import MemoryAccount, MemorySettings
+from bronzeglade.decisions.memory_account import (
+    NO_ROOM,
+    MemoryAccount,
+    MemorySettings,
+)
 from bronzeglade.entry import body_reader
 from bronzeglade.entry.body_reader import BodyReader
 
@@ -33,7 +37,7 @@
     assert BodyReader(first).read(len(BODY)).ok() == BODY
     assert memory.used == len(BODY)
     refused = BodyReader(second).read(len(BODY)).err()
-    assert refused == body_reader.NO_ROOM
+    assert refused == NO_ROOM
     respond(second)
     respond(first)
     assert not memory.used
--- a/bronzeglade/forwarding/builders.py
+++ b/bronzeglade/forwarding/builders.py
@@ -27,10 +27,9 @@
 )
 from bronzeglade.decisions.placement import Placement, PlacementSettings
 from bronzeglade.decisions.shutdown import LongestDurations
-from bronzeglade.forwarding import cold_endpoints, request_handler
+from bronzeglade.forwarding import cold_endpoints, inbound, request_handler
 from bronzeglade.forwarding.caller import Caller, CallerConnection
 from bronzeglade.forwarding.endpoint import EndpointEntry, Registry
-from bronzeglade.forwarding.inbound import IncomingRequest, RequestReader
 from bronzeglade.forwarding.log import Log
 from bronzeglade.forwarding.metrics import Metrics
 from bronzeglade.forwarding.plain_dialect import PlainDialect
@@ -262,21 +261,21 @@
     def is_stopping() -> bool:
         return built.draining
 
-    def handle(incoming: IncomingRequest, caller: Caller) -> None:
+    def handle(incoming: inbound.IncomingRequest, caller: Caller) -> None:
         request_handler.handle(built, incoming, caller)
 
-    parsing = eventlet.semaphore.Semaphore(2)
+    parse_slots = inbound.new_parse_slots()
 
     def accept() -> None:
         while True:
             sock, _peer = listener.accept()
-            reader = RequestReader(
+            reader = inbound.RequestReader(
                 sock,
                 built.clock,
                 limits,
                 is_stopping,
                 built.memory,
-                parsing=parsing,
+                parse_slots=parse_slots,
             )
             eventlet.spawn(CallerConnection(reader, handle).run)
 
--- a/bronzeglade/forwarding/caller_listener.py
+++ b/bronzeglade/forwarding/caller_listener.py
@@ -18,7 +18,7 @@
 from bronzeglade.forwarding.inbound import (
     IncomingRequest,
     RequestReader,
-    new_parsing,
+    new_parse_slots,
 )
 from bronzeglade.forwarding.route import Limits
 from bronzeglade.forwarding.router import Router
@@ -41,7 +41,7 @@
         """
         self.router = router
         self.connections = CallerConnections(limit, router.clock)
-        self.parsing = new_parsing()
+        self.parse_slots = new_parse_slots()
         self.sock: Any = None
         self.accept_thread: Any = None
         # By cause, how often callers were turned away since the last log line.
@@ -137,7 +137,7 @@
                 lambda: self.router.draining,
                 self.router.memory,
                 opened.client,
-                self.parsing,
+                self.parse_slots,
             )
             CallerConnection(
                 reader, functools.partial(self._handle, opened), self._count
--- a/bronzeglade/forwarding/inbound.py
+++ b/bronzeglade/forwarding/inbound.py
@@ -10,7 +10,11 @@
 from result import Err, Ok, Result
 
 from bronzeglade.clock import Clock
-from bronzeglade.decisions.memory_account import Holding, MemoryAccount
+from bronzeglade.decisions.memory_account import (
+    NO_ROOM,
+    Holding,
+    MemoryAccount,
+)
 from bronzeglade.forwarding import resources, tcp
 from bronzeglade.forwarding.message import RequestHead
 from bronzeglade.forwarding.route import Limits
@@ -38,18 +42,11 @@
 EARLY_READ_BYTES = 4096
 # Connections whose chunks or long blocks are parsed in one turn of the loop.
 # The others wait, so that a crowd does not delay what is cheap to parse.
-MAX_PARSING = 4
+PARSE_SLOTS = 4
 SHORT_BLOCK_BYTES = 4096
 # Memory of a header field beyond its bytes; short fields take many times
 # their own size.
 FIELD_OBJECT_BYTES = 320
-NO_ROOM = Refusal(
-    503,
-    'no_room',
-    'the node has no room for the request body',
-    RunState.NOT_RUN,
-    dt.timedelta(seconds=1),
-)
 # How often an idle connection checks whether the process is shutting down.
 STOP_CHECK_INTERVAL = dt.timedelta(milliseconds=500)
 
@@ -82,7 +79,7 @@
         is_stopping: Callable[[], bool],
         memory: MemoryAccount,
         client: str = '',
-        parsing: Semaphore | None = None,
+        parse_slots: Semaphore | None = None,
     ) -> None:
         """Create a reader for an accepted socket.
 
@@ -93,8 +90,7 @@
           is_stopping: returns whether idle connections should be closed.
           memory: account of the bodies of all connections.
           client: address of the caller.
-          parsing: bounds the connections that parse at the same time; shared by
-            all readers of a listener.
+          parse_slots: shared by all readers of a listener.
         """
         self.sock = sock
         self.clock = clock
@@ -106,8 +102,8 @@
         self.time_slice = TimeSlice()
         self.memory = memory
         self.client = client
-        self.parsing = parsing or new_parsing()
-        self.is_parsing = False
+        self.parse_slots = parse_slots or new_parse_slots()
+        self.has_parse_slot = False
         self.is_chunked = False
         # Those of the request that is being received.
         self.head: h11.Request | None = None
@@ -127,7 +123,7 @@
             return self._read()
         finally:
             self.is_chunked = False
-            self._end_parsing()
+            self._free_parse_slot()
 
     def _read(self) -> ReadOutcome:
         outcome = self._read_head()
@@ -228,7 +224,7 @@
         limit = self._limits().body_bytes
         deadline = self.clock.monotonic() + BODY_TIMEOUT
         if self.is_chunked:
-            self._begin_parsing()
+            self._take_parse_slot()
         while len(self.body) <= limit:
             event = self._next_event()
             if holding.ended:
@@ -294,39 +290,41 @@
 
     def _receive(self, deadline: dt.timedelta) -> bool:
         """Read bytes or the end of input; return False on a timeout."""
-        is_counted = len(self.body) > self.memory.settings.small
+        is_counted = self.holding is not None and self.memory.counts(
+            self.holding
+        )
         limit = BODY_READ_BYTES if is_counted else READ_BYTES
-        self._end_parsing()
+        self._free_parse_slot()
         try:
             received = tcp.receive(self.sock, self.clock, deadline, limit)
         except TimeoutError:
             return False
         if self.is_chunked or len(received) > SHORT_BLOCK_BYTES:
-            self._begin_parsing()
+            self._take_parse_slot()
         self.parser.receive_data(received)
         self.time_slice.spend_bytes(len(received))
         return True
 
-    def _begin_parsing(self) -> None:
-        if not self.is_parsing:
-            self.parsing.acquire()
-            self.is_parsing = True
+    def _take_parse_slot(self) -> None:
+        if not self.has_parse_slot:
+            self.parse_slots.acquire()
+            self.has_parse_slot = True
 
-    def _end_parsing(self) -> None:
-        if self.is_parsing:
-            self.is_parsing = False
-            self.parsing.release()
+    def _free_parse_slot(self) -> None:
+        if self.has_parse_slot:
+            self.has_parse_slot = False
+            self.parse_slots.release()
 
     def _send_continue(self) -> None:
         # Sending may wait for the caller to read.
-        self._end_parsing()
+        self._free_parse_slot()
         interim = h11.InformationalResponse(status_code=100, headers=[])
         self.sock.sendall(self.parser.send(interim))
 
 
-def new_parsing() -> Semaphore:
-    """Return the bound on parsing for the readers of one listener."""
-    return Semaphore(MAX_PARSING)
+def new_parse_slots() -> Semaphore:
+    """Return the slots for the readers of one listener."""
+    return Semaphore(PARSE_SLOTS)
 
 
 def check_head(head: h11.Request, limits: Limits) -> Refusal | None:
