Crowd tests: one check for both router processes

memory_limit_test.py and entry_crowd_test.py had the same check, addresses and fixtures twice. crowd_target.py lets crowds send and returns what was wrong, with the figure; the tests assert that there is nothing. The checks are the same: the process lives, the peak is within the machine's memory, requests are answered beside the crowds and afterwards. A machine with few sockets is a parameter. Heads at the pages have two sizes, the one that eventlet takes and one below the new limit.

--- a/fleet/entry_crowd_test.py
+++ b/fleet/entry_crowd_test.py
@@ -10,6 +10,7 @@
 import pytest
 
 from fleet import deployments
+from fleet.crowd_target import CLIENTS, crowd_problems
 from fleet.crowds import (
     Crowd,
     Sending,
@@ -29,7 +30,6 @@
 CALLERS = 100
 CONNECTIONS = 300
 HEADS = 1200
-CLIENTS = tuple(f'127.0.0.{number}' for number in range(2, 32))
 CHAT_PATH, PEER_PATH = '/v1/chat/completions', '/peer/x'
 
 
@@ -54,19 +54,29 @@
     )
 
 
-def check_crowd(fleet: Fleet, entry: Program, crowd: Crowd) -> None:
-    """Let a crowd send; check memory, and the answers beside and afterwards."""
-    meter = MemoryMeter(entry.process.pid, (entry.port, entry.control_port))
-    try:
-        with meter:
-            crowd.send()
-            beside = fleet.serves(entry)
-    finally:
-        crowd.close()
-    assert entry.process.poll() is None
-    assert meter.peak_mb <= MEMORY_MB
-    assert beside
-    assert fleet.serves(entry)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """A router process of the fleet."""
+
+    fleet: Fleet
+    program: Program
+
+    def meter(self) -> MemoryMeter:
+        """Return a meter of its memory."""
+        ports = (self.program.port, self.program.control_port)
+        return MemoryMeter(self.program.process.pid, ports)
+
+    def is_alive(self) -> bool:
+        """Return whether it runs."""
+        return self.program.process.poll() is None
+
+    def serves(self) -> bool:
+        """Return whether it answers a request."""
+        return self.fleet.serves(self.program)
+
+    def problems(self, crowd: Crowd) -> list[str]:
+        """Return what a crowd did to it."""
+        return crowd_problems(self, (crowd,), MEMORY_MB)
 
 
 def test_bodies_of_callers(fleet: Fleet) -> None:
@@ -74,7 +84,7 @@
     entry = fleet.entries()[0]
     sending = with_key(fleet, whole(BODY_BYTES))
     crowd = Crowd(entry.port, (sending,), CALLERS, CLIENTS)
-    check_crowd(fleet, entry, crowd)
+    assert not Entry(fleet, entry).problems(crowd)
 
 
 def test_bodies_at_the_control_port(fleet: Fleet) -> None:
@@ -82,7 +92,7 @@
     entry = fleet.entries()[1]
     sending = dataclasses.replace(whole(BODY_BYTES), path=PEER_PATH)
     crowd = Crowd(entry.control_port, (sending,), CALLERS, CLIENTS)
-    check_crowd(fleet, entry, crowd)
+    assert not Entry(fleet, entry).problems(crowd)
 
 
 def test_chunk_line_without_end(fleet: Fleet) -> None:
@@ -90,12 +100,13 @@
     entry = fleet.entries()[2]
     sending = with_key(fleet, endless_chunk_line(LINE_BYTES))
     crowd = Crowd(entry.port, (sending,), CALLERS // 10, CLIENTS)
-    check_crowd(fleet, entry, crowd)
+    assert not Entry(fleet, entry).problems(crowd)
 
 
 def test_heads_without_end(fleet: Fleet) -> None:
     """Connections are bounded, and so are their heads."""
     entry = fleet.entries()[3]
     head = (long_head(HEADER_BYTES),)
-    check_crowd(fleet, entry, Crowd(entry.port, head, HEADS, CLIENTS))
-    check_crowd(fleet, entry, Crowd(entry.control_port, head, HEADS, CLIENTS))
+    for port in (entry.port, entry.control_port):
+        crowd = Crowd(port, head, HEADS, CLIENTS)
+        assert not Entry(fleet, entry).problems(crowd)
--- a/fleet/memory_limit_test.py
+++ b/fleet/memory_limit_test.py
@@ -4,12 +4,14 @@
 that depends on the speed of the machine is checked.
 """
 
+import contextlib
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
 from fleet.crowd_test import BODY_BYTES, ROUTER, CrowdedFleet
+from fleet.crowd_target import CLIENTS, crowd_problems
 from fleet.crowds import (
     Crowd,
     Sending,
@@ -32,10 +34,9 @@
 CALLERS = 300
 HEADS = 900
 FEW_CALLERS = 8
-CLIENTS = tuple(f'127.0.0.{number}' for number in range(2, 32))
 HEADER_BYTES = 15 * 1024
-# The server of the pages refuses larger heads.
-PAGE_HEADER_BYTES = 60 * 1024
+# Heads that eventlet takes, and heads that the pages take.
+PAGE_HEADS = (60 * 1024, 18 * 1024)
 LINE_BYTES = 32 * 1024 * 1024
 ORDINARY_REQUESTS = 5
 PAGES = ('directory', 'ready', 'control', 'metrics')
@@ -61,16 +62,24 @@
 class SmallMachine(CrowdedFleet):
     """A router on a machine with little memory, and a worker."""
 
-    sockets = SOCKETS
+    def __init__(self, folder: Path, sockets: int) -> None:
+        """Start all processes.
 
-    def port_of(self, door: str) -> int:
+        Args:
+          folder: where settings files and logs are written.
+          sockets: how many the router may open.
+        """
+        self.sockets = sockets
+        super().__init__(folder)
+
+    def port_of(self, name: str) -> int:
         """Return a port of the router by its name."""
-        port: int = getattr(self.routers[ROUTER], door)
+        port: int = getattr(self.routers[ROUTER], name)
         return port
 
     def meter(self) -> MemoryMeter:
         """Return a meter of the router's memory."""
-        ports = [self.port_of(door) for door in ('callers', *PAGES)]
+        ports = [self.port_of(name) for name in ('callers', *PAGES)]
         return MemoryMeter(self.processes[ROUTER].pid, ports)
 
     def serves(self) -> bool:
@@ -94,61 +103,34 @@
         }
 
 
-class FewSockets(SmallMachine):
-    """A machine with few descriptors as well."""
-
-    sockets = FEW_SOCKETS
-
-
 @pytest.fixture
-def machine(tmp_path: Path) -> Iterator[SmallMachine]:
-    """Return a machine that serves requests."""
-    fleet = SmallMachine(tmp_path)
-    try:
-        yield fleet
-    finally:
-        fleet.close()
-
-
-@pytest.fixture
-def few_sockets(tmp_path: Path) -> Iterator[FewSockets]:
-    """Return a machine with few sockets that serves requests."""
-    fleet = FewSockets(tmp_path)
-    try:
-        yield fleet
-    finally:
-        fleet.close()
-
-
-def check_crowds(machine: SmallMachine, *crowds: Crowd) -> None:
-    """Let crowds send; check memory, and the answers beside and afterwards."""
-    try:
-        with machine.meter() as meter:
-            for crowd in crowds:
-                crowd.send()
-            beside = machine.serves()
-    finally:
-        for crowd in crowds:
-            crowd.close()
-    assert machine.is_alive()
-    assert meter.peak_mb <= MEMORY_MB
-    assert beside
-    assert machine.serves()
+def machine(
+    tmp_path: Path, request: pytest.FixtureRequest
+) -> Iterator[SmallMachine]:
+    """Return a machine that serves requests; the parameter is its sockets."""
+    sockets = getattr(request, 'param', SOCKETS)
+    with contextlib.closing(SmallMachine(tmp_path, sockets)) as running:
+        yield running
 
 
 @pytest.mark.parametrize('kind', BODIES)
 def test_crowd_of_callers(machine: SmallMachine, kind: str) -> None:
     """Bodies and heads that do not end, from many addresses."""
     port = machine.port_of('callers')
-    check_crowds(machine, Crowd(port, BODIES[kind], CALLERS, CLIENTS))
+    crowd = Crowd(port, BODIES[kind], CALLERS, CLIENTS)
+    assert not crowd_problems(machine, (crowd,), MEMORY_MB)
 
 
+@pytest.mark.parametrize('header_bytes', PAGE_HEADS)
 @pytest.mark.parametrize('page', PAGES)
-def test_crowd_of_heads_at_a_page(machine: SmallMachine, page: str) -> None:
-    """Heads of the size that the server takes, without their ends."""
-    head = long_head(PAGE_HEADER_BYTES)
+def test_crowd_of_heads_at_a_page(
+    machine: SmallMachine, page: str, header_bytes: int
+) -> None:
+    """Heads without their ends."""
+    head = long_head(header_bytes)
     port = machine.port_of(page)
-    check_crowds(machine, Crowd(port, (head,), HEADS, CLIENTS))
+    crowd = Crowd(port, (head,), HEADS, CLIENTS)
+    assert not crowd_problems(machine, (crowd,), MEMORY_MB)
 
 
 @pytest.mark.parametrize('page', PAGES)
@@ -158,38 +140,40 @@
     """The pages need no bodies."""
     line = endless_chunk_line(LINE_BYTES)
     port = machine.port_of(page)
-    check_crowds(machine, Crowd(port, (line,), FEW_CALLERS, CLIENTS))
+    crowd = Crowd(port, (line,), FEW_CALLERS, CLIENTS)
+    assert not crowd_problems(machine, (crowd,), MEMORY_MB)
 
 
 def test_crowds_at_callers_port_and_directory(machine: SmallMachine) -> None:
     """The memory of the machine is shared by all ports."""
     heads = Crowd(
         machine.port_of('directory'),
-        (long_head(PAGE_HEADER_BYTES),),
+        (long_head(PAGE_HEADS[0]),),
         HEADS,
         CLIENTS,
     )
     bodies = Crowd(
         machine.port_of('callers'), BODIES['all-kinds'], CALLERS, CLIENTS
     )
-    check_crowds(machine, heads, bodies)
+    assert not crowd_problems(machine, (heads, bodies), MEMORY_MB)
 
 
+@pytest.mark.parametrize('machine', [FEW_SOCKETS], indirect=True)
 @pytest.mark.parametrize('sending', [silent(), unfinished_head()])
 @pytest.mark.parametrize('page', PAGES)
 def test_crowd_of_connections_at_a_page(
-    few_sockets: FewSockets, page: str, sending: Sending
+    machine: SmallMachine, page: str, sending: Sending
 ) -> None:
     """Descriptors are left for all else, and other callers get the page."""
-    port = few_sockets.port_of(page)
+    port = machine.port_of(page)
     crowd = Crowd(port, (sending,), 2 * FEW_SOCKETS, CLIENTS)
     try:
         crowd.send()
-        open_sockets = few_sockets.open_sockets()
-        beside = few_sockets.serves()
+        open_sockets = machine.open_sockets()
+        beside = machine.serves()
     finally:
         crowd.close()
-    assert few_sockets.is_alive()
+    assert machine.is_alive()
     assert open_sockets <= FEW_SOCKETS
     assert beside
 
